--- /dev/null
+++ b/scalefall/__init__.py
@@ -0,0 +1,1 @@
+"""scalefall: the decisions of a service that delivers messages to other firms' systems."""
--- a/dykeworks/policy.py
+++ b/scalefall/policy.py
@@ -11,7 +11,7 @@
 from itertools import chain
 from math import ceil, inf, log2, sqrt
 
-from dykeworks.interface import (Action, Attempted, Cancel, Close, Dropped, Effect, Endpoint, Event, Fail,
+from scalefall.interface import (Action, Attempted, Cancel, Close, Dropped, Effect, Endpoint, Event, Fail,
                                  Listed, ListKind, Log, Message, MessageClass, Outcome, Refuse, Send,
                                  SetTimer, Settings, Status, Subscribe, Timer)
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,8 +1,8 @@
 """A Sender under test and the events that drive it; no server is modelled here."""
 from __future__ import annotations
 
-from dykeworks import interface as i
-from dykeworks.policy import Sender
+from scalefall import interface as i
+from scalefall.policy import Sender
 
 MS, S = 1000, 1_000_000
 
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -24,7 +24,7 @@
 
 def run(*lines, seed="0"):
     text = "".join((line if isinstance(line, str) else json.dumps(line)) + "\n" for line in lines)
-    return subprocess.run([sys.executable, "-m", "dykeworks.adapter"], input=text, text=True, capture_output=True,
+    return subprocess.run([sys.executable, "-m", "scalefall.adapter"], input=text, text=True, capture_output=True,
                           cwd=ROOT, env=os.environ | {"PYTHONHASHSEED": seed}, timeout=60)
 
 
@@ -62,7 +62,7 @@
     ("siblings", 0), ("familyInfo.workers", None), ("familyInfo.workers", "many"), ("caps.maxAttempts", -1),
     ("caps.cancelling", 1), ("familyInfo.perCall", []), ("familyInfo.late", "soon"), ("guarantees", 3)])
 def test_impossible_settings_name_their_key(path, value):
-    from dykeworks.adapter import read_settings
+    from scalefall.settings import read_settings
     config = copy.deepcopy(CONFIG)
     *above, last = path.split(".")
     table = config
@@ -74,7 +74,7 @@
 
 
 def test_an_exception_in_the_module_becomes_a_fault(monkeypatch):
-    from dykeworks import adapter
+    from scalefall import adapter
     host = adapter.Host()
     host.batch(0, [opened()])
 
--- a/tests/test_failback.py
+++ b/tests/test_failback.py
@@ -10,8 +10,8 @@
 import pytest
 from helpers import MS, S, message_class, settings
 
-from dykeworks import interface as i
-from dykeworks.policy import Sender
+from scalefall import interface as i
+from scalefall.policy import Sender
 
 ANSWER = 80 * MS
 
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -2,7 +2,7 @@
 import pytest
 from helpers import MS, Drive, S, message_class
 
-from dykeworks import interface as i
+from scalefall import interface as i
 
 O = i.Outcome  # noqa: E741
 
--- a/tests/test_lmac.py
+++ b/tests/test_lmac.py
@@ -2,8 +2,8 @@
 import pytest
 from helpers import MS, Drive, S, message_class
 
-from dykeworks import interface as i
-from dykeworks.policy import BIN_US, FREE_COMPLETIONS, TAUS, WINDOW_US, Envelope
+from scalefall import interface as i
+from scalefall.policy import BIN_US, FREE_COMPLETIONS, TAUS, WINDOW_US, Envelope
 
 
 def filled(counts):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -12,8 +12,8 @@
 from hypothesis import settings as limits
 from hypothesis import strategies as st
 
-from dykeworks import interface as i
-from dykeworks.policy import Sender
+from scalefall import interface as i
+from scalefall.policy import Sender
 
 NEVER_RAN = {i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT}
 RESTS = {i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED}
