--- /dev/null
+++ b/scalefall/__main__.py
@@ -0,0 +1,22 @@
+"""One real sender: `python -m scalefall`, told by RELAY_CONFIG and the other variables of the platform."""
+import logging
+import os
+import sys
+
+from scalefall.net.config import ConfigError, read_config
+from scalefall.net.host import run
+
+
+def main() -> int:
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
+                        datefmt="%H:%M:%S", stream=sys.stderr)
+    try:
+        run(read_config(os.environ))
+    except (ConfigError, OSError) as error:
+        print(f"scalefall: {error}", file=sys.stderr)
+        return 2
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scalefall/interface.py
+++ b/scalefall/interface.py
@@ -106,13 +106,17 @@
 
 @dataclass(slots=True)
 class Message:
-    """A message handed in: the sender owes it one final answer by due_us."""
+    """A message handed in: the sender owes it one final answer by due_us. One that was taken on before a restart
+    comes again with its history: attempts used, and when and where one first may have run."""
     id: str
     destination: int
     class_name: str
     due_us: int
     tenant: str | None = None
     key: str | None = None
+    attempts: int = 0
+    ran_us: int | None = None       # may lie before the start
+    ran_zone: str = ""
 
 
 @dataclass(slots=True)
@@ -154,6 +158,12 @@
     endpoints: list[Endpoint] = field(default_factory=list)
 
 
+@dataclass(slots=True)
+class Closing:
+    """The process ends at until_us, on purpose: a call still out then may have run."""
+    until_us: int
+
+
 @dataclass(slots=True)
 class Send:
     id: str
@@ -207,5 +217,5 @@
     line: str
 
 
-Event = Union[Message, Dropped, Attempted, Probed, Timer, Listed]
+Event = Union[Message, Dropped, Attempted, Probed, Timer, Listed, Closing]
 Action = Union[Send, Cancel, Refuse, Fail, SetTimer, Probe, Close, Subscribe, Log]
--- /dev/null
+++ b/scalefall/net/checks.py
@@ -0,0 +1,24 @@
+"""What must hold: asserted in debug builds, counted in release builds (python -O)."""
+from __future__ import annotations
+
+import logging
+from collections import Counter
+
+log = logging.getLogger("scalefall")
+broken: Counter[str] = Counter()
+
+
+def holds(condition: object, name: str) -> bool:
+    """True if the invariant holds. If not: an AssertionError in debug, a count under its name in release."""
+    if condition:
+        return True
+    if __debug__:
+        raise AssertionError(name)
+    broken[name] += 1
+    return False
+
+
+def report() -> None:
+    """Log every non-zero count; the caller chooses when."""
+    for name, count in sorted(broken.items()):
+        log.warning("invariant broken: %s, %d times since the start", name, count)
--- /dev/null
+++ b/scalefall/net/config.py
@@ -0,0 +1,84 @@
+"""What a sender is told at its start: the configuration, read once into the values that the program uses."""
+from __future__ import annotations
+
+import json
+import os
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from scalefall.interface import Settings
+from scalefall.net.farm import Roll, read_roll
+from scalefall.settings import read_settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text is one plain line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    name: str
+    listen: Address
+    discovery: Address
+    state: str
+    seed: int
+    sockets: int
+    disk_bytes: int
+    settings: Settings
+    known: Roll
+
+
+def read_address(value: Any, name: str) -> Address:
+    host, colon, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not (host and colon and port.isascii() and port.isdigit() and int(port) < 65536):
+        raise ConfigError(f"{name} must be an address and a port, not {value!r}")
+    return host, int(port)
+
+
+def read_config(environ: Mapping[str, str]) -> Config:
+    """The configuration that the environment points to; a variable of its own goes before the file's value."""
+    path = environ.get("RELAY_CONFIG", "")
+    if not path:
+        raise ConfigError("RELAY_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            table = json.load(file)
+    except (OSError, ValueError) as error:
+        raise ConfigError(f"{path} cannot be read: {error}") from error
+    if not isinstance(table, dict):
+        raise ConfigError(f"{path} must hold an object")
+    limits = table.get("limits", {})
+    if not isinstance(limits, dict):
+        raise ConfigError("limits must be an object")
+    state = environ.get("RELAY_STATE", "")
+    if not os.path.isdir(state):
+        raise ConfigError(f"RELAY_STATE must name a folder, not {state!r}")
+    try:
+        return Config(
+            name=environ.get("RELAY_NAME") or str(table.get("name", "")), state=state,
+            listen=read_address(environ.get("RELAY_LISTEN") or table.get("listen"), "listen"),
+            discovery=read_address(environ.get("RELAY_DISCOVERY") or table.get("discovery"), "discovery"),
+            seed=_seed(table.get("seed", "0")), sockets=_limit(limits, "sockets", 1024, 64),
+            disk_bytes=int(_limit(limits, "disk_mb", 3, 1) * 1_000_000), settings=read_settings(table.get("settings")),
+            known=read_roll(table.get("known") or {"seq": 0, "whole": True, "hosts": []}))
+    except ValueError as error:
+        raise ConfigError(str(error)) from error
+
+
+def _limit(limits: dict[str, Any], key: str, default: float, least: float) -> float:
+    value = limits.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < float("inf"):
+        raise ConfigError(f"limits.{key} must be a number of at least {least}, not {value!r}")
+    return value
+
+
+def _seed(value: Any) -> int:
+    if not isinstance(value, str):
+        raise ConfigError(f"seed must be a string of hexadecimal digits, not {value!r}")
+    try:
+        return int(value, 16)
+    except ValueError:
+        raise ConfigError(f"seed must be a string of hexadecimal digits, not {value!r}") from None
--- /dev/null
+++ b/scalefall/net/farm.py
@@ -0,0 +1,134 @@
+"""The farm: discovery's list of endpoints, kept up by a watch. What it learns goes to the host as Listed events."""
+from __future__ import annotations
+
+import json
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from scalefall import interface as i
+from scalefall.net import http, streams
+from scalefall.net.checks import log
+from scalefall.net.scheduler import Scheduler
+
+SECOND = 1_000_000
+DIAL_US = SECOND                # a dial to discovery is given up after this
+FIRST_US = 3 * SECOND           # and a watch that has not answered after this
+BEAT_US = 2 * SECOND            # discovery sends a line at least so often
+SILENT_US = 3 * SECOND          # a watch with no line for this long is broken: told counts from 6 s on
+MOST_LINE = 1024 * 1024
+STATES = {"in_service": i.Status.READY, "terminating": i.Status.DRAINING, "terminated": i.Status.GONE}
+
+
+@dataclass(slots=True, frozen=True)
+class Entry:
+    """One endpoint as the list has it: what the module is told, and where to dial."""
+    endpoint: i.Endpoint
+    address: tuple[str, int]
+
+
+@dataclass(slots=True, frozen=True)
+class Roll:
+    """The list, or what of it has changed, at a version."""
+    seq: int
+    whole: bool
+    entries: list[Entry]
+
+
+def read_roll(table: Any) -> Roll:
+    """Discovery's object as a Roll; a ValueError names what is wrong."""
+    try:
+        seq, whole = table["seq"], table.get("whole", False)
+        entries = [_read_entry(row) for row in table["hosts"]]
+        if isinstance(seq, bool) or not isinstance(seq, int):
+            raise ValueError(f"seq must be a whole number, not {seq!r}")
+    except (TypeError, KeyError, AttributeError) as error:
+        raise ValueError(f"list of endpoints: missing or wrong value ({error!r})") from error
+    return Roll(seq, bool(whole), entries)
+
+
+def _read_entry(row: Any) -> Entry:
+    host, port = row["dial"].rsplit(":", 1)
+    if not isinstance(row["host"], str) or not isinstance(row["block"], int) or row["health"] not in STATES:
+        raise ValueError(f"list of endpoints: {row['host']!r} has a wrong value")
+    return Entry(i.Endpoint(row["host"], str(row["site"]), str(row["class"]), row["block"], STATES[row["health"]],
+                            float(row.get("share") or 0)), (host, int(port)))
+
+
+class Farm:
+    def __init__(self, scheduler: Scheduler, discovery: tuple[str, int], known: Roll,
+                 tell: Callable[[i.Listed], None]) -> None:
+        self._scheduler, self._discovery, self._tell = scheduler, discovery, tell
+        self.entries: dict[str, Entry] = {}
+        self.left_at: dict[str, int] = {}       # when we were told that an endpoint drains or is gone
+        self.seq, self._watching = known.seq, False
+        self._keep(known)
+
+    def known(self) -> i.Listed:
+        """The list as this sender had it last; it may be old."""
+        return i.Listed(i.ListKind.CACHED, [entry.endpoint for entry in self.entries.values()])
+
+    def subscribe(self) -> None:
+        """Open a watch, unless one is open; its failure is one FAILED event, and the module says when to ask anew."""
+        if not self._watching:
+            self._watching = True
+            self._scheduler.spawn(self._watch)
+
+    def _keep(self, roll: Roll) -> None:
+        now = self._scheduler.now()
+        if roll.whole:
+            for gone in self.entries.keys() - {entry.endpoint.id for entry in roll.entries}:
+                self.left_at.setdefault(gone, now)
+        for entry in roll.entries:
+            name = entry.endpoint.id
+            self.entries[name] = entry
+            if entry.endpoint.status is i.Status.READY:
+                self.left_at.pop(name, None)
+            else:
+                self.left_at.setdefault(name, now)
+        self.seq = roll.seq
+
+    def _watch(self) -> None:
+        why = "ended"
+        sock = None
+        try:
+            sock = streams.dial(self._scheduler, self._discovery, self._scheduler.now() + DIAL_US)
+            self._follow(sock)
+        except (OSError, http.Malformed, ValueError) as error:
+            why = str(error) or type(error).__name__
+        finally:
+            if sock is not None:
+                sock.close()
+            self._watching = False
+        log.info("watch on the farm broken: %s", why)
+        self._tell(i.Listed(i.ListKind.FAILED))
+
+    def _follow(self, sock: socket.socket) -> None:
+        streams.send(self._scheduler, sock, http.request(
+            "GET", f"/v1/servers?stream=1&index={self.seq}", "discovery", []), self._scheduler.now() + DIAL_US)
+        reader, text, until = http.AnswerReader(MOST_LINE), b"", self._scheduler.now() + FIRST_US
+        while not reader.complete:
+            data = streams.receive(self._scheduler, sock, until)
+            if not data:
+                raise OSError("discovery closed it")
+            reader.feed(data)
+            if not reader.head_done:
+                continue
+            if reader.status != 200:
+                raise OSError(f"discovery answered {reader.status}")
+            *lines, text = (text + reader.take()).split(b"\n")
+            if len(text) > MOST_LINE:
+                raise ValueError("a line of the list is too long")
+            for line in lines:
+                until = self._scheduler.now() + SILENT_US
+                if line.strip():
+                    self._learn(read_roll(json.loads(line)))
+
+    def _learn(self, roll: Roll) -> None:
+        if not roll.whole and roll.seq <= self.seq:
+            return      # what we have already
+        log.info("farm: version %d, %s %d", roll.seq, "all" if roll.whole else "changed", len(roll.entries))
+        self._keep(roll)
+        kind = i.ListKind.WHOLE if roll.whole else i.ListKind.CHANGES
+        self._tell(i.Listed(kind, [entry.endpoint for entry in roll.entries]))
--- /dev/null
+++ b/scalefall/net/host.py
@@ -0,0 +1,272 @@
+"""The host: owns the module, gathers its events, calls it once a tick and does on the sockets what it decides."""
+from __future__ import annotations
+
+import signal
+import time
+from scalefall import interface as i
+from scalefall.net import checks
+from scalefall.net.checks import holds, log
+from scalefall.net.config import Config
+from scalefall.net.farm import Entry, Farm
+from scalefall.net.front import Front
+from scalefall.net.journal import FAILED, RETURNED, Journal, Owed
+from scalefall.net.notices import Notices
+from scalefall.net.passes import Load, Passes
+from scalefall.net.scheduler import Scheduler
+from scalefall.net.transaction import Failed, Taken, Transaction, UnavailableAnswer
+from scalefall.policy import Sender
+
+MS, SECOND = 1000, 1_000_000
+FULL_US = SECOND                # when to come back, told by a sender that has no room
+CLOSING_US = SECOND // 2        # and by one that is about to end: others will be there
+DRAIN_MARGIN_US = 200 * MS      # a call whose first byte would go out later than the grace less this does not begin
+LINGER_US = SECOND              # after SIGTERM new connections still come for a while
+LAST_CALL_US = 2600 * MS        # then with no pass out there is nothing left to wait for
+CLOSED_US = 3000 * MS           # no pass is to be out any more
+END_US = 3200 * MS              # and the process ends, well before SIGKILL at 3.7 s
+REPORT_US = 10 * SECOND
+NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT)
+
+
+class Host:
+    def __init__(self, scheduler: Scheduler, config: Config) -> None:
+        self._scheduler, self._config, self._set = scheduler, config, config.settings
+        self._module = Sender(config.settings, config.seed)
+        self._events: list[i.Event] = []
+        self._planned, self._closing_at = False, 0
+        self._open: dict[str, Transaction] = {}     # offered or taken on, and not over for the module
+        self._waits: dict[int | str, int] = {}      # until when, by destination or route apart
+        self._wall = time.time_ns() // 1000 - scheduler.now()
+        self._journal = Journal(config.state, config.disk_bytes)
+        self._farm = Farm(scheduler, config.discovery, config.known, self._gather)
+        self._notices = Notices(scheduler, config.discovery, self._journal.over)
+        self._passes = Passes(scheduler, config.settings, config.sockets // 2, self._settled, self._may_begin)
+        self.front = Front(scheduler, config.settings.classes, config.sockets // 2 - 32, self.offer, self.withdraw)
+
+    def start(self) -> None:
+        self._gather(self._farm.known())
+        self._restore()
+        self._turn()
+        log.info("ready: %s at %s:%d", self._config.name, *self.front.listen(self._config.listen))
+        self._scheduler.call_at(self._scheduler.now() + REPORT_US, self._report)
+
+    def _report(self) -> None:
+        checks.report()
+        self._scheduler.call_at(self._scheduler.now() + REPORT_US, self._report)
+
+    # -- for fronts
+
+    def offer(self, transaction: Transaction) -> None:
+        """Hand a transaction to the module; its verdict comes with the turn, or at once if there is no room."""
+        if transaction.id in self._open:
+            self._again(transaction)
+        elif self._closing_at and self._scheduler.now() >= self._closing_at + CLOSED_US:
+            transaction.decide(UnavailableAnswer(CLOSING_US, True))
+        elif len(self._open) >= self._set.max_held or not self._journal.room(len(transaction.body)):
+            transaction.decide(UnavailableAnswer(FULL_US, True))
+        else:
+            self._open[transaction.id] = transaction
+            self._gather(i.Message(transaction.id, transaction.destination, transaction.class_name, transaction.due))
+
+    def _again(self, transaction: Transaction) -> None:
+        """The same id once more, as a user agent may send it when its connection broke: one verdict for both."""
+        first = self._open[transaction.id]
+        if first.verdict is not None:
+            transaction.decide(first.verdict)
+            return
+        told = first.told
+
+        def both() -> None:
+            if told is not None:
+                told()
+            transaction.decide(first.verdict)
+        first.told = both
+
+    def withdraw(self, transaction: Transaction) -> None:
+        """Its user agent went before it had its answer: nothing more is owed."""
+        if self._open.get(transaction.id) is transaction:
+            del self._open[transaction.id]
+            self._journal.over(transaction.id)
+            self._gather(i.Dropped(transaction.id))
+
+    # -- the module's turn
+
+    def _gather(self, event: i.Event) -> None:
+        self._events.append(event)
+        if not self._planned:
+            self._planned = True
+            tick = max(1, self._set.tick_us)
+            self._scheduler.call_at((self._scheduler.now() // tick + 1) * tick, self._turn)
+
+    def _turn(self) -> None:
+        self._planned = False
+        events, self._events = self._events, []
+        if not events:
+            return
+        handed_in = [event.id for event in events if isinstance(event, i.Message) and event.id in self._open
+                     and self._open[event.id].verdict is None]
+        self._perform(self._module.handle(self._scheduler.now(), events), handed_in)
+        for name in handed_in:
+            if name in self._open:
+                self._open[name].decide(Taken())
+
+    def _perform(self, actions: list[i.Action], handed_in: list[str]) -> None:
+        """Final answers first, so that what is refused in its first turn is never journaled; sends last, by call."""
+        sends: dict[str, list[i.Send]] = {}
+        for action in actions:
+            match action:
+                case i.Refuse(id=name, retry_after_us=after):
+                    self._refuse(name, after)
+                case i.Fail(id=name):
+                    self._fail(name)
+                case i.Send(endpoint=endpoint):
+                    sends.setdefault(endpoint, []).append(action)
+                case i.Cancel(id=name, attempt=attempt):
+                    self._passes.cancel(name, attempt)
+                case i.SetTimer(token=token, delay_us=delay):
+                    self._scheduler.call_at(self._scheduler.now() + delay, self._gather, i.Timer(token))
+                case i.Close(endpoint=endpoint):
+                    if endpoint in self._farm.entries:
+                        self._passes.close_idle(self._farm.entries[endpoint].address)
+                case i.Subscribe():
+                    self._farm.subscribe()
+                case i.Log(line=line):
+                    log.info("module: %s", line)
+                case _:
+                    holds(False, f"the module asks only for what is allowed here, not {type(action).__name__}")
+        for name in handed_in:
+            if name in self._open:
+                self._take_on(self._open[name])
+        for endpoint, calls in sends.items():
+            entry = self._farm.entries[endpoint]
+            most = self._set.per_call.get(entry.endpoint.kind, 1)
+            for at in range(0, len(calls), most):
+                self._begin(entry, calls[at:at + most])
+
+    def _take_on(self, transaction: Transaction) -> None:
+        """Into the journal before the answer; what it can't hold after all is refused."""
+        if not self._journal.take_on(Owed(transaction.id, transaction.class_name, transaction.destination,
+                                          transaction.due + self._wall, transaction.key, transaction.body)):
+            transaction.decide(UnavailableAnswer(FULL_US, True))
+            self.withdraw(transaction)
+
+    def _begin(self, entry: Entry, calls: list[i.Send]) -> None:
+        now, loads, ids = self._scheduler.now(), [], []
+        for send in calls:
+            transaction = self._open.get(send.id)
+            if transaction is None:     # not taken on after all: the attempt ends unsent
+                self._gather(i.Attempted(send.id, 0, entry.endpoint.id, i.Outcome.NOT_SENT, 0, True))
+                continue
+            loads.append(Load(send.id, transaction.attempts, now + send.timeout_us, transaction.key, transaction.body))
+            transaction.attempts += 1
+            ids.append(send.id)
+        if not loads:
+            return
+        if self._journal.pass_begun(ids, now + self._wall, entry.endpoint.zone):
+            self._passes.begin(entry, loads)
+        else:
+            for load in loads:
+                self._gather(i.Attempted(load.id, load.attempt, entry.endpoint.id, i.Outcome.NOT_SENT, 0))
+
+    def _may_begin(self, entry: Entry) -> bool:
+        """Whether the first byte of a call may still go out: asked once its connection is up."""
+        now, endpoint = self._scheduler.now(), entry.endpoint
+        left = self._farm.left_at.get(endpoint.id, now)
+        drained = now - left > self._set.drain_grace_us - DRAIN_MARGIN_US
+        return not drained and self._waits.get(self._bound(endpoint), 0) <= now
+
+    def _bound(self, endpoint: i.Endpoint) -> int | str:
+        return endpoint.id if self._set.apart.get(endpoint.kind) else endpoint.destination
+
+    def _settled(self, event: i.Attempted) -> None:
+        """A pass has ended for one message."""
+        if event.wait_us:
+            bound = self._bound(self._farm.entries[event.endpoint].endpoint)
+            self._waits[bound] = max(self._waits.get(bound, 0), self._scheduler.now() + event.wait_us)
+        if event.finished:
+            self._journal.over(event.id)
+            self._open.pop(event.id, None)
+        else:
+            self._journal.outcome(event.id, event.outcome not in NEVER_RAN)
+            event.finished = event.id not in self._open
+        self._gather(event)
+
+    # -- final answers
+
+    def _refuse(self, name: str, after: int) -> None:
+        transaction = self._open.pop(name, None)
+        if transaction is None:
+            return
+        if transaction.verdict is None:
+            transaction.decide(UnavailableAnswer(after))
+            return
+        after_ms = -(-after // MS)
+        self._journal.ended(name, RETURNED, after_ms)
+        self._notices.returned(name, after_ms)
+
+    def _fail(self, name: str) -> None:
+        transaction = self._open.pop(name, None)
+        if transaction is None:
+            return
+        if transaction.verdict is None:
+            transaction.decide(Failed())
+            return
+        self._journal.ended(name, FAILED, 0)
+        self._notices.failed(name)
+
+    # -- the start and the end
+
+    def _restore(self) -> None:
+        """What the last process left: notices go out again, and the module gets what is open with its history."""
+        restored = 0
+        for owed in list(self._journal.owed.values()):
+            if owed.end == RETURNED:
+                self._notices.returned(owed.id, owed.after_ms)
+                continue
+            if owed.end == FAILED:
+                self._notices.failed(owed.id)
+                continue
+            restored += 1
+            if owed.out:    # it was out when the process died: it may have run
+                self._journal.outcome(owed.id, True)
+            self._open[owed.id] = Transaction(owed.id, owed.class_name, owed.destination, owed.due_wall - self._wall,
+                                              owed.key, owed.body, owed.attempts, Taken())
+            self._gather(i.Message(owed.id, owed.destination, owed.class_name, owed.due_wall - self._wall, None, None,
+                                   owed.attempts, owed.ran_wall - self._wall if owed.ran_wall else None, owed.ran_zone))
+        if self._journal.owed:
+            log.info("restored: %d open, %d with a notice to deliver", restored, len(self._journal.owed) - restored)
+
+    def close(self) -> None:
+        """SIGTERM: answer while connections come, begin nothing that may not finish, and end in time."""
+        if self._closing_at:
+            return
+        self._closing_at = self._scheduler.now()
+        log.info("closing: %d open, %d passes out", len(self._open), self._passes.out)
+        self._gather(i.Closing(self._closing_at + CLOSED_US))
+        self.front.close_idle()
+        self._scheduler.spawn(self._wind_up)
+
+    def _wind_up(self) -> None:
+        while not self._may_end(self._scheduler.now() - self._closing_at):
+            self._scheduler.sleep(20 * MS)
+        self.front.stop_listening()
+        self._scheduler.sleep(20 * MS)
+        log.info("ended: %d left to the journal, %d passes out", len(self._open), self._passes.out)
+        checks.report()
+        self._scheduler.stop()
+
+    def _may_end(self, since: int) -> bool:
+        if since >= END_US:
+            return True
+        rest = not self._open and self._notices.idle or since >= LAST_CALL_US
+        return since >= LINGER_US and rest and not self._passes.out and not self.front.answering
+
+
+def run(config: Config) -> None:
+    """Serve until SIGTERM or SIGINT has been heeded."""
+    scheduler = Scheduler()
+    host = Host(scheduler, config)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        scheduler.on_signal(number, host.close)
+    host.start()
+    scheduler.run()
--- /dev/null
+++ b/scalefall/net/journal.py
@@ -0,0 +1,268 @@
+"""The sender's journal in the lasting folder: what was taken on, the passes begun, their outcomes and the ends.
+
+Records are appended to one file, each with its length and a checksum, with absolute wall time. A torn tail is cut.
+When the file and a fresh copy of what is still owed would no longer both fit into the folder's limit, the copy takes
+the file's place. Nothing is taken on for which that could not be kept.
+"""
+from __future__ import annotations
+
+import os
+import struct
+import zlib
+from dataclasses import dataclass, field
+
+from scalefall.net.checks import holds, log
+
+HEAD = struct.Struct("<II")             # length of the record's body, its CRC-32
+TAKEN = struct.Struct("<qiIqBB")        # due, destination, attempts, ran at (0: not), out, state of the end
+BLOCK = 512                             # files are counted in whole blocks of this size
+SPARE = 64 * 1024                       # kept free for the small records between two compactions
+FAILED, RETURNED = 1, 2                 # ends that the platform is owed a notice of
+MARK = b"scalefall journal 1\n"
+
+
+@dataclass(slots=True)
+class Owed:
+    """A transaction as the journal knows it: not over yet, or over with its notice still to be delivered."""
+    id: str
+    class_name: str
+    destination: int
+    due_wall: int               # microseconds since the epoch
+    key: str | None
+    body: bytes
+    attempts: int = 0
+    ran_wall: int = 0           # begin of the first pass that may have run
+    ran_zone: str = ""
+    out: bool = False           # a pass has begun and has no outcome yet
+    out_wall: int = 0
+    out_zone: str = ""
+    end: int = 0                # FAILED or RETURNED: a notice is owed
+    after_ms: int = 0
+    size: int = field(default=0, repr=False)
+
+
+def _text(*values: str | None) -> bytes:
+    parts = []
+    for value in values:
+        raw = b"" if value is None else value.encode()
+        parts.append(struct.pack("<H", 0xFFFF if value is None else len(raw)) + raw)
+    return b"".join(parts)
+
+
+def _untext(data: bytes, at: int, number: int) -> tuple[list[str | None], int]:
+    values: list[str | None] = []
+    for _ in range(number):
+        (length,) = struct.unpack_from("<H", data, at)
+        at += 2
+        if length == 0xFFFF:
+            values.append(None)
+            continue
+        if at + length > len(data):
+            raise ValueError("text cut short")
+        values.append(data[at:at + length].decode())
+        at += length
+    return values, at
+
+
+def _snapshot(owed: Owed) -> bytes:
+    """One record that holds all of a transaction; its begin, and its history after a compaction."""
+    ran_wall, ran_zone = owed.ran_wall, owed.ran_zone
+    head = TAKEN.pack(owed.due_wall, owed.destination, owed.attempts, ran_wall, owed.out, owed.end)
+    tail = struct.pack("<Iq", owed.after_ms, owed.out_wall)
+    return b"T" + head + tail + _text(owed.id, owed.class_name, owed.key, ran_zone, owed.out_zone) \
+        + (b"" if owed.end else owed.body)
+
+
+class Journal:
+    def __init__(self, folder: str, most_bytes: int) -> None:
+        self._path, self._new = os.path.join(folder, "journal"), os.path.join(folder, "journal.new")
+        self._most, self.owed = most_bytes, {}
+        self._live = 0              # bytes that a fresh copy would take
+        self._remove_new()
+        self._file = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
+        self._size = self._read()
+        if self._size != len(MARK) + self._live:
+            self._compact()
+
+    # -- what is written
+
+    def room(self, length: int) -> bool:
+        """Whether one more with a body so long would fit; take_on has the last word."""
+        return self._fits(self._live + length + 1024)
+
+    def take_on(self, owed: Owed) -> bool:
+        """False, and nothing is taken on, if it would not fit or can't be written."""
+        size = HEAD.size + len(_snapshot(owed)) + 64    # with room for the zones of its history
+        if not self._fits(self._live + size) or not self._append(_snapshot(owed), size):
+            return False
+        holds(owed.id not in self.owed, "an id is taken on once")
+        owed.size = size
+        self.owed[owed.id] = owed
+        self._live += size
+        return True
+
+    def pass_begun(self, ids: list[str], wall: int, zone: str) -> bool:
+        """False if it can't be written: then the pass must not begin."""
+        ids = [name for name in ids if name in self.owed]
+        if not self._append(b"P" + struct.pack("<qH", wall, len(ids)) + _text(zone, *ids)):
+            return False
+        for name in ids:
+            self._begin(self.owed[name], wall, zone)
+        return True
+
+    def outcome(self, name: str, may_have_run: bool) -> None:
+        """How the pass that is out ended; a delivery is told by over()."""
+        if name in self.owed:
+            self._append(b"O" + bytes([may_have_run]) + _text(name))
+            self._settle(self.owed[name], may_have_run)
+
+    def over(self, name: str) -> None:
+        """Delivered, withdrawn, or its notice has arrived: nothing more is owed."""
+        if name in self.owed:
+            self._append(b"E" + _text(name))
+            self._live -= self.owed.pop(name).size
+
+    def ended(self, name: str, end: int, after_ms: int) -> None:
+        """Ended by the module; the platform is owed a notice."""
+        if name in self.owed:
+            self._append(b"N" + struct.pack("<BI", end, after_ms) + _text(name))
+            self._end(self.owed[name], end, after_ms)
+
+    def close(self) -> None:
+        os.close(self._file)
+
+    # -- what the records do to what is owed
+
+    @staticmethod
+    def _begin(owed: Owed, wall: int, zone: str) -> None:
+        owed.attempts += 1
+        owed.out, owed.out_wall, owed.out_zone = True, wall, zone
+
+    @staticmethod
+    def _settle(owed: Owed, may_have_run: bool) -> None:
+        if may_have_run and not owed.ran_wall:
+            owed.ran_wall, owed.ran_zone = owed.out_wall, owed.out_zone
+        owed.out = False
+
+    def _end(self, owed: Owed, end: int, after_ms: int) -> None:
+        owed.end, owed.after_ms = end, after_ms
+        self._live -= len(owed.body)
+        owed.size -= len(owed.body)
+        owed.body = b""
+
+    # -- the file
+
+    def _fits(self, live: int, more: int = 0) -> bool:
+        """Whether twice what is owed, the old file and the new one, stays within the limit."""
+        return 2 * (live + more) + SPARE + 4 * BLOCK <= self._most
+
+    def _append(self, record: bytes, grows: int = 0) -> bool:
+        framed = HEAD.pack(len(record), zlib.crc32(record)) + record
+        if self._size + len(framed) + self._live + grows + 4 * BLOCK > self._most and not self._compact():
+            return False
+        try:
+            written = 0
+            while written < len(framed):
+                written += os.write(self._file, framed[written:])
+        except OSError as error:
+            log.error("journal: cannot write (%s)", error)
+            self._cut(self._size)      # half a record in the middle would hide all that follows
+            return False
+        self._size += len(framed)
+        return True
+
+    def _cut(self, size: int) -> None:
+        try:
+            os.ftruncate(self._file, size)
+        except OSError as error:
+            log.error("journal: cannot cut (%s)", error)
+
+    def _compact(self) -> bool:
+        try:
+            new = os.open(self._new, os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND, 0o600)
+            try:
+                size = os.write(new, MARK)
+                for owed in self.owed.values():
+                    record = _snapshot(owed)
+                    data = HEAD.pack(len(record), zlib.crc32(record)) + record
+                    while data:
+                        done = os.write(new, data)
+                        size, data = size + done, data[done:]
+                os.rename(self._new, self._path)
+            except OSError:
+                os.close(new)
+                raise
+        except OSError as error:
+            log.error("journal: cannot compact (%s)", error)
+            self._remove_new()
+            return False
+        os.close(self._file)
+        self._file, self._size = new, size
+        return True
+
+    def _remove_new(self) -> None:
+        """A compaction that the process did not live to finish: the old file still holds everything."""
+        try:
+            os.unlink(self._new)
+        except FileNotFoundError:
+            pass
+
+    def _read(self) -> int:
+        """Take in the file; give back the size up to which it is whole, having cut the rest."""
+        with open(self._path, "rb") as file:
+            data = file.read()
+        at = len(MARK)
+        if not data.startswith(MARK):
+            if data:
+                log.error("journal: not one of ours, or its head is torn; %d bytes are set aside", len(data))
+            self._cut(0)
+            os.write(self._file, MARK)
+            return at
+        while at + HEAD.size <= len(data):
+            length, checksum = HEAD.unpack_from(data, at)
+            record = data[at + HEAD.size:at + HEAD.size + length]
+            if len(record) != length or zlib.crc32(record) != checksum:
+                break
+            try:
+                self._replay(record)
+            except (ValueError, struct.error, KeyError, IndexError) as error:
+                log.error("journal: a record cannot be read (%r)", error)
+                break
+            at += HEAD.size + length
+        if at < len(data):
+            log.warning("journal: torn tail of %d bytes cut", len(data) - at)
+            self._cut(at)
+        return at
+
+    def _replay(self, record: bytes) -> None:
+        kind = record[:1]
+        if kind == b"T":
+            due, destination, attempts, ran_wall, out, end = TAKEN.unpack_from(record, 1)
+            after_ms, out_wall = struct.unpack_from("<Iq", record, 1 + TAKEN.size)
+            texts, at = _untext(record, 1 + TAKEN.size + 12, 5)
+            owed = Owed(texts[0] or "", texts[1] or "", destination, due, texts[2], record[at:], attempts, ran_wall,
+                        texts[3] or "", bool(out), out_wall, texts[4] or "", end, after_ms)
+            owed.size = HEAD.size + len(record) + 64
+            self.owed[owed.id] = owed
+            self._live += owed.size
+        elif kind == b"P":
+            wall, number = struct.unpack_from("<qH", record, 1)
+            texts, _ = _untext(record, 11, number + 1)
+            for name in texts[1:]:
+                if name in self.owed:
+                    self._begin(self.owed[name], wall, texts[0] or "")
+        elif kind == b"O":
+            name = _untext(record, 2, 1)[0][0]
+            if name in self.owed:
+                self._settle(self.owed[name], bool(record[1]))
+        elif kind == b"E":
+            name = _untext(record, 1, 1)[0][0]
+            if name in self.owed:
+                self._live -= self.owed.pop(name).size
+        elif kind == b"N":
+            end, after_ms = struct.unpack_from("<BI", record, 1)
+            name = _untext(record, 6, 1)[0][0]
+            if name in self.owed:
+                self._end(self.owed[name], end, after_ms)
+        else:
+            raise ValueError(f"unknown record {kind!r}")
--- /dev/null
+++ b/scalefall/net/passes.py
@@ -0,0 +1,316 @@
+"""Proxy passes: one call to an endpoint, with one message or several, over connections that are kept in pools.
+
+What a pass ends as is read off PROTOCOL's table. A connection that could not be had, or that broke before the call's
+last byte was written, proves that nothing has run; after that byte it may have.
+"""
+from __future__ import annotations
+
+import base64
+import json
+import math
+import re
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from scalefall import interface as i
+from scalefall.net import http, streams
+from scalefall.net.checks import holds, log
+from scalefall.net.farm import Entry
+from scalefall.net.scheduler import READ, TIME_UP, Scheduler, Task
+
+MS = 1000
+SECOND = 1_000_000
+IDLE_MARGIN_US = 500 * MS       # a kept connection is closed so long before its endpoint would close it
+MOST_ANSWER = 256 * 1024
+STATES = {"accepted": i.Outcome.OK, "fault": i.Outcome.ERROR, "deferred": i.Outcome.FULL,
+          "expired": i.Outcome.NOT_SENT, "no_more": i.Outcome.NOT_SENT}
+DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?\Z")
+
+
+@dataclass(slots=True)
+class Load:
+    """One message in a pass: the number of its attempt, and when its sender stops waiting."""
+    id: str
+    attempt: int
+    until: int
+    key: str | None
+    body: bytes
+    open: bool = True           # its outcome has not been told
+
+
+@dataclass(slots=True)
+class Result:
+    """What became of one message of a pass."""
+    outcome: i.Outcome
+    wait_us: int = 0
+    finished: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class ProxyPass:
+    entry: Entry
+    loads: list[Load]
+    begun: int
+    task: Task | None = None
+    sock: socket.socket | None = None
+    written: bool = False       # the call's last byte is on its way
+    over: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Kept:
+    """An idle connection and the task that watches over it."""
+    sock: socket.socket
+    keeper: Task | None = None
+
+
+@dataclass(slots=True)
+class Pool:
+    """The connections to one address."""
+    idle: deque[Kept] = field(default_factory=deque)    # the one used last at the right
+
+
+class Passes:
+    """Carries out Send, Cancel and Close; settle is called once for each message of a pass."""
+
+    def __init__(self, scheduler: Scheduler, settings: i.Settings, most_sockets: int,
+                 settle: Callable[[i.Attempted], None], may_begin: Callable[[Entry], bool]) -> None:
+        self._scheduler, self._set, self._most = scheduler, settings, most_sockets
+        self._settle, self._may_begin = settle, may_begin
+        self._pools: dict[tuple[str, int], Pool] = {}
+        self._out: dict[tuple[str, int], ProxyPass] = {}
+        self._idle: dict[Kept, Pool] = {}           # all idle ones, the longest idle first
+        self._busy = 0
+
+    @property
+    def out(self) -> int:
+        return len({id(one) for one in self._out.values()})
+
+    def begin(self, entry: Entry, loads: list[Load]) -> None:
+        one = ProxyPass(entry, loads, self._scheduler.now())
+        for load in loads:
+            holds((load.id, load.attempt) not in self._out, "an attempt is begun once")
+            self._out[load.id, load.attempt] = one
+        one.task = self._scheduler.spawn(self._carry, one)
+
+    def cancel(self, name: str, attempt: int) -> None:
+        """Stop waiting for one message. Its connection is closed with the last of the pass: as long as it is open
+        the message counts as out, and must not be told as ended."""
+        one = self._out.get((name, attempt))
+        if one is None or one.over:
+            return
+        for load in one.loads:
+            if load.id == name:
+                load.until = min(load.until, self._scheduler.now())
+        if all(load.until <= self._scheduler.now() for load in one.loads):
+            unknown = i.Outcome.CANCELLED if one.written else i.Outcome.CONNECT_FAILED
+            self._end(one, Result(unknown))
+
+    def close_idle(self, address: tuple[str, int]) -> None:
+        for kept in list(self._pools.get(address, Pool()).idle):
+            self._discard(kept)
+
+    def close(self) -> None:
+        for kept in list(self._idle):
+            self._discard(kept)
+
+    # -- connections
+
+    def _connect(self, one: ProxyPass, until: int) -> None:
+        """The connection used last, if one is idle and still up; otherwise a new one."""
+        pool = self._pools.setdefault(one.entry.address, Pool())
+        while pool.idle:
+            kept = pool.idle[-1]
+            self._forget(kept)
+            if _still_up(kept.sock):
+                one.sock = kept.sock
+                return
+            kept.sock.close()
+        while self._idle and self._busy + len(self._idle) >= self._most:
+            self._discard(next(iter(self._idle)))       # the longest idle one makes room
+        if self._busy > self._most:
+            raise OSError("no socket left")
+        one.sock = streams.dial(self._scheduler, one.entry.address,
+                                min(until, self._scheduler.now() + self._set.dial_timeout_us))
+
+    def _keep(self, one: ProxyPass) -> None:
+        kept = Kept(one.sock)
+        pool = self._pools[one.entry.address]
+        pool.idle.append(kept)
+        self._idle[kept] = pool
+        kept.keeper = self._scheduler.spawn(self._watch_over, kept)
+        one.sock = None
+
+    def _watch_over(self, kept: Kept) -> None:
+        """Close an idle connection in time, and at once when its endpoint does or sends what nobody asked for."""
+        span = max(self._set.idle_close_us // 2, self._set.idle_close_us - IDLE_MARGIN_US)
+        if kept in self._idle:
+            why = self._scheduler.pause(self._scheduler.now() + span, kept.sock, READ)
+            if why is TIME_UP or kept in self._idle:
+                self._discard(kept)
+
+    def _forget(self, kept: Kept) -> None:
+        """Out of the pool, and its keeper's pause is over: the socket has no waiter left."""
+        self._idle.pop(kept).idle.remove(kept)
+        self._scheduler.wake(kept.keeper, "taken")
+
+    def _discard(self, kept: Kept) -> None:
+        if kept in self._idle:
+            self._forget(kept)
+            kept.sock.close()
+
+    # -- a pass
+
+    def _carry(self, one: ProxyPass) -> None:
+        if one.over:
+            return
+        self._busy += 1
+        reader = http.AnswerReader(MOST_ANSWER)
+        try:
+            self._call(one, reader)
+        except (OSError, http.Malformed) as error:
+            if not one.over:
+                self._broken(one, reader, error)
+        finally:
+            self._busy -= 1
+            if not one.over:
+                log.error("pass to %s ended with no result", one.entry.endpoint.id)
+                self._end(one, Result(i.Outcome.ERROR if one.written else i.Outcome.CONNECT_FAILED))
+
+    def _call(self, one: ProxyPass, reader: http.AnswerReader) -> None:
+        until = max(load.until for load in one.loads)
+        self._connect(one, until)
+        if one.over:
+            self._drop(one)
+            return
+        if not self._may_begin(one.entry):      # drained, or told to wait, while the connection came up
+            self._keep(one)
+            self._end(one, Result(i.Outcome.NOT_SENT))
+            return
+        streams.send(self._scheduler, one.sock, self._encode(one), until)
+        one.written = True
+        while not reader.complete:
+            data = streams.receive(self._scheduler, one.sock, until)
+            if one.over:
+                return
+            if not data:
+                reader.ended()
+                if reader.complete:
+                    break
+                raise ConnectionResetError("the endpoint closed the connection")
+            reader.feed(data)
+        results = self._read(one, reader)
+        if reader.keep and not reader.rest:
+            self._keep(one)
+        self._end(one, results, reader)
+
+    def _encode(self, one: ProxyPass) -> bytes:
+        left = max(1, max(load.until for load in one.loads) - self._scheduler.now())
+        host = one.entry.endpoint.id
+        deadline = ("X-Deadline", f"{left // MS}m" if left >= 10 * MS else f"{left}u")
+        if len(one.loads) == 1:
+            load = one.loads[0]
+            fields = [("X-Request-Id", load.id), deadline, ("Content-Type", "application/octet-stream")]
+            if load.key is not None:
+                fields.insert(1, ("Idempotency-Key", load.key))
+            return http.request("POST", "/v1/messages", host, fields, load.body)
+        rows = [{"id": load.id, **({} if load.key is None else {"key": load.key}),
+                 "body": base64.b64encode(load.body).decode()} for load in one.loads]
+        return http.request("POST", "/v1/messages:batch", host, [deadline, ("Content-Type", "application/json")],
+                            json.dumps(rows, separators=(",", ":")).encode())
+
+    def _broken(self, one: ProxyPass, reader: http.AnswerReader, error: Exception) -> None:
+        """The table's lower half: no whole answer came."""
+        single, status = len(one.loads) == 1, reader.status
+        if not one.written:
+            result = Result(i.Outcome.CONNECT_FAILED)
+        elif isinstance(error, http.Malformed):
+            log.warning("answer of %s cannot be used: %s", one.entry.endpoint.id, error)
+            result = Result(i.Outcome.OK if single and status == 200 else i.Outcome.ERROR)
+        elif status and (single or status != 200):      # the first line counts: what it tells has been told
+            result = self._by_status(one, reader)
+        elif isinstance(error, streams.TimeUp):
+            result = Result(i.Outcome.TIMEOUT)
+        else:
+            result = Result(i.Outcome.RESET)
+        self._end(one, result, reader)
+
+    def _read(self, one: ProxyPass, reader: http.AnswerReader) -> Result | dict[str, Result]:
+        if reader.status == 200 and len(one.loads) > 1:
+            return self._read_batch(one, reader)
+        return self._by_status(one, reader)
+
+    def _by_status(self, one: ProxyPass, reader: http.AnswerReader) -> Result:
+        status, wait = reader.status, read_wait(reader.fields)
+        if status == 200:
+            return Result(i.Outcome.OK if len(one.loads) == 1 else i.Outcome.ERROR, wait, len(one.loads) == 1)
+        if status == 429 or status == 503:
+            never = "x-egress-full" in reader.fields
+            return Result(i.Outcome.NOT_SENT if never else i.Outcome.FULL, wait)
+        if status == 504 or status == 410:
+            return Result(i.Outcome.NOT_SENT, wait, status == 410)
+        if status != 500:
+            log.warning("answer of %s cannot be used: status %d", one.entry.endpoint.id, status)
+        if status in (400, 413) and len(one.loads) > 1:
+            return Result(i.Outcome.NOT_SENT, wait)
+        return Result(i.Outcome.ERROR, wait)
+
+    def _read_batch(self, one: ProxyPass, reader: http.AnswerReader) -> dict[str, Result]:
+        wait, results = read_wait(reader.fields), {}
+        try:
+            for row in json.loads(bytes(reader.body)):
+                results[row["id"]] = Result(STATES[row["state"]], wait, row["state"] in ("accepted", "expired"))
+        except (ValueError, TypeError, KeyError) as error:
+            log.warning("answer of %s cannot be used: %r", one.entry.endpoint.id, error)
+        return {load.id: results.get(load.id) or Result(i.Outcome.ERROR, wait) for load in one.loads}
+
+    def _end(self, one: ProxyPass, results: Result | dict[str, Result],
+             reader: http.AnswerReader | None = None) -> None:
+        """Tell every message's outcome, once. What a pass that is over still brings touches nothing."""
+        one.over = True
+        report = read_report(reader.fields) if reader is not None else {}
+        now = self._scheduler.now()
+        self._drop(one)
+        for load in one.loads:
+            del self._out[load.id, load.attempt]
+        for load in one.loads:
+            result = results if isinstance(results, Result) else results[load.id]
+            self._settle(i.Attempted(load.id, load.attempt, one.entry.endpoint.id, result.outcome, now - one.begun,
+                                     result.finished, result.wait_us, dict(report)))
+
+    def _drop(self, one: ProxyPass) -> None:
+        """Close the pass's connection and end its task's pause on it."""
+        if one.task is not None:
+            self._scheduler.wake(one.task, streams.Interrupted("the pass is over"))
+        if one.sock is not None:
+            one.sock.close()
+            one.sock = None
+
+
+def _still_up(sock: socket.socket) -> bool:
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return True
+    except OSError:
+        pass
+    return False
+
+
+def read_wait(fields: dict[str, str]) -> int:
+    """Retry-After, in seconds with decimals, as microseconds; rounded up, as a wait is not cut short."""
+    value = fields.get("retry-after", "")
+    return math.ceil(float(value) * SECOND) if DECIMAL.match(value) else 0
+
+
+def read_report(fields: dict[str, str]) -> dict[str, float]:
+    """The report that an answer may carry; one that cannot be read is as good as none."""
+    try:
+        table: Any = json.loads(fields.get("x-load") or "{}")
+        return {name: float(value) for name, value in table.items()}
+    except (ValueError, TypeError, AttributeError):
+        log.warning("report cannot be read: %.80r", fields.get("x-load"))
+        return {}
--- /dev/null
+++ b/scalefall/net/scheduler.py
@@ -0,0 +1,162 @@
+"""Greenlets over select.poll: tasks, pauses and timers. Times are whole microseconds of the monotonic clock."""
+from __future__ import annotations
+
+import heapq
+import select
+import signal
+import socket
+import time
+from collections import deque
+from collections.abc import Callable
+from itertools import count
+from typing import Any
+
+from greenlet import getcurrent, greenlet
+
+from scalefall.net.checks import holds, log
+
+READ, WRITE = select.POLLIN, select.POLLOUT
+READY, TIME_UP = "ready", "time up"     # why a pause ended, where nobody woke it with a value
+
+
+class Timer:
+    """A function called once at its time, unless it is called off; it runs in the loop and must not pause."""
+    __slots__ = ("at", "function", "args")
+
+    def __init__(self, at: int, function: Callable[..., object], args: tuple[Any, ...]) -> None:
+        self.at, self.function, self.args = at, function, args
+
+    def cancel(self) -> None:
+        self.function = None
+
+
+class Task(greenlet):
+    """One greenlet; while it pauses it may wait for a file descriptor, a time and a word from others."""
+    fd = -1
+    timer: Timer | None = None
+    paused = False
+
+
+class Scheduler:
+    def __init__(self) -> None:
+        self._poll, self._waits = select.poll(), {}
+        self._ready: deque[tuple[Task, Any]] = deque()
+        self._timers: list[tuple[int, int, Timer]] = []
+        self._order, self._running = count(), False
+        self._woken, self._waker = socket.socketpair()
+        self._woken.setblocking(False)
+        self._waker.setblocking(False)
+        self._poll.register(self._woken, READ)
+        self._signals: dict[int, Callable[[], object]] = {}
+
+    @staticmethod
+    def now() -> int:
+        return time.monotonic_ns() // 1000
+
+    def spawn(self, function: Callable[..., object], *args: Any) -> Task:
+        task = Task(self._guarded, self._loop)
+        self._ready.append((task, (function, args)))
+        return task
+
+    def _guarded(self, start: tuple[Callable[..., object], tuple[Any, ...]]) -> None:
+        """A task that fails ends alone: nothing that comes in over a socket may end the program."""
+        function, args = start
+        try:
+            function(*args)
+        except Exception:
+            log.exception("task %s failed", getattr(function, "__qualname__", function))
+            holds(not __debug__ or self._lenient, "a task failed")
+
+    _lenient = True     # tests set it to False
+
+    def call_at(self, at: int, function: Callable[..., object], *args: Any) -> Timer:
+        timer = Timer(at, function, args)
+        heapq.heappush(self._timers, (at, next(self._order), timer))
+        return timer
+
+    def pause(self, until: int | None = None, sock: socket.socket | None = None, mask: int = 0) -> Any:
+        """Lay the running task aside until the socket is ready, the time is up or somebody wakes it."""
+        task = getcurrent()
+        holds(isinstance(task, Task) and not task.paused, "only a running task pauses")
+        task.paused = True
+        if sock is not None:
+            task.fd = sock.fileno()
+            holds(task.fd not in self._waits, "one task waits for a socket")
+            self._waits[task.fd] = task
+            self._poll.register(task.fd, mask)
+        if until is not None:
+            task.timer = self.call_at(until, self.wake, task, TIME_UP)
+        return self._loop.switch()
+
+    def wake(self, task: Task, value: Any = None) -> bool:
+        """End a task's pause with a value; False if it does not pause (or was woken before)."""
+        if not task.paused:
+            return False
+        task.paused = False
+        if task.fd >= 0:
+            self._poll.unregister(task.fd)
+            del self._waits[task.fd]
+            task.fd = -1
+        if task.timer is not None:
+            task.timer.cancel()
+            task.timer = None
+        self._ready.append((task, value))
+        return True
+
+    def sleep(self, span: int) -> Any:
+        return self.pause(self.now() + span)
+
+    def on_signal(self, number: int, function: Callable[[], object]) -> None:
+        """Call function from the loop, never in the middle of other code, when the signal comes."""
+        self._signals[number] = function
+        signal.set_wakeup_fd(self._waker.fileno(), warn_on_full_buffer=False)
+        signal.signal(number, lambda *_: None)
+
+    def run(self) -> None:
+        """Run until stop(). May be called again."""
+        self._loop, self._running = getcurrent(), True
+        while self._running:
+            self._run_ready()
+            if self._running:
+                self._poll_once()
+
+    _loop: greenlet | None = None
+
+    def stop(self) -> None:
+        self._running = False
+
+    def _run_ready(self) -> None:
+        while self._ready and self._running:
+            task, value = self._ready.popleft()
+            if not task.dead:
+                task.parent = self._loop
+                task.switch(value)
+
+    def _poll_once(self) -> None:
+        while self._timers and self._timers[0][2].function is None:
+            heapq.heappop(self._timers)
+        wait = None if not self._timers else max(0, -(-(self._timers[0][0] - self.now()) // 1000))
+        for fd, _ in self._poll.poll(wait):
+            if fd == self._woken.fileno():
+                self._take_signals()
+            elif holds(fd in self._waits, "a polled socket has its task"):
+                self.wake(self._waits[fd], READY)
+        self._run_ready()
+        now = self.now()
+        while self._timers and self._timers[0][0] <= now and self._running:
+            timer = heapq.heappop(self._timers)[2]
+            function, timer.function = timer.function, None
+            if function is not None:
+                try:
+                    function(*timer.args)
+                except Exception:
+                    log.exception("timer %s failed", getattr(function, "__qualname__", function))
+
+    def _take_signals(self) -> None:
+        try:
+            numbers = self._woken.recv(64)
+        except BlockingIOError:
+            return
+        for number in numbers:
+            if number in self._signals:
+                self._signals[number]()
--- /dev/null
+++ b/scalefall/net/transaction.py
@@ -0,0 +1,44 @@
+"""What a front hands to the host and gets back: no protocol in it, so that a second front can use the same host."""
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class Taken:
+    """Taken on: the sender owes the message its end."""
+
+
+@dataclass(slots=True, frozen=True)
+class UnavailableAnswer:
+    """Refused: handing it in again is harmless. By the module, or before it (turned away: no room, or closing)."""
+    retry_after_us: int
+    turned_away: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Failed:
+    """Given up, with no promise about its effect."""
+
+
+Verdict = Taken | UnavailableAnswer | Failed
+
+
+@dataclass(slots=True, eq=False)
+class Transaction:
+    id: str
+    class_name: str
+    destination: int
+    due: int                                # monotonic, microseconds
+    key: str | None
+    body: bytes
+    attempts: int = 0
+    verdict: Verdict | None = None
+    told: Callable[[], object] | None = None    # called once the verdict is there
+
+    def decide(self, verdict: Verdict) -> None:
+        if self.verdict is None:
+            self.verdict = verdict
+            if self.told is not None:
+                self.told()
--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -11,8 +11,8 @@
 from itertools import chain
 from math import ceil, inf, log2, sqrt
 
-from scalefall.interface import (Action, Attempted, Cancel, Close, Dropped, Effect, Endpoint, Event, Fail,
-                                 Listed, ListKind, Log, Message, MessageClass, Outcome, Refuse, Send,
+from scalefall.interface import (Action, Attempted, Cancel, Close, Closing, Dropped, Effect, Endpoint, Event,
+                                 Fail, Listed, ListKind, Log, Message, MessageClass, Outcome, Refuse, Send,
                                  SetTimer, Settings, Status, Subscribe, Timer)
 
 SECOND = 1_000_000
@@ -237,6 +237,7 @@
         self.set, self.random = settings, random.Random(seed)
         self.now = self.seq = self.calls_out = self.ask_fails = 0
         self.timer_at = self.started = -1
+        self.ends_at: float = inf        # the process ends then, on purpose
         self.actions: list[Action] = []
         self.held: dict[str, Held] = {}
         self.attempts_out: dict[tuple[str, int], tuple[Held, Call]] = {}
@@ -268,6 +269,8 @@
                     self._forget(self.held[event.id])
             elif isinstance(event, Timer) and event.token == TIMER_ASK:
                 self.actions.append(Subscribe())
+            elif isinstance(event, Closing):
+                self.ends_at = event.until_us
         self._dispatch()
         return self.actions
 
@@ -330,12 +333,18 @@
             return
         self.seq += 1
         message = Held(event.id, cls, event.destination, event.due_us, self.seq,
-                       event.key if cls.in_order else None)
+                       event.key if cls.in_order else None, attempts=event.attempts)
+        if event.ran_us is not None:
+            message.ran_at = max(0, event.ran_us)
+            message.ran_zone = event.ran_zone if cls.key_scope_zone else ""
         destination = self._destination(event.destination)
         self.held[message.id] = destination.waiting[message.id] = message
         if message.key is not None:
             self.keys.setdefault(message.key, Key()).queue.append(message.id)
         self.touched[destination.number] = destination
+        if self._spent(message):
+            self._give_up(message)
+            return
         self._watch(message)
         self._admit(message)
         if len(destination.waiting) > self._bound(destination, message):
@@ -489,7 +498,7 @@
     def _choose(self, message: Held) -> Server | None:
         open_to: list[Server] = []
         for route in self.destinations[message.destination].routes.values():
-            if route.silent_until > self.now:
+            if route.silent_until > self.now or not self._in_time(route, message):
                 continue
             for server in route.servers:
                 if not server.ready or (message.ran_zone and server.entry.zone != message.ran_zone):
@@ -503,6 +512,11 @@
                     open_to.append(server)
         return min(open_to, key=self._rank, default=None)
 
+    def _in_time(self, route: Route, message: Held) -> bool:
+        """Before the process ends, only what may be over by then: a call out at its end may have run."""
+        return self.ends_at == inf or \
+            self.now + self._expected(self._envelope(route, message.cls.name), message.cls) <= self.ends_at
+
     def _rank(self, server: Server) -> tuple[bool, int, bool, float, float]:
         """Ties are broken at random: by list order all senders would meet at the same endpoint."""
         fee = self.set.zone_fee.get(server.entry.zone, 0.0)
@@ -729,14 +743,18 @@
                     message.ran_zone = call.server.entry.zone
         if outcome in MAY_HAVE_RUN or outcome is Outcome.CONNECT_FAILED:
             message.not_before = self.now + int(RETRY_US * message.attempts * self.random.uniform(0.5, 1.5))
-        if message.attempts >= self.set.max_attempts or message.due <= self.now \
-                or (message.ran_at >= 0 and message.cls.effect is Effect.UNSAFE):
+        if message.due <= self.now or self._spent(message):
             self._give_up(message)
             return
         self.destinations[message.destination].waiting[message.id] = message
         heapq.heappush(self.wakes, (message.not_before, message.destination))
         self._watch(message)
 
+    def _spent(self, message: Held) -> bool:
+        """No further attempt is allowed; before a restart it may have run too."""
+        return (message.attempts >= self.set.max_attempts
+                or (message.ran_at >= 0 and message.cls.effect is Effect.UNSAFE))
+
     # -- final answers
 
     def _give_up(self, message: Held) -> None:
