Log each pass and outcome at debug level, for SCALEFALL_LOG=debug

The first score broke the duplicate rule once (an event-notice sent again outside its window); nothing in the log told which attempt.

--- a/scalefall/__main__.py
+++ b/scalefall/__main__.py
@@ -8,7 +8,8 @@
 
 
 def main() -> int:
-    logging.basicConfig(level=logging.INFO, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
+    level = logging.DEBUG if os.environ.get("SCALEFALL_LOG") == "debug" else logging.INFO
+    logging.basicConfig(level=level, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
                         datefmt="%H:%M:%S", stream=sys.stderr)
     try:
         run(read_config(os.environ))
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -145,6 +145,8 @@
 
     def _take_on(self, transaction: Transaction) -> None:
         """Into the journal before the answer; what it can't hold after all is refused."""
+        log.debug("taken on %s: %s for %d, %d ms left", transaction.id, transaction.class_name,
+                  transaction.destination, (transaction.due - self._scheduler.now()) // MS)
         if not self._journal.take_on(Owed(transaction.id, transaction.class_name, transaction.destination,
                                           transaction.due + self._wall, transaction.key, transaction.body)):
             transaction.decide(UnavailableAnswer(FULL_US, True))
@@ -162,6 +164,8 @@
             ids.append(send.id)
         if not loads:
             return
+        log.debug("pass to %s: %s", entry.endpoint.id, " ".join(
+            f"{load.id}/{load.attempt} for {(load.until - now) // MS} ms" for load in loads))
         if self._journal.pass_begun(ids, now + self._wall, entry.endpoint.zone):
             self._passes.begin(entry, loads)
         else:
@@ -180,6 +184,8 @@
 
     def _settled(self, event: i.Attempted) -> None:
         """A pass has ended for one message."""
+        log.debug("outcome %s/%d at %s: %s after %d ms, wait %d ms", event.id, event.attempt, event.endpoint,
+                  event.outcome.value, event.latency_us // MS, event.wait_us // MS)
         if event.wait_us:
             bound = self._bound(self._farm.entries[event.endpoint].endpoint)
             self._waits[bound] = max(self._waits.get(bound, 0), self._scheduler.now() + event.wait_us)
@@ -197,6 +203,7 @@
         transaction = self._open.pop(name, None)
         if transaction is None:
             return
+        log.debug("refused %s", name)
         if transaction.verdict is None:
             transaction.decide(UnavailableAnswer(after))
             return
@@ -208,6 +215,7 @@
         transaction = self._open.pop(name, None)
         if transaction is None:
             return
+        log.debug("failed %s", name)
         if transaction.verdict is None:
             transaction.decide(Failed())
             return
