--- a/scalefall/__main__.py
+++ b/scalefall/__main__.py
@@ -11,6 +11,7 @@
     level = logging.DEBUG if os.environ.get("SCALEFALL_LOG") == "debug" else logging.INFO
     logging.basicConfig(level=level, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
                         datefmt="%H:%M:%S", stream=sys.stderr)
+    logging.raiseExceptions = False     # a log that nobody reads must not end the program
     try:
         run(read_config(os.environ))
     except (ConfigError, OSError) as error:
--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -61,8 +61,9 @@
             name=environ.get("RELAY_NAME") or str(table.get("name", "")), state=state,
             listen=read_address(environ.get("RELAY_LISTEN") or table.get("listen"), "listen"),
             discovery=read_address(environ.get("RELAY_DISCOVERY") or table.get("discovery"), "discovery"),
-            seed=_seed(table.get("seed", "0")), sockets=_limit(limits, "sockets", 1024, 64),
-            disk_bytes=int(_limit(limits, "disk_mb", 3, 1) * 1_000_000), settings=read_settings(table.get("settings")),
+            seed=_seed(table.get("seed", "0")), sockets=int(_limit(limits, "sockets", 1024, 64)),
+            disk_bytes=int(_limit(limits, "disk_mb", 3, 0.1) * 1_000_000),
+            settings=read_settings(table.get("settings")),
             known=read_roll(table.get("known") or {"seq": 0, "whole": True, "hosts": []}))
     except ValueError as error:
         raise ConfigError(str(error)) from error
--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -79,7 +79,7 @@
         now = self._scheduler.now()
         if roll.whole:
             for gone in self.entries.keys() - {entry.endpoint.id for entry in roll.entries}:
-                self.left_at.setdefault(gone, now)
+                self.left_at.setdefault(gone, now)      # what is not in the whole list is gone
         for entry in roll.entries:
             name = entry.endpoint.id
             self.entries[name] = entry
--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass
 from urllib.parse import unquote
 
-from scalefall.interface import MessageClass
+from scalefall.interface import Effect, MessageClass
 from scalefall.net import http, streams
 from scalefall.net.checks import log
 from scalefall.net.scheduler import READ, READY, Scheduler, Task
@@ -47,8 +47,8 @@
     ident, key = fields.get("x-request-id", ""), fields.get("idempotency-key")
     if not WORD.match(ident):
         raise http.Malformed(400, "X-Request-Id is missing or not a word")
-    if key is not None and not WORD.match(key):
-        raise http.Malformed(400, "Idempotency-Key is not a word")
+    if not WORD.match("-" if key is None and cls.effect is not Effect.KEYED else key or ""):
+        raise http.Malformed(400, "Idempotency-Key is missing or not a word")
     deadline, route = DEADLINE.match(fields.get("x-deadline", "")), ROUTE.search(fields.get("x-route-to", ""))
     if deadline is None:
         raise http.Malformed(400, "X-Deadline is missing or not a time")
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -12,7 +12,7 @@
 from scalefall.net.front import Front
 from scalefall.net.journal import FAILED, RETURNED, Journal, Owed
 from scalefall.net.notices import Notices
-from scalefall.net.passes import Load, Passes
+from scalefall.net.passes import Load, Passes, batch_size
 from scalefall.net.scheduler import Scheduler
 from scalefall.net.transaction import Failed, Taken, Transaction, UnavailableAnswer
 from scalefall.policy import Sender
@@ -26,6 +26,8 @@
 CLOSED_US = 3000 * MS           # no pass is to be out any more
 END_US = 3200 * MS              # and the process ends, well before SIGKILL at 3.7 s
 REPORT_US = 10 * SECOND
+OWN_SOCKETS = 24                # descriptors that are neither a user agent's nor an endpoint's
+MOST_CALL = 64 * 1024           # the protocol's limit for any body, so for a call with several messages too
 NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT)
 
 
@@ -39,10 +41,11 @@
         self._waits: dict[int | str, int] = {}      # until when, by destination or route apart
         self._wall = time.time_ns() // 1000 - scheduler.now()
         self._journal = Journal(config.state, config.disk_bytes)
-        self._farm = Farm(scheduler, config.discovery, config.known, self._gather)
+        self._farm = Farm(scheduler, config.discovery, config.known, self._listed)
         self._notices = Notices(scheduler, config.discovery, self._journal.over)
-        self._passes = Passes(scheduler, config.settings, config.sockets // 2, self._settled, self._may_begin)
-        self.front = Front(scheduler, config.settings.classes, config.sockets // 2 - 32, self.offer, self.withdraw)
+        share = (config.sockets - OWN_SOCKETS) // 2
+        self._passes = Passes(scheduler, config.settings, share, self._settled, self._may_begin)
+        self.front = Front(scheduler, config.settings.classes, share, self.offer, self.withdraw)
 
     def start(self) -> None:
         self._gather(self._farm.known())
@@ -59,8 +62,11 @@
 
     def offer(self, transaction: Transaction) -> None:
         """Hand a transaction to the module; its verdict comes with the turn, or at once if there is no room."""
+        owed = self._journal.owed.get(transaction.id)
         if transaction.id in self._open:
             self._again(transaction)
+        elif owed is not None:      # over, and its notice on the way: the same answer here
+            transaction.decide(UnavailableAnswer(owed.after_ms * MS) if owed.end == RETURNED else Failed())
         elif self._closing_at and self._scheduler.now() >= self._closing_at + CLOSED_US:
             transaction.decide(UnavailableAnswer(CLOSING_US, True))
         elif len(self._open) >= self._set.max_held or not self._journal.room(len(transaction.body)):
@@ -72,16 +78,16 @@
     def _again(self, transaction: Transaction) -> None:
         """The same id once more, as a user agent may send it when its connection broke: one verdict for both."""
         first = self._open[transaction.id]
-        if first.verdict is not None:
-            transaction.decide(first.verdict)
-            return
-        told = first.told
+        self._open[transaction.id] = transaction    # whoever asked first may be gone: withdrawing it is void now
+        transaction.attempts, told = first.attempts, transaction.told
 
         def both() -> None:
             if told is not None:
                 told()
+            first.decide(transaction.verdict)
+        transaction.told = both
+        if first.verdict is not None:
             transaction.decide(first.verdict)
-        first.told = both
 
     def withdraw(self, transaction: Transaction) -> None:
         """Its user agent went before it had its answer: nothing more is owed."""
@@ -106,10 +112,19 @@
             return
         handed_in = [event.id for event in events if isinstance(event, i.Message) and event.id in self._open
                      and self._open[event.id].verdict is None]
-        self._perform(self._module.handle(self._scheduler.now(), events), handed_in)
+        try:
+            self._perform(self._module.handle(self._scheduler.now(), events), handed_in)
+            verdict = Taken()
+        except Exception:   # nothing was promised yet: what came in this turn goes elsewhere, the program carries on
+            log.exception("the module failed in a turn")
+            holds(False, "the module failed in a turn")
+            verdict = UnavailableAnswer(FULL_US, True)
         for name in handed_in:
-            if name in self._open:
-                self._open[name].decide(Taken())
+            transaction = self._open.get(name)
+            if transaction is not None:
+                transaction.decide(verdict)
+                if verdict != Taken():
+                    self.withdraw(transaction)
 
     def _perform(self, actions: list[i.Action], handed_in: list[str]) -> None:
         """Final answers first, so that what is refused in its first turn is never journaled; sends last, by call."""
@@ -141,8 +156,20 @@
         for endpoint, calls in sends.items():
             entry = self._farm.entries[endpoint]
             most = self._set.per_call.get(entry.endpoint.kind, 1)
-            for at in range(0, len(calls), most):
-                self._begin(entry, calls[at:at + most])
+            while calls:
+                number = self._fitting(calls[:most])
+                self._begin(entry, calls[:number])
+                calls = calls[number:]
+
+    def _fitting(self, calls: list[i.Send]) -> int:
+        """How many of them one body holds; one alone always goes, as it is handed on as it came."""
+        size = 0
+        for number, send in enumerate(calls):
+            transaction = self._open.get(send.id)
+            size += batch_size(transaction.id, transaction.key, transaction.body) if transaction else 0
+            if size > MOST_CALL and number:
+                return number
+        return len(calls)
 
     def _take_on(self, transaction: Transaction) -> None:
         """Into the journal before the answer; what it can't hold after all is refused."""
@@ -188,6 +215,12 @@
         drained = now - left > self._set.drain_grace_us - DRAIN_MARGIN_US
         return not drained and self._waits.get(self._bound(endpoint), 0) <= now
 
+    def _listed(self, event: i.Listed) -> None:
+        """News of the farm; connections to what wants nothing new are of no use any more."""
+        for name in self._farm.left_at:
+            self._passes.close_idle(self._farm.entries[name].address)
+        self._gather(event)
+
     def _bound(self, endpoint: i.Endpoint) -> int | str:
         return endpoint.id if self._set.apart.get(endpoint.kind) else endpoint.destination
 
--- a/scalefall/net/journal.py
+++ b/scalefall/net/journal.py
@@ -16,7 +16,8 @@
 HEAD = struct.Struct("<II")             # length of the record's body, its CRC-32
 TAKEN = struct.Struct("<qiIqBB")        # due, destination, attempts, ran at (0: not), out, state of the end
 BLOCK = 512                             # files are counted in whole blocks of this size
-SPARE = 64 * 1024                       # kept free for the small records between two compactions
+SPARE = 64 * 1024                       # kept free for the small records between two compactions, where there is room
+ZONES = 128                             # room in a copy for the zones that a transaction's history may name
 FAILED, RETURNED = 1, 2                 # ends that the platform is owed a notice of
 MARK = b"scalefall journal 1\n"
 
@@ -77,6 +78,7 @@
     def __init__(self, folder: str, most_bytes: int) -> None:
         self._path, self._new = os.path.join(folder, "journal"), os.path.join(folder, "journal.new")
         self._most, self.owed = most_bytes, {}
+        self._spare = min(SPARE, most_bytes // 8)
         self._live = 0              # bytes that a fresh copy would take
         self._remove_new()
         self._file = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
@@ -88,11 +90,11 @@
 
     def room(self, length: int) -> bool:
         """Whether one more with a body so long would fit; take_on has the last word."""
-        return self._fits(self._live + length + 1024)
+        return self._fits(self._live + length + 4 * BLOCK)
 
     def take_on(self, owed: Owed) -> bool:
         """False, and nothing is taken on, if it would not fit or can't be written."""
-        size = HEAD.size + len(_snapshot(owed)) + 64    # with room for the zones of its history
+        size = HEAD.size + len(_snapshot(owed)) + ZONES
         if not self._fits(self._live + size) or not self._append(_snapshot(owed), size):
             return False
         holds(owed.id not in self.owed, "an id is taken on once")
@@ -154,7 +156,7 @@
 
     def _fits(self, live: int, more: int = 0) -> bool:
         """Whether twice what is owed, the old file and the new one, stays within the limit."""
-        return 2 * (live + more) + SPARE + 4 * BLOCK <= self._most
+        return 2 * (live + more) + self._spare + 4 * BLOCK <= self._most
 
     def _append(self, record: bytes, grows: int = 0) -> bool:
         framed = HEAD.pack(len(record), zlib.crc32(record)) + record
@@ -242,7 +244,7 @@
             texts, at = _untext(record, 1 + TAKEN.size + 12, 5)
             owed = Owed(texts[0] or "", texts[1] or "", destination, due, texts[2], record[at:], attempts, ran_wall,
                         texts[3] or "", bool(out), out_wall, texts[4] or "", end, after_ms)
-            owed.size = HEAD.size + len(record) + 64
+            owed.size = HEAD.size + len(record) + ZONES
             self.owed[owed.id] = owed
             self._live += owed.size
         elif kind == b"P":
--- a/scalefall/net/passes.py
+++ b/scalefall/net/passes.py
@@ -233,8 +233,7 @@
             if load.key is not None:
                 fields.insert(1, ("Idempotency-Key", load.key))
             return http.request("POST", "/v1/messages", host, fields, load.body)
-        rows = [{"id": load.id, **({} if load.key is None else {"key": load.key}),
-                 "body": base64.b64encode(load.body).decode()} for load in one.loads]
+        rows = [_row(load.id, load.key, base64.b64encode(load.body).decode()) for load in one.loads]
         return http.request("POST", "/v1/messages:batch", host, [deadline, ("Content-Type", "application/json")],
                             json.dumps(rows, separators=(",", ":")).encode())
 
@@ -301,6 +300,15 @@
             one.sock = None
 
 
+def _row(name: str, key: str | None, body: str) -> dict[str, str]:
+    return {"id": name, "body": body} if key is None else {"id": name, "key": key, "body": body}
+
+
+def batch_size(name: str, key: str | None, body: bytes) -> int:
+    """What a message takes of the body of a call with several."""
+    return len(json.dumps(_row(name, key, ""), separators=(",", ":"))) + 4 * -(-len(body) // 3) + 2
+
+
 def _still_up(sock: socket.socket) -> bool:
     try:
         sock.recv(1, socket.MSG_PEEK)
