--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -109,18 +109,18 @@
 
     def _accept(self) -> None:
         while self._listener is not None:
+            if self._scheduler.pause(None, self._listener, READ) is not READY or self._listener is None:
+                continue
             if len(self._agents) >= self._most and not self._make_room():
-                self._scheduler.sleep(SECOND // 100)
+                self._scheduler.sleep(SECOND // 100)    # the others wait in the listener's queue
                 continue
             try:
                 sock, _ = self._listener.accept()
             except BlockingIOError:
-                self._scheduler.pause(None, self._listener, READ)
                 continue
             except OSError as error:
-                if self._listener is not None:
-                    log.warning("cannot accept: %s", error)
-                    self._scheduler.sleep(SECOND // 10)
+                log.warning("cannot accept: %s", error)
+                self._scheduler.sleep(SECOND // 10)
                 continue
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/scalefall/net/http.py
+++ b/scalefall/net/http.py
@@ -184,9 +184,9 @@
         return True
 
     def _read_chunk_end(self) -> bool:
-        line = self._line(2)
-        if line:
+        if self.rest and not self.rest.startswith((b"\r\n", b"\n")) and self.rest != b"\r":
             raise Malformed(400, "malformed chunk")
+        line = self._line(2)
         self._state = self._read_chunk_size if line is not None else self._state
         return line is not None
 
--- a/scalefall/net/passes.py
+++ b/scalefall/net/passes.py
@@ -129,7 +129,7 @@
                 one.sock = kept.sock
                 return
             kept.sock.close()
-        while self._idle and self._busy + len(self._idle) >= self._most:
+        while self._idle and self._busy + len(self._idle) > self._most:
             self._discard(next(iter(self._idle)))       # the longest idle one makes room
         if self._busy > self._most:
             raise OSError("no socket left")
--- a/tests/nethelp.py
+++ b/tests/nethelp.py
@@ -1,19 +1,21 @@
-"""For the network code: a scheduler on a clock of its own, and an endpoint whose answers the test writes."""
+"""For the network code: a scheduler on a clock of its own, and the other sides, played step by step by the test."""
 from __future__ import annotations
 
+import json
 import socket
+import sys
 
 from scalefall import interface as i
 from scalefall.net import http, streams
 from scalefall.net.farm import Entry
 from scalefall.net.passes import Load, Passes
-from scalefall.net.scheduler import READ, Scheduler
+from scalefall.net.scheduler import READ, READY, Scheduler
 
 MS, S = 1000, 1_000_000
 
 
 class World(Scheduler):
-    """Time stands still while anything can happen on the sockets, and then jumps to the next timer."""
+    """Time stands still while anything happens on the sockets, and then jumps to the next timer."""
 
     def __init__(self):
         super().__init__()
@@ -23,18 +25,18 @@
         return self.clock
 
     def _polled(self, until):
-        found = self._poll.poll(1)
-        if not found and until is not None:
+        found = self._poll.poll(1 if until is not None else 10_000)
+        if not found:
+            assert until is not None, "nothing is left that could go on"
             self.clock = max(self.clock, until)
-        return found or self._poll.poll(0 if until is not None else 20_000)
+        return found
 
     def failed(self, what, function):
-        import sys
         self.broken = self.broken or sys.exc_info()[1]
         self.stop()
 
     def play(self, function, *args):
-        """Run function as a task to its end; what fails in any task fails the test."""
+        """Run function as a task to its end; what fails in any task or timer fails the test."""
         done = []
 
         def main():
@@ -44,49 +46,61 @@
         self.run()
         if self.broken:
             raise self.broken
-        assert done, "nothing is left that could go on"
         return done[0]
 
-    def until(self, condition, most=60 * S):
+    def until(self, condition, most=100 * S):
         """Pause the running task until the condition holds."""
-        end = self.now() + most
+        end, span = self.now() + most, MS
         while not condition():
             assert self.now() < end, "did not come about"
-            self.sleep(MS)
+            self.sleep(span)
+            span = min(2 * span, S)
 
 
 class Peer:
-    """A listening socket of the other side, driven step by step from the test's own task."""
+    """A listening socket of the other side."""
 
     def __init__(self, world):
-        self.world, self.listener = world, socket.socket()
-        self.listener.bind(("127.0.0.1", 0))
-        self.listener.listen(64)
+        self.world, self.accepted = world, 0
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
         self.listener.setblocking(False)
         self.address = self.listener.getsockname()
-        self.accepted = 0
 
     def accept(self):
         while True:
             try:
                 sock, _ = self.listener.accept()
-                sock.setblocking(False)
-                self.accepted += 1
-                return sock
             except BlockingIOError:
-                assert self.world.pause(self.world.now() + 10 * S, self.listener, READ) == "ready", "nobody dialled"
-
-    def read(self, sock, reader=None):
+                assert self.world.pause(self.world.now() + 20 * S, self.listener, READ) is READY, "nobody dialled"
+                continue
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)     # or bytes arrive when time has jumped on
+            self.accepted += 1
+            return sock
+
+    def read(self, sock):
         """One whole request."""
-        reader = reader or http.RequestReader(1 << 20)
-        while not reader.complete:
-            data = streams.receive(self.world, sock, self.world.now() + 10 * S)
-            assert data, "closed in the middle of a request"
-            reader.feed(data)
-        return reader
+        return read(self.world, sock, http.RequestReader(1 << 20))
+
+
+def read(world, sock, reader):
+    while not reader.complete:
+        data = streams.receive(world, sock, world.now() + 20 * S)
+        if not data:
+            reader.ended()
+            assert reader.complete, "closed in the middle of a message"
+        reader.feed(data)
+    return reader
 
-    def close(self):
-        self.listener.close()
+
+def closed(world, sock):
+    """Whether the other side ends the connection within 20 s, having sent nothing more."""
+    try:
+        return streams.receive(world, sock, world.now() + 20 * S) == b""
+    except streams.TimeUp:
+        return False
+    except OSError:
+        return True
 
 
 def reset(sock):
@@ -95,12 +109,29 @@
     sock.close()
 
 
+def listed(name, address, block=7, health="in_service", kind="one"):
+    return {"host": name, "dial": "%s:%d" % address, "site": "a", "class": kind, "block": block, "health": health,
+            "share": 1.0, "born_ms": 0}
+
+
+def roll(seq, *hosts, whole=True):
+    return {"seq": seq, "whole": whole, "hosts": list(hosts)}
+
+
+def chunk(*tables):
+    data = b"".join(json.dumps(table).encode() + b"\n" if table is not None else b"\n" for table in tables)
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+STREAM = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
 class Calls:
     """Passes to one endpoint, and the outcomes that they told."""
 
-    def __init__(self, world, settings, address, most=100, kind="many"):
+    def __init__(self, world, settings, address, most=100):
         self.world, self.told, self.may = world, [], True
-        self.entry = Entry(i.Endpoint("e", "a", kind, 1, i.Status.READY, 1.0), address)
+        self.entry = Entry(i.Endpoint("e", "a", "many", 1, i.Status.READY, 1.0), address)
         self.passes = Passes(world, settings, most, self.told.append, lambda entry: self.may)
 
     def load(self, name, attempt=0, span=2 * S, **more):
@@ -111,7 +142,8 @@
 
     def outcome(self, name, attempt=0):
         """Waits for it; told exactly once."""
-        self.world.until(lambda: any(e.id == name and e.attempt == attempt for e in self.told))
-        found = [e for e in self.told if e.id == name and e.attempt == attempt]
-        assert len(found) == 1
-        return found[0]
+        def found():
+            return [e for e in self.told if (e.id, e.attempt) == (name, attempt)]
+        self.world.until(found)
+        assert len(found()) == 1
+        return found()[0]
--- /dev/null
+++ b/tests/test_farm.py
@@ -0,0 +1,148 @@
+"""The watch on discovery and the notices to the platform, whose side the test plays."""
+import json
+import socket
+
+import pytest
+from nethelp import MS, STREAM, Peer, S, World, chunk, closed, listed, reset, roll
+
+from scalefall import interface as i
+from scalefall.net import http
+from scalefall.net.farm import Farm, read_roll
+from scalefall.net.notices import Notices
+
+HERE = ("127.0.0.1", 1)
+K = i.ListKind
+
+
+def watched(world):
+    peer, told = Peer(world), []
+    farm = Farm(world, peer.address, read_roll(roll(41, listed("e", HERE))), told.append)
+    return peer, farm, told
+
+
+def test_a_watch_begins_from_the_known_version_and_tells_what_changes():
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world)
+        assert farm.known().kind is K.CACHED and [e.id for e in farm.known().endpoints] == ["e"]
+        farm.subscribe()
+        farm.subscribe()    # one watch at a time
+        sock = peer.accept()
+        assert peer.read(sock).target == "/v1/servers?stream=1&index=41"
+        data = STREAM + chunk(roll(42, listed("f", HERE), whole=False), None, roll(42, listed("f", HERE), whole=False))
+        for at in range(0, len(data), 7):
+            sock.send(data[at:at + 7])
+            world.sleep(MS)
+        sock.send(chunk(roll(43, listed("e", HERE, health="terminating"), whole=False), roll(50, listed("f", HERE))))
+        world.until(lambda: len(told) == 3)
+        assert [(t.kind, [(e.id, e.status) for e in t.endpoints]) for t in told] == [
+            (K.CHANGES, [("f", i.Status.READY)]), (K.CHANGES, [("e", i.Status.DRAINING)]),
+            (K.WHOLE, [("f", i.Status.READY)])]
+        assert set(farm.left_at) == {"e"} and farm.seq == 50 and peer.accepted == 1
+    world.play(play)
+
+
+@pytest.mark.parametrize("said", [b"", STREAM, http.answer(503, []), b"junk\r\n", STREAM + b"2\r\n{\n\r\n",
+                                  STREAM + chunk({"seq": 1}), STREAM + chunk(roll(42, {"host": "x"})),
+                                  STREAM + b"0\r\n\r\n"])
+@pytest.mark.parametrize("end", [reset, socket.socket.close, None])
+def test_a_watch_that_breaks_is_one_failure_and_can_be_asked_anew(said, end):
+    """Silence counts too: discovery sends a line every 2 s, and a cut-off machine says nothing at all."""
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world)
+        for times in (1, 2):
+            farm.subscribe()
+            sock = peer.accept()
+            peer.read(sock)
+            sock.send(said)
+            world.sleep(MS)
+            began = world.now()
+            if end:
+                end(sock)
+            world.until(lambda times=times: len(told) == times)
+            assert [t.kind for t in told] == [K.FAILED] * times and world.now() - began < 5 * S
+            assert farm.seq == 41 and peer.accepted == times
+    world.play(play)
+
+
+def test_beats_keep_a_watch():
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world)
+        farm.subscribe()
+        sock = peer.accept()
+        sock.send(STREAM)
+        for _ in range(10):
+            sock.send(chunk(None))
+            world.sleep(2 * S)
+        assert told == [] and peer.accepted == 1
+    world.play(play)
+
+
+def test_notices_go_out_again_until_204():
+    world = World()
+
+    def play():
+        peer, done = Peer(world), []
+        notices = Notices(world, peer.address, done.append)
+        notices.failed("a")
+        notices.returned("b", 250)
+        for said in (b"", http.answer(503, []), b"junk\r\n", http.answer(500, [], keep=False)):
+            sock = peer.accept()
+            while True:
+                lines = bytes(peer.read(sock).body).splitlines()
+                assert list(map(json.loads, lines)) == [{"id": "a", "state": "failed"},
+                                                        {"id": "b", "state": "returned", "after_ms": 250}]
+                sock.send(said)
+                if said != http.answer(503, []):
+                    break
+                said = b""
+            sock.close()
+            assert done == [] and not notices.idle
+        sock = peer.accept()
+        peer.read(sock)
+        sock.send(http.answer(204, []))
+        world.until(lambda: done == ["a", "b"])
+        notices.failed("c")     # over the connection that is kept
+        assert b'"c"' in peer.read(sock).body and notices.idle is False
+        reset(sock)             # which has gone: at once over a new one
+        sock = peer.accept()
+        assert b'"c"' in peer.read(sock).body
+    world.play(play)
+
+
+def test_one_notice_that_cannot_be_read_does_not_hold_back_the_others():
+    world = World()
+
+    def play():
+        peer, done = Peer(world), []
+        notices = Notices(world, peer.address, done.append)
+        for name in "abc":
+            notices.failed(name)
+        sock = peer.accept()
+        while "c" not in done:
+            bad = b'"a"' in peer.read(sock).body
+            sock.send(http.answer(400 if bad else 204, []))
+            world.sleep(MS)
+        assert done == ["b", "c"] and not notices.idle
+    world.play(play)
+
+
+def test_a_silent_platform_is_given_up_and_asked_again():
+    world = World()
+
+    def play():
+        peer, done = Peer(world), []
+        Notices(world, peer.address, done.append).failed("a")
+        sock = peer.accept()
+        peer.read(sock)
+        assert closed(world, sock)
+        sock = peer.accept()
+        peer.read(sock)
+        sock.send(http.answer(204, []))
+        world.until(lambda: done)
+    world.play(play)
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,197 @@
+"""The platform's front, spoken to by a user agent that the test plays; the module's side is a list of offers."""
+import socket
+
+import pytest
+from helpers import settings
+from nethelp import MS, S, World, closed, read, reset
+
+from scalefall.net import http
+from scalefall.net.front import Front
+from scalefall.net.transaction import Failed, Taken, UnavailableAnswer
+
+HEAD = {"X-Request-Id": "id1", "X-Deadline": "480m", "X-Route-To": "dest=7"}
+
+
+class Desk:
+    """A front, what it offered and what was withdrawn."""
+
+    def __init__(self, most=10, verdict=None):
+        self.world, self.offered, self.withdrawn, self.verdict = World(), [], [], verdict
+        self.front = Front(self.world, settings().classes, most, self.offer, self.withdrawn.append)
+        self.address = self.front.listen(("127.0.0.1", 0))
+
+    def offer(self, transaction):
+        self.offered.append(transaction)
+        if self.verdict:
+            transaction.decide(self.verdict)
+
+    def dial(self):
+        sock = socket.create_connection(self.address)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+
+    def ask(self, sock, target="/safe", method="POST", body=b"body", **changes):
+        fields = HEAD | {name.replace("_", "-"): value for name, value in changes.items()}
+        sock.send(http.request(method, target, "s", [(k, v) for k, v in fields.items() if v is not None], body))
+
+    def answer(self, sock):
+        return read(self.world, sock, http.AnswerReader())
+
+
+def test_a_message_is_handed_in_and_the_connection_is_kept():
+    desk = Desk(verdict=Taken())
+
+    def play():
+        sock, began = desk.dial(), desk.world.now()
+        for n, (span, left) in enumerate([("480m", 480 * MS), ("1500u", 1500), ("0.5m", 500), ("99999999m", 8 * S)]):
+            desk.ask(sock, "/keyed/more?x=1", X_Request_Id=f"id{n}", Idempotency_Key="key", X_Deadline=span)
+            assert desk.answer(sock).status == 202
+            one = desk.offered[n]
+            assert (one.id, one.class_name, one.destination, one.key) == (f"id{n}", "keyed", 7, "key")
+            assert one.body == b"body" and one.due == began + left
+        desk.ask(sock, "/healthz", "GET", None)
+        assert desk.answer(sock).status == 200
+    desk.world.play(play)
+
+
+@pytest.mark.parametrize("verdict, status, after", [
+    (UnavailableAnswer(250_000), 429, "0.250"), (UnavailableAnswer(1, True), 503, "0.001"), (Failed(), 500, None)])
+def test_final_answers_say_when_to_come_back(verdict, status, after):
+    desk = Desk(verdict=verdict)
+
+    def play():
+        sock = desk.dial()
+        desk.ask(sock)
+        answer = desk.answer(sock)
+        assert (answer.status, answer.fields.get("retry-after"), answer.keep) == (status, after, True)
+    desk.world.play(play)
+
+
+BAD = [({"target": "/"}, 404), ({"target": "/nothing"}, 404), ({"target": "//safe"}, 404), ({"method": "GET"}, 405),
+       ({"X_Request_Id": None}, 400), ({"X_Request_Id": "two words"}, 400), ({"X_Deadline": None}, 400),
+       ({"X_Deadline": "480"}, 400), ({"X_Deadline": "-1m"}, 400), ({"X_Route_To": "dest=x"}, 400),
+       ({"X_Route_To": None}, 400), ({"target": "/keyed"}, 400), ({"body": b"x" * 65537}, 413),
+       ({"X_More": "x" * 20_000}, 431), ({"Transfer_Encoding": "chunked"}, 400)]
+
+
+@pytest.mark.parametrize("changes, status", BAD)
+def test_a_bad_request_gets_its_status_is_not_offered_and_ends_the_connection_alone(changes, status):
+    desk = Desk(verdict=Taken())
+
+    def play():
+        sock, other = desk.dial(), desk.dial()
+        desk.ask(sock, **changes)
+        assert desk.answer(sock).status == status and desk.offered == []
+        sock.shutdown(socket.SHUT_WR)
+        assert closed(desk.world, sock)
+        desk.ask(other)
+        assert desk.answer(other).status == 202
+    desk.world.play(play)
+
+
+def test_bytes_that_are_not_http_get_400_and_half_a_request_408():
+    desk = Desk(verdict=Taken())
+
+    def play():
+        for data, status in ((b"\x16\x03\x01\r\n", 400), (b"POST /safe HTTP/1.1\r\nHo", 408),
+                             (http.request("POST", "/safe", "s", list(HEAD.items()), b"body")[:-1], 408)):
+            sock = desk.dial()
+            sock.send(data)
+            assert desk.answer(sock).status == status and desk.offered == []
+    desk.world.play(play)
+
+
+@pytest.mark.parametrize("end", [reset, socket.socket.close])
+def test_a_user_agent_that_goes_before_its_answer_withdraws_and_one_that_never_finished_offers_nothing(end):
+    desk = Desk()
+
+    def play():
+        sock = desk.dial()
+        desk.ask(sock)
+        desk.world.until(lambda: desk.offered)
+        end(sock)
+        desk.world.until(lambda: desk.withdrawn)
+        assert desk.withdrawn == desk.offered
+        half = desk.dial()
+        half.send(b"POST /safe HTTP/1.1\r\n")
+        end(half)
+        desk.world.until(lambda: not desk.front._agents)
+        assert len(desk.offered) == 1
+    desk.world.play(play)
+
+
+def test_a_second_request_sent_early_waits_its_turn():
+    desk = Desk()
+
+    def play():
+        sock = desk.dial()
+        for n in range(2):
+            desk.ask(sock, X_Request_Id=f"id{n}")
+        desk.world.until(lambda: desk.offered)
+        desk.world.sleep(S)
+        assert len(desk.offered) == 1
+        desk.offered[0].decide(Taken())
+        assert desk.answer(sock).status == 202
+        desk.world.until(lambda: len(desk.offered) == 2)
+        desk.offered[1].decide(Failed())
+        assert desk.answer(sock).status == 500
+    desk.world.play(play)
+
+
+def test_expect_continue_is_met_and_no_other_expectation():
+    desk = Desk(verdict=Taken())
+
+    def play():
+        sock = desk.dial()
+        data = http.request("POST", "/safe", "s", [*HEAD.items(), ("Expect", "100-continue")], b"body")
+        sock.send(data[:-4])
+        desk.world.sleep(MS)
+        assert sock.recv(100) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        sock.send(b"body")
+        assert desk.answer(sock).status == 202
+        sock.send(data.replace(b"100-continue", b"wonders")[:-4])
+        assert desk.answer(sock).status == 417
+    desk.world.play(play)
+
+
+def test_before_the_end_idle_connections_close_and_every_request_is_answered_with_close():
+    desk = Desk(verdict=Taken())
+
+    def play():
+        idle, busy = desk.dial(), desk.dial()
+        busy.send(b"POST /safe HTTP/1.1\r\n")
+        desk.world.sleep(MS)
+        desk.front.close_idle()
+        assert closed(desk.world, idle) and desk.front.answering
+        for sock in (busy, desk.dial()):
+            sock.send(http.request("POST", "/safe", "s", list(HEAD.items()), b"")[21 if sock is busy else 0:])
+            answer = desk.answer(sock)
+            assert answer.status == 202 and not answer.keep and closed(desk.world, sock)
+        sock = desk.dial()
+        desk.ask(sock, "/healthz", "GET", None)
+        assert desk.answer(sock).status == 503
+    desk.world.play(play)
+
+
+def test_room_for_a_new_user_agent_comes_from_the_one_that_has_been_idle_longest():
+    desk = Desk(most=2, verdict=Taken())
+
+    def play():
+        socks = []
+        for _ in range(3):
+            socks.append(desk.dial())
+            desk.ask(socks[-1])
+            assert desk.answer(socks[-1]).status == 202
+        assert closed(desk.world, socks[0])
+        desk.verdict = None
+        for sock in socks[1:]:
+            desk.ask(sock)
+        desk.world.until(lambda: len(desk.offered) == 5)
+        late = desk.dial()
+        desk.ask(late)
+        desk.world.sleep(S)
+        assert len(desk.offered) == 5
+        desk.offered[3].decide(Taken())
+        desk.world.until(lambda: len(desk.offered) == 6)
+    desk.world.play(play)
--- /dev/null
+++ b/tests/test_journal.py
@@ -0,0 +1,165 @@
+"""The journal: what it owes after any cut, and the folder's limit, against a model that keeps no file."""
+import os
+import shutil
+import tempfile
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from scalefall.net import journal as j
+
+MOST = 400_000
+
+
+def owed(name, body=b"body", key=None):
+    return j.Owed(name, "fee-order", 7, 10**15, key, body)
+
+
+def used(folder):
+    return sum(-(-os.path.getsize(os.path.join(folder, name)) // 512) * 512 for name in os.listdir(folder))
+
+
+def plain(book):
+    """What a journal owes, without its book-keeping of sizes."""
+    return {name: (o.attempts, bool(o.ran_wall) and (o.ran_wall, o.ran_zone), o.out, o.end, o.after_ms, o.body, o.key)
+            for name, o in book.items()}
+
+
+class Life(RuleBasedStateMachine):
+    """Random records; at any time the process may die, half a record may be lost, and all must be there again."""
+
+    @initialize()
+    def start(self):
+        self.folder, self.model, self.number = tempfile.mkdtemp(), {}, 0
+        self.journal = j.Journal(self.folder, MOST)
+
+    def some(self, data, **wanted):
+        names = [n for n, o in self.model.items() if all(getattr(o, k) == v for k, v in wanted.items())]
+        return data.draw(st.sampled_from(sorted(names))) if names else None
+
+    @rule(size=st.sampled_from([0, 10, 3000, 65536]), key=st.sampled_from([None, "", "k"]))
+    def take_on(self, size, key):
+        self.number += 1
+        name, body = f"m{self.number}", os.urandom(size)
+        if self.journal.take_on(owed(name, body, key)):
+            self.model[name] = owed(name, body, key)
+        else:
+            assert sum(len(o.body) for o in self.model.values()) + size > MOST // 2 - 100_000, "there was room"
+
+    @rule(data=st.data(), zone=st.sampled_from(["a", "zone-b"]))
+    def begin(self, data, zone):
+        name = self.some(data, out=False, end=0)
+        if name:
+            self.number += 1
+            assert self.journal.pass_begun([name], self.number, zone)
+            one = self.model[name]
+            one.attempts, one.out, one.out_wall, one.out_zone = one.attempts + 1, True, self.number, zone
+
+    @rule(data=st.data(), ran=st.booleans())
+    def outcome(self, data, ran):
+        name = self.some(data, out=True)
+        if name:
+            self.journal.outcome(name, ran)
+            one = self.model[name]
+            one.out = False
+            if ran and not one.ran_wall:
+                one.ran_wall, one.ran_zone = one.out_wall, one.out_zone
+
+    @rule(data=st.data(), end=st.sampled_from([j.FAILED, j.RETURNED]))
+    def ended(self, data, end):
+        name = self.some(data, end=0)
+        if name:
+            self.journal.ended(name, end, 250)
+            self.model[name].end, self.model[name].after_ms, self.model[name].body = end, 250, b""
+
+    @rule(data=st.data())
+    def over(self, data):
+        name = self.some(data)
+        if name:
+            self.journal.over(name)
+            del self.model[name]
+
+    @precondition(lambda self: hasattr(self, "journal"))
+    @rule(torn=st.binary(max_size=40), half=st.booleans())
+    def die(self, torn, half):
+        """SIGKILL, with a torn record at the end and perhaps half a compaction."""
+        self.journal.close()
+        with open(os.path.join(self.folder, "journal"), "ab") as file:
+            file.write(torn)
+        if half:
+            with open(os.path.join(self.folder, "journal.new"), "wb") as file:
+                file.write(torn)
+        self.journal = j.Journal(self.folder, MOST)
+
+    @invariant()
+    def all_is_kept_within_the_limit(self):
+        if hasattr(self, "journal"):
+            assert plain(self.journal.owed) == plain(self.model) and used(self.folder) <= MOST
+
+    def teardown(self):
+        if hasattr(self, "journal"):
+            self.journal.close()
+            shutil.rmtree(self.folder)
+
+
+Life.TestCase.settings = settings(max_examples=40, stateful_step_count=60, deadline=None, derandomize=True)
+TestLife = Life.TestCase
+
+
+def test_a_tail_cut_at_any_byte_costs_only_what_was_cut(tmp_path):
+    book = j.Journal(str(tmp_path), MOST)
+    sizes = []
+    for name in ("a", "b"):
+        book.take_on(owed(name))
+        sizes.append(os.path.getsize(tmp_path / "journal"))
+    book.close()
+    data = (tmp_path / "journal").read_bytes()
+    for length in range(len(data)):
+        (tmp_path / "journal").write_bytes(data[:length])
+        again = j.Journal(str(tmp_path), MOST)
+        assert sorted(again.owed) == [n for n, size in zip("ab", sizes) if size <= length]
+        assert again.take_on(owed("next"))
+        again.close()
+
+
+def test_a_flipped_bit_ends_what_can_be_trusted(tmp_path):
+    book = j.Journal(str(tmp_path), MOST)
+    book.take_on(owed("a"))
+    size = os.path.getsize(tmp_path / "journal")
+    book.take_on(owed("b"))
+    book.close()
+    data = bytearray((tmp_path / "journal").read_bytes())
+    data[size + 12] ^= 1
+    (tmp_path / "journal").write_bytes(data)
+    assert list(j.Journal(str(tmp_path), MOST).owed) == ["a"]
+
+
+@pytest.mark.parametrize("most", [100_000, 3_000_000])
+def test_what_would_not_fit_is_refused_and_the_rest_is_still_written(tmp_path, most):
+    book = j.Journal(str(tmp_path), most)
+    taken = [n for n in range(200) if book.room(60_000) and book.take_on(owed(str(n), b"x" * 60_000))]
+    assert len(taken) < 200 and used(tmp_path) <= most
+    for name in list(book.owed) * 20:
+        assert book.pass_begun([name], 5, "a")
+        book.outcome(name, True)
+        assert used(tmp_path) <= most
+    assert len(taken) == (0 if most == 100_000 else 24)
+
+
+def test_a_journal_that_cannot_be_written_takes_nothing_on(tmp_path, monkeypatch):
+    book = j.Journal(str(tmp_path), MOST)
+    book.take_on(owed("a"))
+    whole = (tmp_path / "journal").read_bytes()
+    real = os.write
+
+    def half(file, data):
+        monkeypatch.setattr(os, "write", full)
+        return real(file, data[:5])
+
+    def full(file, data):
+        raise OSError(28, "No space left on device")
+    monkeypatch.setattr(os, "write", half)
+    assert not book.take_on(owed("b")) and not book.pass_begun(["a"], 1, "a") and list(book.owed) == ["a"]
+    assert (tmp_path / "journal").read_bytes() == whole
--- a/tests/test_passes.py
+++ b/tests/test_passes.py
@@ -1,7 +1,13 @@
-"""Proxy passes against an endpoint that the test plays: the table of outcomes, and what connections go through."""
+"""Proxy passes against an endpoint that the test plays: the table of outcomes, and a model of connections' states."""
+import json
+import socket
+
 import pytest
 from helpers import settings
-from nethelp import Calls, Peer, S, World
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+from nethelp import MS, Calls, Peer, S, World, closed, reset
 
 from scalefall import interface as i
 from scalefall.net import http
@@ -14,8 +20,147 @@
     return World()
 
 
-def answer(status, fields=(), body=b""):
-    return http.answer(status, list(fields), body)
+@pytest.fixture
+def calls(world):
+    return Calls(world, settings(), None)
+
+
+def begun(world, *names, **more):
+    """A call that is out at an endpoint that has read it."""
+    peer = Peer(world)
+    calls = Calls(world, settings(), peer.address)
+    calls.begin(*names, **more)
+    sock = peer.accept()
+    return calls, peer, sock, peer.read(sock)
+
+
+LOAD = ("X-Load", '{"x0":0.4,"x1":25}')
+TABLE = [
+    (200, [], O.OK, 0, True), (500, [], O.ERROR, 0, False), (429, [("Retry-After", "1.25")], O.FULL, 1_250_000, False),
+    (503, [], O.FULL, 0, False), (503, [("X-Egress-Full", "1")], O.NOT_SENT, 0, False), (504, [], O.NOT_SENT, 0, False),
+    (410, [], O.NOT_SENT, 0, True), (302, [], O.ERROR, 0, False), (429, [("Retry-After", "soon")], O.FULL, 0, False)]
+
+
+@pytest.mark.parametrize("status, fields, outcome, wait, finished", TABLE)
+def test_a_single_answer_is_read_off_the_table(world, status, fields, outcome, wait, finished):
+    def play():
+        calls, _, sock, request = begun(world, "m")
+        assert (request.method, request.target) == ("POST", "/v1/messages")
+        assert request.fields["x-request-id"] == "m" and request.fields["idempotency-key"] == "k"
+        assert request.fields["x-deadline"] == "2000m" and request.body == b"body"
+        sock.send(http.answer(status, [LOAD, *fields], b"whatever"))
+        event = calls.outcome("m")
+        assert (event.outcome, event.wait_us, event.finished) == (outcome, wait, finished)
+        assert event.report == {"x0": 0.4, "x1": 25} and event.endpoint == "e" and calls.passes.out == 0
+    world.play(play)
+
+
+def test_a_batch_ends_as_its_states_tell_each_with_its_wait(world):
+    def play():
+        calls, _, sock, request = begun(world, *"abcdef")
+        rows = json.loads(bytes(request.body))
+        assert request.target == "/v1/messages:batch" and rows[0] == {"id": "a", "key": "k", "body": "Ym9keQ=="}
+        states = ["accepted", "fault", "deferred", "expired", "no_more"]
+        body = json.dumps([{"id": name, "state": state} for name, state in zip("abcde", states)]).encode()
+        sock.send(http.answer(200, [("Retry-After", "0.5")], body))
+        assert [(calls.outcome(n).outcome, calls.outcome(n).finished, calls.outcome(n).wait_us) for n in "abcdef"] == [
+            (O.OK, True, 500_000), (O.ERROR, False, 500_000), (O.FULL, False, 500_000), (O.NOT_SENT, True, 500_000),
+            (O.NOT_SENT, False, 500_000), (O.ERROR, False, 500_000)]
+    world.play(play)
+
+
+@pytest.mark.parametrize("status, body, outcome", [(429, b"", O.FULL), (500, b"", O.ERROR), (413, b"", O.NOT_SENT),
+                                                   (200, b"[7]", O.ERROR), (200, b"{broken", O.ERROR)])
+def test_a_batch_may_fare_alike_and_an_unusable_answer_may_have_run(world, status, body, outcome):
+    def play():
+        calls, _, sock, _ = begun(world, "a", "b")
+        sock.send(http.answer(status, [], body))
+        assert [calls.outcome(name).outcome for name in "ab"] == [outcome] * 2
+    world.play(play)
+
+
+BREAKS = [(b"", O.RESET), (b"HTTP/1.", O.RESET), (b"junk\r\n", O.ERROR), (b"HTTP/1.1 200 OK\r\n", O.OK),
+          (b"HTTP/1.1 503 x\r\n", O.FULL), (b"HTTP/1.1 100 Continue\r\n\r\n", O.RESET)]
+
+
+@pytest.mark.parametrize("end", [reset, socket.socket.close])
+@pytest.mark.parametrize("sent, outcome", BREAKS)
+def test_a_connection_that_breaks_after_the_last_byte(world, sent, outcome, end):
+    def play():
+        calls, _, sock, _ = begun(world, "m")
+        sock.send(sent)
+        world.sleep(MS)
+        end(sock)
+        assert calls.outcome("m").outcome is outcome
+    world.play(play)
+
+
+def test_a_refused_dial_and_one_that_never_comes_up_could_not_connect(world):
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(dial_timeout_us=S), peer.address)
+        full = [socket.socket() for _ in range(80)]     # the listener's queue is full: the dial goes unanswered
+        for sock in full:
+            sock.setblocking(False)
+            sock.connect_ex(peer.address)
+        began = world.now()
+        calls.begin("m", span=5 * S)
+        assert calls.outcome("m").outcome is O.CONNECT_FAILED and S <= world.now() - began < 2 * S
+        peer.listener.close()
+        calls.begin("n")
+        assert calls.outcome("n").outcome is O.CONNECT_FAILED
+        for sock in full:
+            sock.close()
+    world.play(play)
+
+
+def test_a_call_that_was_not_all_written_never_ran_however_it_ends(world):
+    """Connect failure against reset turns on the last byte: an endpoint that stops reading has not got it."""
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(), peer.address)
+        for name, end in (("broken", reset), ("slow", None), ("cancelled", None)):
+            load = calls.load(name)
+            load.body = b"x" * (8 << 20)
+            calls.passes.begin(calls.entry, [load])
+            sock = peer.accept()
+            world.sleep(10 * MS)
+            if end:
+                end(sock)
+            elif name == "cancelled":
+                calls.passes.cancel(name, 0)
+            assert calls.outcome(name).outcome is O.CONNECT_FAILED
+    world.play(play)
+
+
+def test_a_batch_stays_whole_until_its_last_message_stops_waiting(world):
+    """On an open connection a message counts as out: told as ended before, it could be sent a second time."""
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(), peer.address)
+        calls.passes.begin(calls.entry, [calls.load("short", span=S), calls.load("long", span=3 * S)])
+        sock = peer.accept()
+        peer.read(sock)
+        world.sleep(2 * S)
+        calls.passes.cancel("short", 0)
+        assert calls.told == []
+        assert calls.outcome("long").outcome is calls.outcome("short").outcome is O.TIMEOUT and closed(world, sock)
+    world.play(play)
+
+
+def test_what_may_not_begin_any_more_is_not_sent_and_its_connection_is_kept(world):
+    """A dial may end after the endpoint was told to drain, or this sender to wait."""
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(), peer.address)
+        calls.may = False
+        calls.begin("m")
+        sock = peer.accept()
+        assert calls.outcome("m").outcome is O.NOT_SENT
+        calls.may = True
+        calls.begin("n")
+        assert peer.read(sock).fields["x-request-id"] == "n" and peer.accepted == 1
+    world.play(play)
 
 
 def test_what_might_take_effect_twice_by_now_is_left_out_of_a_call(world):
@@ -28,18 +173,140 @@
         sock = peer.accept()
         assert peer.read(sock).fields["x-request-id"] == "fine"
         assert calls.outcome("late").outcome is O.NOT_SENT
-        sock.send(answer(200))
+        sock.send(http.answer(200, []))
         assert calls.outcome("fine").outcome is O.OK
+        calls.passes.begin(calls.entry, [calls.load("alone", begin_by=world.now() - 1)])
+        assert calls.outcome("alone").outcome is O.NOT_SENT
     world.play(play)
 
 
-def test_nothing_goes_out_if_all_of_a_call_is_too_late_and_its_connection_is_kept(world):
+def test_room_is_made_by_closing_the_connection_that_has_been_idle_longest(world):
     def play():
-        peer = Peer(world)
-        calls = Calls(world, settings(), peer.address)
-        calls.passes.begin(calls.entry, [calls.load("late", begin_by=world.now() - 1)])
-        sock = peer.accept()
-        assert calls.outcome("late").outcome is O.NOT_SENT
-        calls.begin("next")
-        assert peer.read(sock).fields["x-request-id"] == "next" and peer.accepted == 1
+        peers = [Peer(world) for _ in range(3)]
+        calls, socks = Calls(world, settings(), None, most=2), []
+        for n, peer in enumerate(peers):
+            calls.entry = type(calls.entry)(calls.entry.endpoint, peer.address)
+            calls.begin(str(n))
+            socks.append(peer.accept())
+            peer.read(socks[n])
+            socks[n].send(http.answer(200, []))
+            calls.outcome(str(n))
+        assert closed(world, socks[0]) and len(calls.passes._idle) == 2
     world.play(play)
+
+
+class Connections(RuleBasedStateMachine):
+    """What connections there are, and in which state, as the endpoint sees them; random steps on both sides."""
+
+    @initialize()
+    def start(self):
+        self.world, self.number = World(), 0
+        self.peer = Peer(self.world)
+        self.calls = Calls(self.world, settings(idle_close_us=5 * S), self.peer.address)
+        self.idle, self.out, self.known = [], {}, 0
+
+    def step(self, function):
+        self.world.play(function)
+
+    def end(self, data, name, outcome, end=None):
+        sock = self.out.pop(name)
+
+        def play():
+            if data:
+                sock.send(data)
+            if end:
+                self.world.sleep(MS)
+                end(sock)
+            assert self.calls.outcome(name).outcome is outcome
+        self.step(play)
+        return sock
+
+    @rule(names=st.integers(1, 3))
+    def begin(self, names):
+        def play():
+            self.number += 1
+            name = f"m{self.number}"
+            self.calls.begin(name, *(f"{name}-{n}" for n in range(1, names)), span=60 * S)
+            if self.idle:
+                sock = self.idle.pop()      # the one used last
+            else:
+                sock, self.known = self.peer.accept(), self.known + 1
+            body = self.peer.read(sock)
+            assert name in (body.fields.get("x-request-id") or bytes(body.body).decode())
+            self.out[name] = sock
+        self.step(play)
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data(), row=st.sampled_from([row for row in TABLE if row[0] != 200]), keep=st.booleans())
+    def answer(self, data, row, keep):
+        name = data.draw(st.sampled_from(sorted(self.out)))
+        sock = self.end(http.answer(row[0], row[1], b"x", keep), name, row[2])
+        if keep:
+            self.idle.append(sock)
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data(), end=st.sampled_from([reset, socket.socket.close]))
+    def lose(self, data, end):
+        self.end(b"", data.draw(st.sampled_from(sorted(self.out))), O.RESET, end)
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data())
+    def garble(self, data):
+        self.end(b"who knows\r\n", data.draw(st.sampled_from(sorted(self.out))), O.ERROR)
+
+    @precondition(lambda self: self.out)
+    @rule(data=st.data())
+    def cancel(self, data):
+        name = data.draw(st.sampled_from(sorted(self.out)))
+        one = self.calls.passes._out[name, 0]
+        for load in list(one.loads):
+            self.calls.passes.cancel(load.id, 0)
+        sock = self.end(b"", name, O.CANCELLED)
+        self.calls.passes.cancel(name, 0)   # again, when it is over: nothing
+        self.step(lambda: closed(self.world, sock) or self.fail())
+
+    @precondition(lambda self: self.idle)
+    @rule(data=st.data(), said=st.sampled_from([b"", b"HTTP/1.1 200 OK\r\n\r\n"]))
+    def idle_one_ends(self, data, said):
+        """Closed by the endpoint, or spoiled by what nobody asked for: never used again."""
+        sock = self.idle.pop(data.draw(st.integers(0, len(self.idle) - 1)))
+
+        def play():
+            sock.send(said) if said else sock.close()
+            self.world.sleep(MS)
+        self.step(play)
+
+    @rule()
+    def close_idle(self):
+        self.calls.passes.close_idle(self.peer.address)
+        self.all_closed()
+
+    @rule()
+    def idle_too_long(self):
+        self.step(lambda: self.world.sleep(4600 * MS))
+        self.all_closed()
+
+    def all_closed(self):
+        socks, self.idle = self.idle, []
+        for sock in socks:
+            self.step(lambda sock=sock: closed(self.world, sock) or self.fail())
+
+    def fail(self):
+        raise AssertionError("the connection should be closed")
+
+    @invariant()
+    def books_agree(self):
+        if hasattr(self, "world"):
+            assert self.peer.accepted == self.known and self.calls.passes.out == len(self.out)
+            assert len(self.calls.passes._idle) == len(self.idle)
+            told = [(e.id, e.attempt) for e in self.calls.told]
+            assert len(told) == len(set(told))
+
+    def teardown(self):
+        if hasattr(self, "world"):
+            for sock in [*self.idle, *self.out.values(), self.peer.listener]:
+                sock.close()
+
+
+Connections.TestCase.settings = limits(max_examples=40, stateful_step_count=30, deadline=None, derandomize=True)
+TestConnections = Connections.TestCase
