--- /dev/null
+++ b/example/toy_server.py
@@ -0,0 +1,118 @@
+"""A toy of the other side, to try scalefall on one machine: discovery, the platform's /reports, and two endpoints.
+
+    python3 example/toy_server.py [--discovery PORT] [--endpoints PORT PORT] [--a-second N]
+
+Prints its addresses, then a line for each message delivered and each notice. An endpoint takes N calls a second and
+answers 429 with a wait above that. Port 0 picks a free one. Standard library only; it is no model of real partners.
+"""
+import argparse
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+BEAT_S = 2
+
+
+def say(text):
+    print(text, flush=True)
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *_):
+        pass
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+    def reply(self, status, body=b"", **fields):
+        self.send_response(status)
+        for name, value in fields.items():
+            self.send_header(name.replace("_", "-"), value)
+        if status != 204:
+            self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+
+class Discovery(Handler):
+    hosts = []
+
+    def do_GET(self):
+        table = json.dumps({"seq": 2, "whole": True, "hosts": self.hosts}).encode()
+        if "stream=1" not in self.path:
+            self.reply(200, table)
+            return
+        self.send_response(200)
+        self.send_header("Transfer-Encoding", "chunked")
+        self.end_headers()
+        try:
+            self.chunk(table + b"\n")
+            while True:
+                time.sleep(BEAT_S)
+                self.chunk(b"\n")
+        except OSError:
+            self.close_connection = True
+
+    def chunk(self, data):
+        self.wfile.write(b"%x\r\n%s\r\n" % (len(data), data))
+
+    def do_POST(self):
+        for line in self.body().splitlines():
+            say(f"notice {line.decode()}")
+        self.reply(204)
+
+
+class Endpoint(Handler):
+    a_second = 5
+    taken, span, lock = 0, 0, threading.Lock()
+
+    def do_POST(self):
+        body, now = self.body(), time.time()
+        with self.lock:
+            if int(now) != Endpoint.span:
+                Endpoint.span, Endpoint.taken = int(now), 0
+            Endpoint.taken += 1
+            left = self.a_second - Endpoint.taken
+        load = json.dumps({"x0": max(0, left) / self.a_second, "x1": self.a_second})
+        if left < 0:
+            self.reply(429, Retry_After=f"{1 - now % 1:.3f}", X_Load=load)
+            return
+        time.sleep(0.1)
+        if self.path.endswith(":batch"):
+            ids = [row["id"] for row in json.loads(body)]
+            answer = json.dumps([{"id": name, "state": "accepted"} for name in ids]).encode()
+        else:
+            ids, answer = [self.headers["X-Request-Id"]], b""
+        for name in ids:
+            say(f"delivered {name} at {self.server.server_port}")
+        self.reply(200, answer, X_Load=load)
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--discovery", type=int, default=8500)
+    parser.add_argument("--endpoints", type=int, nargs=2, default=[9001, 9002])
+    parser.add_argument("--a-second", type=int, default=5)
+    options = parser.parse_args()
+    Endpoint.a_second = options.a_second
+    servers = [ThreadingHTTPServer(("127.0.0.1", port), Endpoint) for port in options.endpoints]
+    for number, server in enumerate(servers):
+        Discovery.hosts.append({"host": f"toy-{number}", "dial": f"127.0.0.1:{server.server_port}", "site": "here",
+                                "class": "toy", "block": 7, "health": "in_service", "share": 1.0, "born_ms": 0})
+    servers.append(ThreadingHTTPServer(("127.0.0.1", options.discovery), Discovery))
+    for server in servers:
+        server.daemon_threads = True
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+    say(f"discovery at 127.0.0.1:{servers[-1].server_port}")
+    try:
+        threading.Event().wait()
+    except KeyboardInterrupt:
+        pass
+
+
+if __name__ == "__main__":
+    main()
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -2,7 +2,6 @@
 from __future__ import annotations
 
 import signal
-import time
 from math import inf
 from scalefall import interface as i
 from scalefall.net import checks
@@ -37,9 +36,10 @@
         self._module = Sender(config.settings, config.seed)
         self._events: list[i.Event] = []
         self._planned, self._closing_at = False, 0
+        self.address = config.listen
         self._open: dict[str, Transaction] = {}     # offered or taken on, and not over for the module
         self._waits: dict[int | str, int] = {}      # until when, by destination or route apart
-        self._wall = time.time_ns() // 1000 - scheduler.now()
+        self._wall = scheduler.wall() - scheduler.now()     # to add for wall time
         self._journal = Journal(config.state, config.disk_bytes)
         self._farm = Farm(scheduler, config.discovery, config.known, self._listed)
         self._notices = Notices(scheduler, config.discovery, self._journal.over)
@@ -51,7 +51,8 @@
         self._gather(self._farm.known())
         self._restore()
         self._turn()
-        log.info("ready: %s at %s:%d", self._config.name, *self.front.listen(self._config.listen))
+        self.address = self.front.listen(self._config.listen)
+        log.info("ready: %s at %s:%d", self._config.name, *self.address)
         self._scheduler.call_at(self._scheduler.now() + REPORT_US, self._report)
 
     def _report(self) -> None:
--- a/scalefall/net/scheduler.py
+++ b/scalefall/net/scheduler.py
@@ -52,6 +52,11 @@
     def now(self) -> int:
         return time.monotonic_ns() // 1000
 
+    @staticmethod
+    def wall() -> int:
+        """Microseconds since the epoch."""
+        return time.time_ns() // 1000
+
     def spawn(self, function: Callable[..., object], *args: Any) -> Task:
         task = Task(self._guarded, self._loop)
         self._ready.append((task, (function, args)))
--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -342,7 +342,7 @@
         if message.key is not None:
             self.keys.setdefault(message.key, Key()).queue.append(message.id)
         self.touched[destination.number] = destination
-        if self._spent(message):
+        if self._spent(message) or self._late_at(message) <= self.now:     # as after a restart
             self._give_up(message)
             return
         self._watch(message)
--- a/tests/nethelp.py
+++ b/tests/nethelp.py
@@ -24,6 +24,9 @@
     def now(self):
         return self.clock
 
+    def wall(self):
+        return 10**15 + self.clock
+
     def _polled(self, until):
         found = self._poll.poll(1 if until is not None else 10_000)
         if not found:
--- /dev/null
+++ b/tests/test_host.py
@@ -0,0 +1,277 @@
+"""The host with its module on sockets; the test plays the user agents, the endpoints and the platform."""
+import json
+import socket
+
+import pytest
+from helpers import settings
+from nethelp import MS, STREAM, Peer, S, World, chunk, listed, read, roll
+
+from scalefall import interface as i
+from scalefall.net import host as module
+from scalefall.net import http
+from scalefall.net.config import Config
+from scalefall.net.farm import read_roll
+from scalefall.net.host import Host
+
+
+class Firm:
+    """One sender, one endpoint for destination 7, the platform, and a folder that outlives the sender."""
+
+    def __init__(self, folder, kind="one", disk=3_000_000, **changes):
+        self.world, self.folder, self.disk, self.changes = World(), folder, disk, changes
+        self.endpoint, self.platform = Peer(self.world), Peer(self.world)
+        self.known = read_roll(roll(1, listed("e", self.endpoint.address, kind=kind)))
+        self.watch, self.posts = None, []
+        self.start()
+
+    def start(self):
+        config = Config("n0", ("127.0.0.1", 0), self.platform.address, str(self.folder), 7, 256, self.disk,
+                        settings(ask=True, **self.changes), self.known)
+        self.host = Host(self.world, config)
+        self.host.start()
+
+    def watched(self):
+        """The platform's side of the watch; what is posted meanwhile waits for notices()."""
+        while True:
+            sock = self.platform.accept()
+            request = self.platform.read(sock)
+            if request.method == "GET":
+                self.watch = sock
+                sock.send(STREAM + chunk(None))
+                return
+            self.posts.append((sock, request))
+
+    def die(self):
+        """SIGKILL: nothing of the process is left but the folder."""
+        self.host._journal.close()
+        self.host.front.stop_listening()
+        self.world._ready.clear()
+        for task in list(self.world._waits.values()):
+            self.world._poll.unregister(task.fd)
+        self.world._waits.clear()
+        self.world._timers.clear()
+
+    def hand_in(self, name, cls="safe", deadline="8000m", key=None, body=b"body", sock=None):
+        sock = sock or socket.create_connection(self.host.address)
+        sock.setblocking(False)
+        fields = [("X-Request-Id", name), ("X-Deadline", deadline), ("X-Route-To", "dest=7")]
+        sock.send(http.request("POST", f"/{cls}", "s", fields + ([("Idempotency-Key", key)] if key else []), body))
+        return sock
+
+    def answer(self, sock):
+        return read(self.world, sock, http.AnswerReader())
+
+    def taken(self, *names, **more):
+        for sock in [self.hand_in(name, **more) for name in names]:
+            assert self.answer(sock).status == 202
+
+    def call(self):
+        sock = self.endpoint.accept()
+        return sock, self.endpoint.read(sock)
+
+    def notices(self):
+        if not self.posts:
+            sock = self.platform.accept()
+            self.posts.append((sock, self.platform.read(sock)))
+        sock, request = self.posts.pop(0)
+        sock.send(http.answer(204, []))
+        return [json.loads(line) for line in request.body.splitlines()]
+
+    def owed(self):
+        return sorted(self.host._journal.owed)
+
+
+@pytest.fixture
+def firm(tmp_path):
+    return Firm(tmp_path)
+
+
+def play(firm, function):
+    firm.world.play(lambda: (firm.watched(), function()))
+
+
+def test_a_message_is_in_the_journal_before_its_answer_and_out_of_it_once_delivered(firm):
+    def steps():
+        firm.taken("m")
+        assert firm.owed() == ["m"]
+        sock, request = firm.call()
+        assert request.fields["x-request-id"] == "m" and firm.host._journal.owed["m"].out
+        sock.send(http.answer(200, []))
+        firm.world.until(lambda: firm.owed() == [])
+    play(firm, steps)
+
+
+def test_what_is_refused_in_its_turn_gets_429_and_is_not_journaled(firm):
+    def steps():
+        assert firm.answer(firm.hand_in("m", deadline="1u")).status == 429
+        assert firm.owed() == [] and firm.endpoint.accepted == 0
+    play(firm, steps)
+
+
+def test_a_full_sender_turns_away_with_503_and_when_to_come_back(tmp_path):
+    firm = Firm(tmp_path, disk=100_000)
+
+    def steps():
+        firm.taken("m")
+        answer = firm.answer(firm.hand_in("n", body=b"x" * 60_000))
+        assert answer.status == 503 and answer.fields["retry-after"] == "1.000"
+    play(firm, steps)
+
+
+def test_a_user_agent_that_goes_before_its_answer_leaves_nothing_behind(firm):
+    def steps():
+        firm.hand_in("m").close()
+        firm.world.sleep(S)
+        assert firm.owed() == [] and firm.host._open == {}
+    play(firm, steps)
+
+
+def test_the_same_id_handed_in_again_is_one_message_also_if_the_first_connection_breaks(firm):
+    def steps():
+        first, second = firm.hand_in("m"), firm.hand_in("m")
+        firm.world.sleep(MS // 2)
+        first.close()
+        assert firm.answer(second).status == 202
+        firm.taken("m")
+        assert firm.owed() == ["m"]
+        sock, _ = firm.call()
+        sock.send(http.answer(500, []))
+        firm.endpoint.read(sock)
+        sock.send(http.answer(200, []))
+        firm.world.until(lambda: firm.owed() == [])
+    play(firm, steps)
+
+
+def test_what_is_given_up_is_told_to_the_platform_until_it_hears(firm):
+    def steps():
+        firm.taken("f", cls="unsafe", deadline="2000m")
+        firm.call()[0].close()
+        assert firm.notices() == [{"id": "f", "state": "failed"}]
+        firm.world.until(lambda: firm.owed() == [])
+    play(firm, steps)
+
+
+@pytest.mark.parametrize("cls, later, end", [("unsafe", 0, "failed"), ("safe", 0, None), ("keyed", 0, None),
+                                             ("keyed", 6 * S, "returned")])
+def test_after_a_death_with_a_pass_out_class_and_window_decide(firm, cls, later, end):
+    """It may have run: a fee must not take effect twice, and a key is dropped only so long."""
+    def steps():
+        firm.taken("m", cls=cls, key="k")
+        firm.call()
+        firm.die()
+        firm.world.clock += later
+    play(firm, steps)
+    firm.start()
+
+    def again():
+        if end:
+            assert [(n["id"], n["state"]) for n in firm.notices()] == [("m", end)] and firm.endpoint.accepted == 1
+        else:
+            sock, request = firm.call()
+            assert request.fields["x-request-id"] == "m" and request.fields["idempotency-key"] == "k"
+            assert request.body == b"body"
+            sock.send(http.answer(200, []))
+        firm.world.until(lambda: firm.owed() == [])
+    play(firm, again)
+
+
+def test_attempts_are_counted_across_a_death(tmp_path):
+    firm = Firm(tmp_path, max_attempts=2)
+
+    def steps():
+        firm.taken("m")
+        sock, _ = firm.call()
+        sock.send(http.answer(500, []))
+        firm.world.until(lambda: not firm.host._journal.owed["m"].out)
+        firm.die()
+    play(firm, steps)
+    firm.start()
+
+    def again():
+        sock, _ = firm.call()
+        sock.send(http.answer(500, []))
+        assert firm.notices() == [{"id": "m", "state": "returned", "after_ms": firm.host._journal.owed["m"].after_ms}]
+    play(firm, again)
+
+
+def test_notices_that_were_not_delivered_go_out_after_a_death(firm):
+    def steps():
+        firm.taken("f", cls="unsafe", deadline="2000m")
+        firm.call()[0].close()
+        firm.platform.read(firm.platform.accept())
+        firm.die()
+    play(firm, steps)
+    firm.start()
+    play(firm, lambda: firm.notices() == [{"id": "f", "state": "failed"}] or pytest.fail("not this notice"))
+
+
+def test_a_told_wait_and_a_drain_stop_what_has_not_begun(firm):
+    """A dial may last past either: both are looked at again before a call's first byte."""
+    entry = firm.host._farm.entries["e"]
+
+    def steps():
+        assert firm.host._may_begin(entry)
+        firm.taken("m")
+        sock, _ = firm.call()
+        sock.send(http.answer(429, [("Retry-After", "0.5")]))
+        firm.world.until(lambda: firm.host._waits)
+        assert not firm.host._may_begin(entry)
+        firm.world.sleep(600 * MS)
+        assert firm.host._may_begin(entry)
+        firm.watch.send(chunk(roll(2, listed("e", firm.endpoint.address, health="terminating"), whole=False)))
+        firm.world.until(lambda: "e" in firm.host._farm.left_at)
+        firm.world.sleep(900 * MS)
+        assert not firm.host._may_begin(entry)
+    play(firm, steps)
+
+
+def test_sends_of_a_turn_form_one_call_unless_its_body_would_be_too_long(tmp_path):
+    firm = Firm(tmp_path, kind="many")
+
+    def steps():
+        firm.taken("a", "b")
+        sock, request = firm.call()
+        assert [row["id"] for row in json.loads(bytes(request.body))] == ["a", "b"]
+        firm.taken("c", "d", body=b"x" * 30_000)
+        calls = [firm.call()[1] for _ in range(2)]
+        assert [call.fields["x-request-id"] for call in calls] == ["c", "d"]
+    play(firm, steps)
+
+
+def test_a_module_that_fails_in_a_turn_refuses_what_came_and_the_rest_carries_on(firm, monkeypatch):
+    counted, handle = [], firm.host._module.handle
+    monkeypatch.setattr(module, "holds", lambda condition, name: counted.append(name))
+
+    def fails(now, events):
+        if any(isinstance(event, i.Message) for event in events):
+            monkeypatch.setattr(firm.host._module, "handle", handle)
+            raise RuntimeError("seen in a test")
+        return handle(now, events)
+    monkeypatch.setattr(firm.host._module, "handle", fails)
+
+    def steps():
+        assert firm.answer(firm.hand_in("m")).status == 503
+        firm.taken("n")
+        assert firm.owed() == ["n"] and counted == ["the module failed in a turn"]
+    play(firm, steps)
+
+
+def test_a_planned_end_answers_finishes_and_leaves_the_rest_to_the_next(firm):
+    """Begin nothing that may not finish: what arrives late is taken on, and delivered after the start."""
+    def steps():
+        firm.taken("out")
+        sock, _ = firm.call()
+        firm.host.close()
+        began = firm.world.now()
+        firm.world.sleep(300 * MS)
+        late = firm.hand_in("late")
+        assert firm.answer(late).status == 202
+        sock.send(http.answer(200, []))
+        firm.world.until(lambda: firm.owed() == ["late"])
+        firm.world.sleep(60 * S)
+        raise AssertionError(f"still running {firm.world.now() - began} later")
+    firm.world.spawn(lambda: (firm.watched(), steps()))
+    began = firm.world.now()
+    firm.world.run()
+    assert firm.world.broken is None and firm.world.now() - began < 4 * S
+    assert firm.endpoint.accepted == 1 and firm.owed() == ["late"]
