--- /dev/null
+++ b/tests/test_program.py
@@ -0,0 +1,166 @@
+"""The program as a user starts it, spoken to over sockets, with the toy server of example/ as the other side."""
+import http.client
+import json
+import os
+import pathlib
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+
+import pytest
+
+ROOT = pathlib.Path(__file__).parent.parent
+EXAMPLE = json.loads((ROOT / "example" / "config.json").read_text())
+LONG = 60       # seconds after which a test gives up; nothing is timed
+
+
+class Process:
+    """A child whose lines are waited for."""
+
+    def __init__(self, *command, **environ):
+        self.child = subprocess.Popen([sys.executable, *command], cwd=ROOT, env=os.environ | environ, text=True,
+                                      stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+        self.lines, self.seen = queue.Queue(), []
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self):
+        for line in self.child.stdout:
+            self.lines.put(line.rstrip("\n"))
+        self.lines.put(None)
+
+    def line(self, part):
+        """The first line with part that has not been asked for before."""
+        for line in self.seen:
+            if part in line:
+                self.seen.remove(line)
+                return line
+        while True:
+            line = self.lines.get(timeout=LONG)
+            assert line is not None, f"ended without {part!r}: {self.seen}"
+            if part in line:
+                return line
+            self.seen.append(line)
+
+    def end(self, number=signal.SIGKILL):
+        self.child.send_signal(number)
+        return self.child.wait(LONG)
+
+
+@pytest.fixture
+def toy():
+    process = Process("example/toy_server.py", "--discovery", "0", "--endpoints", "0", "0")
+    process.address = process.line("discovery at").split()[-1]
+    yield process
+    process.end()
+
+
+@pytest.fixture
+def sender(toy, tmp_path):
+    """Starts the program, again and again on the same folder."""
+    (tmp_path / "state").mkdir()
+    (tmp_path / "config.json").write_text(json.dumps(EXAMPLE))
+    started = []
+
+    def start(*flags):
+        started.append(Process(*flags, "-m", "scalefall", RELAY_CONFIG=str(tmp_path / "config.json"),
+                               RELAY_STATE=str(tmp_path / "state"), RELAY_LISTEN="127.0.0.1:0",
+                               RELAY_DISCOVERY=toy.address))
+        host, _, port = started[-1].line("ready: n0 at").split()[-1].rpartition(":")
+        started[-1].at = (host, int(port))
+        return started[-1]
+    yield start
+    for process in started:
+        if process.child.poll() is None:
+            process.end()
+
+
+def ask(process, name, path="/fee-order", method="POST", dest=7, deadline="20000m", key=None, body=b"\0body"):
+    connection = http.client.HTTPConnection(*process.at, timeout=LONG)
+    headers = {"X-Request-Id": name, "X-Deadline": deadline, "X-Route-To": f"dest={dest}"}
+    connection.request(method, path, body, headers | ({"Idempotency-Key": key} if key else {}))
+    answer = connection.getresponse()
+    answer.read()
+    connection.close()
+    return answer
+
+
+@pytest.mark.parametrize("flags", [(), ("-O",)])
+def test_it_serves_each_class_and_ends_cleanly_on_sigterm(sender, toy, flags):
+    process = sender(*flags)
+    assert ask(process, "x", "/healthz", "GET").status == 200
+    for name, path in (("a", "/fee-order"), ("b", "/status-update"), ("c", "/event-notice")):
+        assert ask(process, name, path, key="k").status == 202
+        toy.line(f"delivered {name} at")
+    assert process.end(signal.SIGTERM) == 0
+    assert "0 left to the journal" in process.line("ended:")
+    assert not [line for line in process.seen if "invariant" in line or "Traceback" in line]
+
+
+def test_what_it_took_on_outlasts_sigkill(sender, toy):
+    process = sender("-O")
+    assert ask(process, "nowhere", dest=9, deadline="4000m").status == 202
+    assert process.end() == -signal.SIGKILL
+    process = sender("-O")
+    process.line("restored: 1 open")
+    assert json.loads(toy.line("nowhere").removeprefix("notice "))["state"] == "returned"
+    assert process.end(signal.SIGTERM) == 0
+    again = sender("-O")
+    assert not [line for line in again.seen if "restored" in line]
+
+
+def test_what_waits_at_sigterm_is_left_to_the_journal_and_delivered_after_the_start(sender, toy):
+    process = sender("-O")
+    names = [f"m{n}" for n in range(12)]
+    assert [ask(process, name, "/status-update").status for name in names] == [202] * 12
+    assert process.end(signal.SIGTERM) == 0
+    sender("-O")
+    for name in names:
+        toy.line(f"delivered {name} at")
+
+
+def test_bad_requests_harm_nobody(sender, toy):
+    process = sender("-O")
+    line = b"POST /fee-order HTTP/1.1\r\n"
+    for data in (b"\x16\x03\x01\x02\r\n\r\n", b"GET / HTTP/9.9\r\n\r\n", line + b"X: " + b"x" * 30_000,
+                 line + b"Content-Length: 999999\r\n\r\n"):
+        with socket.create_connection(process.at, LONG) as sock:
+            sock.sendall(data)
+            assert sock.recv(100).startswith((b"HTTP/1.1 4", b"HTTP/1.1 505"))
+    assert [ask(process, "x", path).status for path in ("/", "/none", "/healthz/x")] == [404] * 3
+    assert ask(process, "x", deadline="soon").status == 400 and ask(process, "x", body=b"x" * 70_000).status == 413
+    assert ask(process, "fine").status == 202
+    toy.line("delivered fine at")
+
+
+def settings_without(key):
+    return EXAMPLE | {"settings": {k: v for k, v in EXAMPLE["settings"].items() if k != key}}
+
+
+BAD = [("{broken", "cannot be read"), (None, "cannot be read"), ([], "must hold an object"),
+       (settings_without("grades"), "settings: grades is missing"), (EXAMPLE | {"listen": "here"}, "listen must be"),
+       (EXAMPLE | {"seed": "xyz"}, "seed must be"), (EXAMPLE | {"limits": {"disk_mb": -1}}, "limits.disk_mb must be"),
+       (EXAMPLE | {"known": {"seq": 1, "hosts": [{"host": "x"}]}}, "list of endpoints"),
+       (EXAMPLE | {"listen": "192.0.2.1:80"}, "assign"), (EXAMPLE | {"discovery": 7}, "discovery must be")]
+
+
+@pytest.mark.parametrize("config, says", BAD)
+def test_a_bad_configuration_is_one_plain_line_and_a_failing_exit(tmp_path, config, says):
+    path = tmp_path / "config.json"
+    if config is not None:
+        path.write_text(config if isinstance(config, str) else json.dumps(config))
+    environ = os.environ | {"RELAY_CONFIG": str(path), "RELAY_STATE": str(tmp_path)}
+    done = subprocess.run([sys.executable, "-m", "scalefall"], cwd=ROOT, env=environ, text=True, capture_output=True,
+                          timeout=LONG)
+    assert done.returncode == 2 and says in done.stderr and len(done.stderr.splitlines()) == 1
+
+
+@pytest.mark.parametrize("variable", ["RELAY_CONFIG", "RELAY_STATE"])
+def test_a_missing_variable_is_named(tmp_path, variable):
+    environ = os.environ | {"RELAY_CONFIG": str(ROOT / "example" / "config.json"), "RELAY_STATE": str(tmp_path)}
+    del environ[variable]
+    done = subprocess.run([sys.executable, "-m", "scalefall"], cwd=ROOT, env=environ, text=True, capture_output=True,
+                          timeout=LONG)
+    assert done.returncode == 2 and variable in done.stderr and len(done.stderr.splitlines()) == 1
--- /dev/null
+++ b/tests/test_scheduler.py
@@ -0,0 +1,71 @@
+"""The scheduler: what ends a pause, timers, signals, and failures that end one task alone."""
+import os
+import signal
+import socket
+
+import pytest
+from nethelp import MS, World
+
+from scalefall.net import checks
+from scalefall.net.scheduler import READ, READY, TIME_UP, Scheduler
+
+
+def test_a_pause_ends_by_the_socket_the_time_or_a_word_and_by_one_alone():
+    world = World()
+
+    def play():
+        near, far = socket.socketpair()
+        assert world.pause(world.now() + 5 * MS, near, READ) is TIME_UP
+        far.send(b"x")
+        assert world.pause(world.now() + 5 * MS, near, READ) is READY
+        woken = []
+        task = world.spawn(lambda: woken.append(world.pause(world.now() + 50 * MS, near, 0)))
+        world.sleep(MS)
+        assert world.wake(task, "word") and not world.wake(task, "again")
+        world.sleep(100 * MS)
+        assert woken == ["word"] and not world.wake(task) and world._waits == {}
+    world.play(play)
+
+
+def test_timers_run_in_order_of_time_and_then_of_their_making_and_can_be_called_off():
+    world, ran = World(), []
+
+    def play():
+        at = world.now()
+        for name, span in (("c", 3), ("a", 1), ("b", 2), ("b2", 2)):
+            world.call_at(at + span, ran.append, name)
+        world.call_at(at + 1, ran.append, "never").cancel()
+        world.sleep(5)
+        assert ran == ["a", "b", "b2", "c"]
+    world.play(play)
+
+
+def test_what_fails_ends_its_task_or_timer_alone(caplog):
+    scheduler = Scheduler()
+
+    def fails():
+        raise RuntimeError("seen in a test")
+    scheduler.spawn(fails)
+    scheduler.call_at(scheduler.now(), fails)
+    scheduler.call_at(scheduler.now() + MS, scheduler.stop)
+    scheduler.run()
+    assert caplog.text.count("RuntimeError: seen in a test") == 2
+
+
+def test_a_signal_is_heeded_in_the_loop():
+    scheduler = Scheduler()
+    before = signal.getsignal(signal.SIGUSR1)
+    scheduler.on_signal(signal.SIGUSR1, scheduler.stop)
+    scheduler.call_at(scheduler.now() + MS, os.kill, os.getpid(), signal.SIGUSR1)
+    scheduler.run()
+    signal.set_wakeup_fd(-1)
+    signal.signal(signal.SIGUSR1, before)
+
+
+def test_an_invariant_is_asserted_in_debug_and_logged_once_counted(caplog, monkeypatch):
+    assert checks.holds(True, "fine")
+    with pytest.raises(AssertionError, match="this breaks"):
+        checks.holds(False, "this breaks")
+    monkeypatch.setitem(checks.broken, "this breaks", 2)
+    checks.report()
+    assert "invariant broken: this breaks, 2 times" in caplog.text
