--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -27,8 +27,10 @@
 KEPT = 0.5                  # a message that has lost more than this share of its worth goes behind
 LEAST_HELD = 4              # messages that a destination may always hold
 SMALL_LIMIT = 4.0           # calls a second that a destination takes at least, where no limit is told
-GROWTH = 0.2                # for each call that it allows, a pace that was cut grows by this share
+GROWTH = 0.1                # for each call that it allows, a pace that was cut grows by this share
 FIRST_RATE = 2.0            # calls a second that a pace is first cut from where the sender sends fewer
+UNUSED = 0.5                # share of a told limit that may be left by chance; of what is left beyond it
+TAKEN = 0.5                 # a pace may have this share on top of its even part of the limit, and no more
 LITTLE_LEFT = 0.1           # the pace shrinks while less than this share of the limit is left
 RAMP_SHARE = 2 / 3          # of what the rule allows a cold route; with less no told senders break it
 QUESTIONS = 1               # calls that a sender sends to a route in doubt before its budget holds
@@ -36,7 +38,7 @@
 SPREAD = 4                  # times a told wait over which senders come back after it
 LATE = 3.0                  # calls not yet told are at most 1 / (e * age) a sender: by then too few to matter
 ROUGH = 1.5                 # times that a rough weight may be too high
-OWN_SHARE = 3 / 4           # of a sender's part goes by what it was served before, the rest is an even part
+FEW = 20                    # served calls at which a sender's part goes half by these, half by an even part
 RECENT_US = 2 * SECOND      # span over which the recent send rate is taken
 DEPTH_US = SECOND // 4      # the pace lets through at once what it gathers in this time
 TIMEOUT_TIMES = 4           # a call is overdue, or timed out, after so many times its high-percentile time
@@ -44,6 +46,7 @@
 UNKNOWN_SHARE = 4           # before there are figures, a call is given this part of its class's deadline
 RETRY_US = SECOND // 5      # first pause before a message goes out again after a failure
 ASK_US = SECOND // 2        # first pause before the directory is asked again
+CAPPED_US = 2 * SECOND      # an endpoint that served so lately and turns a connection away has too many
 TIMER_WAKE, TIMER_ASK = 1, 2
 MAY_HAVE_RUN = (Outcome.ERROR, Outcome.TIMEOUT, Outcome.RESET, Outcome.CANCELLED)
 
@@ -174,7 +177,6 @@
     carried: int = 0
     judged: bool = False
     doubted: bool = False       # counted as a failure since it is overdue
-    trial: bool = False
     called_off: bool = False
     overdue_at: int = 0
 
@@ -213,6 +215,7 @@
     sent: deque[int] = field(default_factory=deque)
     served: deque[int] = field(default_factory=deque)
     guard: Guard = field(default_factory=Guard)
+    top: float = inf            # the most that the pace may reach, where answers tell the limit
     limit: float = 0.0          # calls a second from all senders, where it is told
 
 
@@ -245,7 +248,7 @@
         self.servers: dict[str, Server] = {}
         self.keys: dict[str, Key] = {}
         self.wide = {name: Envelope() for name in settings.classes}
-        self.capped: set[str] = set()    # kinds that have turned a connection away
+        self.capped: dict[str, int] = {}    # until when idle connections are closed there
         self.touched: dict[int, Destination] = {}    # what this turn's events have changed
         self.starved: dict[int, Destination] = {}    # what waits for a slot
         self.wakes: list[tuple[int, int]] = []       # when a destination is to be looked at again
@@ -463,11 +466,11 @@
             self.timer_at = at
             self.actions.append(SetTimer(TIMER_WAKE, max(0, at - self.now)))
 
-    def _urgency(self, message: Held) -> tuple[bool, int]:
-        """Scarce room goes to what still keeps most of its worth, nearest to losing it first; then what has
-        lost it. Oldest first makes all late under a backlog."""
-        falls = message.due - message.cls.deadline_us + self.keeps[message.cls.name]
-        return (falls <= self.now, falls)
+    def _urgency(self, message: Held) -> tuple[bool, float]:
+        """Oldest first, what is worth twice as much as if it had waited twice as long; then what has lost
+        most of its worth, as it would make all late under a backlog."""
+        age = self.now - message.due + message.cls.deadline_us
+        return (age >= self.keeps[message.cls.name], -age * message.cls.worth)
 
     def _keeps(self, cls: MessageClass) -> int:
         """How long after it was handed in a message of the class keeps KEPT of its worth."""
@@ -505,7 +508,7 @@
                     continue
                 joined = self.turn_calls.get(server.entry.id)
                 most = self.set.per_call.get(server.entry.kind, 1)
-                if joined and not joined.trial and joined.carried < most:
+                if joined and joined.carried < most:
                     return server
                 self._overdue(server)
                 if self._may_call(route, server):
@@ -551,13 +554,13 @@
         if route.rate == inf:
             return 1.0
         route.tokens = min(max(1.0, route.rate * DEPTH_US / SECOND), route.tokens + gained)
-        route.rate = route.rate / (1 - GROWTH * gained) if GROWTH * gained < 1 else inf
+        route.rate = min(route.top, route.rate / (1 - GROWTH * gained) if GROWTH * gained < 1 else inf)
         return route.tokens
 
     def _send(self, message: Held, server: Server) -> None:
         route, call = server.route, self.turn_calls.get(server.entry.id)
         envelope = self._envelope(route, message.cls.name)
-        if call is None or call.carried >= self.set.per_call.get(server.entry.kind, 1) or call.trial:
+        if call is None or call.carried >= self.set.per_call.get(server.entry.kind, 1):
             call = self._new_call(server, envelope, message)
         call.open += 1
         call.carried += 1
@@ -572,8 +575,6 @@
 
     def _new_call(self, server: Server, envelope: Envelope, message: Held) -> Call:
         route, call = server.route, Call(server, self.now)
-        guard = self._guard(route, server)
-        call.trial = guard.doubts > 0 and guard.warm_from < 0
         call.overdue_at = self.now + self._expected(envelope, message.cls)
         self.calls_out += 1
         server.calls[id(call)] = call
@@ -664,14 +665,14 @@
             del call.server.calls[id(call)]
             self.touched.update(self.starved)
             self.starved = {}
-            if not call.server.calls and call.server.entry.kind in self.capped:
+            if not call.server.calls and self.capped.get(call.server.entry.id, 0) > self.now:
                 self.actions.append(Close(call.server.entry.id))
             self._drop(call.server)
 
     def _judge(self, call: Call, event: Attempted) -> None:
         server, route, outcome = call.server, call.server.route, event.outcome
         if event.report.get("x1"):
-            route.limit = event.report["x1"]
+            self._told_limit(route, event.report["x1"], event.report.get("x0", 0.0))
             if event.report.get("x0", 1.0) < LITTLE_LEFT:
                 self._slow_down(route, 1 - GROWTH * self.random.random())
         if outcome is Outcome.OK:
@@ -681,11 +682,22 @@
         elif outcome is Outcome.FULL and call.sent >= route.cut_at:
             self._slow_down(route, 0.5)
             route.tokens, route.cut_at = self.random.uniform(-0.5, 0.5), self.now
-        elif outcome is Outcome.CONNECT_FAILED:
-            self.capped.add(server.entry.kind)
-        if outcome not in (Outcome.OK, Outcome.NOT_SENT):
+        elif outcome is Outcome.CONNECT_FAILED and 0 <= server.guard.last_ok >= self.now - CAPPED_US:
+            self.capped[server.entry.id] = self.now + CAPPED_US
+        # Above its limit a partner tells the rest of a span or less; that is no sign of an outage.
+        above = outcome is Outcome.FULL and 0 < event.wait_us <= self.set.fall_us and route.limit > 0
+        if outcome not in (Outcome.OK, Outcome.NOT_SENT) and not above:
             self._failed(call, event.wait_us)
 
+    def _told_limit(self, route: Route, limit: float, left: float) -> None:
+        """No pace goes far above its even part: refused calls cost, and at many partners use up the limit
+        too. Where a call takes many messages, they gather meanwhile. What others leave unused may be taken."""
+        self._tokens(route)
+        route.limit = limit
+        even = self._even_part(route)
+        route.top = even + TAKEN * max(0.0, left - UNUSED) / (1 - UNUSED) * (limit - even)
+        route.rate = min(route.rate, route.top)
+
     def _succeeded(self, guard: Guard) -> None:
         guard.last_ok = self.now
         guard.doubts = 0 if guard.doubts <= QUESTIONS else QUESTIONS + 1
@@ -711,13 +723,15 @@
         limit come in rows; a wait over fall means shut: no question. Covers crashed, hung and shut partners
         and those that fail most calls; hurts where failures are single and calls rare."""
         server, route = call.server, call.server.route
-        own = self._served(route) * SECOND / max(SECOND, min(WINDOW_US, self.now - self.started))
+        seen = self._served(route)
+        own = seen * SECOND / max(SECOND, min(WINDOW_US, self.now - self.started))
+        share = seen / (seen + FEW)     # a few tell little of a sender's part
         even = self._even_part(route) / (ROUGH if self.set.weights == "rough" else 1)
         for guard, among in ((server.guard, len(route.servers)), (route.guard, 1)):
             if guard.last_ok > call.sent:
                 continue
             if not guard.doubts:
-                guard.part = (OWN_SHARE * own + (1 - OWN_SHARE) * even) / max(1, among)
+                guard.part = (share * own + (1 - share) * even) / max(1, among)
             held, served = guard.doubts > QUESTIONS, self.now - guard.last_ok
             if not guard.doubts or call.sent >= guard.since:
                 guard.doubts, guard.since = guard.doubts + 1, self.now
