--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -682,7 +682,7 @@
         elif outcome is Outcome.FULL and call.sent >= route.cut_at:
             self._slow_down(route, 0.5)
             route.tokens, route.cut_at = self.random.uniform(-0.5, 0.5), self.now
-        elif outcome is Outcome.CONNECT_FAILED and 0 <= server.guard.last_ok >= self.now - CAPPED_US:
+        elif outcome is Outcome.CONNECT_FAILED and server.guard.last_ok >= max(0, self.now - CAPPED_US):
             self.capped[server.entry.id] = self.now + CAPPED_US
         # Above its limit a partner tells the rest of a span or less; that is no sign of an outage.
         above = outcome is Outcome.FULL and 0 < event.wait_us <= self.set.fall_us and route.limit > 0
