--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -691,7 +691,7 @@
 
     def _told_limit(self, route: Route, limit: float, left: float) -> None:
         """No pace goes far above its even part: refused calls cost, and at many partners use up the limit
-        too. Where a call takes many messages, they gather meanwhile. What others leave unused may be taken."""
+        too. Where a call takes many messages, they gather meanwhile. What others leave may be taken."""
         self._tokens(route)
         route.limit = limit
         even = self._even_part(route)
