--- /dev/null
+++ b/scalefall/lang/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration language: parse, meaning, format, diff (pure); files reads."""
--- /dev/null
+++ b/scalefall/lang/files.py
@@ -0,0 +1,112 @@
+"""The one module of the language that reads files: folders on disk, and revisions in a git repository."""
+from __future__ import annotations
+
+import os
+import stat
+import subprocess
+
+ROOT_FILE = "site.scale"        # what is read where a folder is named
+GIT_SECONDS = 60
+
+
+class Disk:
+    """Files below a folder on disk. Opening never waits (a pipe is refused), and links out of the folder are seen."""
+
+    def __init__(self, root: str, shown: str | None = None) -> None:
+        self._root, self._shown = root or ".", root if shown is None else shown
+        self._real = os.path.realpath(self._root)
+
+    def read(self, path: str, most: int) -> bytes:
+        number = os.open(os.path.join(self._root, path), os.O_RDONLY | os.O_NONBLOCK | os.O_CLOEXEC)
+        try:
+            mode = os.fstat(number).st_mode
+            if not stat.S_ISREG(mode):
+                raise OSError(0, "it is a folder" if stat.S_ISDIR(mode) else "it is not a file")
+            with open(number, "rb", closefd=False) as file:
+                return file.read(most + 1)
+        finally:
+            os.close(number)
+
+    def names(self, folder: str) -> list[str]:
+        try:
+            return os.listdir(os.path.join(self._root, folder))
+        except (OSError, ValueError):
+            return []
+
+    def inside(self, path: str) -> bool:
+        real = os.path.realpath(os.path.join(self._root, path))
+        return os.path.commonpath([real, self._real]) == self._real
+
+    def shown(self, path: str) -> str:
+        return os.path.join(self._shown, path)
+
+
+class Git:
+    """Files below a folder as a revision has them; a link is not followed, its text is no configuration."""
+
+    def __init__(self, revision: str, root: str) -> None:
+        self._revision, self._folder = revision, root or "."
+        top = self._git("rev-parse", "--show-toplevel").decode().strip()
+        self._git("rev-parse", "--verify", "--quiet", "--end-of-options", f"{revision}^{{commit}}")
+        self._prefix = os.path.relpath(os.path.realpath(self._folder), os.path.realpath(top)).replace(os.sep, "/")
+        self._prefix = "" if self._prefix == "." else self._prefix + "/"
+        self._kinds: dict[str, str] = {}
+        for row in self._git("ls-tree", "-r", "-z", "--full-tree", revision).decode(errors="replace").split("\0"):
+            head, _, path = row.partition("\t")
+            if path.startswith(self._prefix):
+                self._kinds[path[len(self._prefix):]] = head.split(" ")[0]
+        self._folders: dict[str, set[str]] = {}
+        for path in self._kinds:
+            while path:
+                above, _, name = path.rpartition("/")
+                self._folders.setdefault(above, set()).add(name)
+                path = above
+
+    def _git(self, *words: str) -> bytes:
+        try:
+            done = subprocess.run(["git", "-C", self._folder, *words], capture_output=True, timeout=GIT_SECONDS)
+        except (OSError, subprocess.SubprocessError) as error:
+            raise OSError(0, f"git cannot be run: {error}") from error
+        if done.returncode:
+            lines = done.stderr.decode(errors="replace").strip().splitlines()
+            raise OSError(0, lines[-1] if lines else f"git knows no revision {self._revision}")
+        return done.stdout
+
+    def read(self, path: str, most: int) -> bytes:
+        if path in self._folders:
+            raise OSError(0, "it is a folder")
+        if path not in self._kinds:
+            raise OSError(0, f"revision {self._revision} has no such file")
+        if self._kinds[path] == "120000":
+            raise OSError(0, "it is a link, and links in a revision are not followed")
+        return self._git("cat-file", "blob", f"{self._revision}:{self._prefix}{path}")[:most + 1]
+
+    def names(self, folder: str) -> list[str]:
+        return list(self._folders.get(folder, ()))
+
+    def inside(self, path: str) -> bool:
+        return True
+
+    def shown(self, path: str) -> str:
+        return f"{self._revision}:{path}"
+
+
+def locate(path: str, revision: str = "") -> tuple[Disk | Git, str]:
+    """Where a configuration named by its file or folder is, and its first file there; OSError if git can't say."""
+    folder, name = (path, ROOT_FILE) if not os.path.basename(path) or os.path.isdir(path) else os.path.split(path)
+    if revision:
+        return Git(revision, folder), name
+    return Disk(folder), name
+
+
+def write(path: str, text: str) -> None:
+    """Replace a file whole: a reader sees the old text or the new one. It keeps its mode, and a link its target."""
+    path = os.path.realpath(path)
+    new = f"{path}.new"
+    with open(new, "w", encoding="utf-8", newline="\n") as file:
+        file.write(text)
+        file.flush()
+        os.fsync(file.fileno())
+    if os.path.exists(path):
+        os.chmod(new, stat.S_IMODE(os.stat(path).st_mode))
+    os.replace(new, path)
--- /dev/null
+++ b/scalefall/lang/render.py
@@ -0,0 +1,67 @@
+"""Problems as text for people and as JSON for editors. No I/O; colours are the caller's choice."""
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+
+from scalefall.lang.text import ERROR, Place, Problem, count
+
+Paint = Callable[[str, str], str]       # a text and what it is: error, warning, place, caret, help
+MOST_SHOWN = 160                        # columns of a source line
+
+
+def no_paint(text: str, what: str) -> str:
+    return text
+
+
+def lines(problem: Problem, sources: dict[str, list[str]], paint: Paint = no_paint) -> list[str]:
+    """file:line:column, what is wrong, the source line, a caret, and what to write instead."""
+    rows = [f"{paint(str(problem.place), 'place')}: {paint(problem.severity, problem.severity)}: {problem.text}"]
+    rows += _excerpt(problem.place, sources, paint, problem.severity)
+    if problem.instead:
+        rows.append(f"  {paint('instead:', 'help')} {problem.instead}")
+    for place, part in problem.also:
+        rows.append(f"  {paint(str(place), 'place')}: {part}")
+        rows += _excerpt(place, sources, paint, "help")
+    return rows
+
+
+def _excerpt(place: Place, sources: dict[str, list[str]], paint: Paint, what: str) -> list[str]:
+    source = sources.get(place.file, [])
+    if not 0 < place.line <= len(source) or not source[place.line - 1].strip():
+        return []
+    text, column = "".join(c if c.isprintable() else " " for c in source[place.line - 1]), place.column - 1
+    start = max(0, column - MOST_SHOWN // 2) if len(text) > MOST_SHOWN else 0
+    shown = text[start:start + MOST_SHOWN].rstrip()
+    length = max(1, min(place.length, len(shown) - (column - start)))
+    number = str(place.line)
+    return [f"  {number} | {shown}",
+            f"  {' ' * len(number)} | {' ' * (column - start)}{paint('^' * length, what)}"]
+
+
+def text(problems: list[Problem], sources: dict[str, list[str]], paint: Paint = no_paint) -> str:
+    """Every problem, then their number."""
+    rows = []
+    for problem in problems:
+        rows += [*lines(problem, sources, paint), ""]
+    return "\n".join([*rows, summary(problems)]) + "\n"
+
+
+def summary(problems: list[Problem]) -> str:
+    errors = sum(problem.severity == ERROR for problem in problems)
+    return f"{count(errors, 'error')}, {count(len(problems) - errors, 'warning')}"
+
+
+def line(problem: Problem) -> str:
+    """A problem in one line, for a log."""
+    return f"{problem.place}: {problem.text}" + (f"; {problem.instead}" if problem.instead else "")
+
+
+def as_json(problems: list[Problem]) -> str:
+    """One object: version, problems (places with lines and columns from 1), and their numbers."""
+    rows = [{"severity": each.severity, "code": each.code, **each.place._asdict(), "text": each.text,
+             "instead": each.instead, "also": [{**place._asdict(), "text": part} for place, part in each.also]}
+            for each in problems]
+    errors = sum(problem.severity == ERROR for problem in problems)
+    return json.dumps({"version": 1, "errors": errors, "warnings": len(problems) - errors, "problems": rows},
+                      indent=1) + "\n"
--- /dev/null
+++ b/scalefall/lang/units.py
@@ -0,0 +1,207 @@
+"""Literals with their units: text to values and back. A unit is part of the type, so a bare number is never a time.
+
+Durations are whole microseconds, sizes whole bytes, shares and plain numbers Decimals, rates a count per duration.
+Every reader raises Wrong, which says what is wrong and what to write instead.
+"""
+from __future__ import annotations
+
+import re
+from decimal import Decimal
+from typing import NamedTuple
+
+from scalefall.lang.text import Wrong
+
+US, MS, SECOND, MINUTE, HOUR = 1, 1000, 1_000_000, 60_000_000, 3_600_000_000
+DURATIONS = {"us": US, "ms": MS, "s": SECOND, "min": MINUTE, "h": HOUR}
+SIZES = {"B": 1, "kB": 10**3, "MB": 10**6, "GB": 10**9, "KiB": 2**10, "MiB": 2**20, "GiB": 2**30}
+MOST_DURATION = 366 * 24 * HOUR
+MOST_SIZE = 2**50
+MOST_COUNT = 10**9
+SPELLED = {"sec": "s", "secs": "s", "second": "s", "seconds": "s", "msec": "ms", "msecs": "ms", "millis": "ms",
+           "milliseconds": "ms", "minute": "min", "minutes": "min", "mins": "min", "hour": "h", "hours": "h",
+           "hr": "h", "usec": "us", "\u00b5s": "us", "\u03bcs": "us", "micros": "us"}
+QUANTITY = re.compile(r"([+-]?)([0-9]{1,15}(?:\.[0-9]{1,9})?)([^0-9.].*)?\Z", re.DOTALL)
+PLAIN = re.compile(r"[0-9]{1,15}(?:\.[0-9]{1,9})?\Z")
+ADDRESS = re.compile(r"[0-9.]+(-[0-9.]+)?:[0-9]+\Z")
+NETWORK = re.compile(r"[0-9a-fA-F:.]+/[0-9]+\Z")
+
+
+class Rate(NamedTuple):
+    """count calls in each span of per_us microseconds."""
+    count: int
+    per_us: int
+
+    @property
+    def a_second(self) -> Decimal:
+        return Decimal(self.count) * SECOND / self.per_us
+
+    def __str__(self) -> str:
+        return f"{self.count} per {show_duration(self.per_us)}"
+
+
+def looks_like(text: str) -> str:
+    """What kind of value a text is, for "X is a rate where a duration belongs"; empty if it's none."""
+    parts = QUANTITY.match(text)
+    if " per " in f" {text} ":
+        return "a rate"
+    if parts is None:
+        return "an address" if ADDRESS.match(text) else "a network" if NETWORK.match(text) else ""
+    unit = parts[3] or ""
+    if not unit:
+        return "a bare number"
+    if unit == "%":
+        return "a share"
+    if unit in DURATIONS or unit.lower() in SPELLED or unit == "m":
+        return "a duration"
+    if unit in SIZES or unit.upper() in ("K", "KB", "M", "MB", "G", "GB", "KIB", "MIB", "GIB", "B"):
+        return "a size"
+    if unit.startswith("/") and unit[1:] in ("s", "sec", "second", "min", "h"):
+        return "a rate"
+    return "an address" if ADDRESS.match(text) else "a network" if NETWORK.match(text) else ""
+
+
+def _other_kind(text: str, wanted: str, example: str) -> Wrong:
+    kind = looks_like(text)
+    if kind and kind != wanted:
+        return Wrong(f"{text} is {kind} where {wanted} belongs", example, code="unit-kind")
+    return Wrong(f"{text!r} is not {wanted}", example)
+
+
+def duration(text: str) -> int:
+    """A duration in whole microseconds."""
+    example = "write a number with its unit, like 3s, 1500ms or 2min"
+    parts = QUANTITY.match(text)
+    if parts is None:
+        raise _other_kind(text, "a duration", example)
+    sign, number, unit = parts[1], parts[2], parts[3] or ""
+    if sign:
+        raise Wrong(f"a duration has no sign: {text}", f"write {number}{unit}")
+    if not unit:
+        raise Wrong(f"{text} has no unit where a duration belongs (us, ms, s, min, h)",
+                    f"write {number}ms, {number}s or {number}min, whichever you mean", code="no-unit")
+    if unit in ("m", "M"):
+        raise Wrong(f"{text} could be minutes or milliseconds", f"write {number}min or {number}ms", code="unit")
+    right = unit if unit in DURATIONS else SPELLED.get(unit.lower(), unit.lower())
+    if right not in DURATIONS:
+        raise _other_kind(text, "a duration", example)
+    if right != unit:
+        raise Wrong(f"{unit} is not how a unit is written (us, ms, s, min, h; lower case)", f"write {number}{right}",
+                    code="unit")
+    value = Decimal(number) * DURATIONS[unit]
+    if value != int(value):
+        raise Wrong(f"{text} is finer than a microsecond")
+    if value > MOST_DURATION:
+        raise Wrong(f"{text} is longer than a year")
+    return int(value)
+
+
+def show_duration(us: int) -> str:
+    """The shortest exact form: 1500ms, 3s, 2min."""
+    for unit in ("h", "min", "s", "ms"):
+        if us and us % DURATIONS[unit] == 0:
+            return f"{us // DURATIONS[unit]}{unit}"
+    return f"{us}us" if us else "0s"
+
+
+def say_duration(us: int) -> str:
+    """For sentences: 3 s, 1500 ms."""
+    text = show_duration(us)
+    return re.sub(r"([0-9])([a-z])", r"\1 \2", text, count=1)
+
+
+def rate(words: list[str]) -> Rate:
+    """`4 per 1s`: three words."""
+    example = "write a count and a span, like 4 per 1s"
+    joined = " ".join(words)
+    if len(words) == 1:
+        slash = re.match(r"([0-9]+)/(?:([0-9]*)(s|sec|min|h))\Z", words[0])
+        if slash:
+            unit = SPELLED.get(slash[3], slash[3])
+            raise Wrong(f"{words[0]} is not how a rate is written", f"write {slash[1]} per {slash[2] or 1}{unit}",
+                        code="unit")
+        if looks_like(words[0]) == "a bare number":
+            raise Wrong(f"{words[0]} has no span where a rate belongs", f"write {words[0]} per 1s or "
+                        f"{words[0]} per 1min, whichever you mean", code="no-unit")
+        raise _other_kind(words[0], "a rate", example)
+    if len(words) != 3 or words[1] != "per":
+        raise Wrong(f"{joined!r} is not a rate", example)
+    number = count(words[0], 1)
+    try:
+        span = duration(words[2])
+    except Wrong as wrong:
+        raise Wrong(wrong.text, wrong.instead, 2, wrong.code) from None
+    if not span:
+        raise Wrong("a rate needs a span longer than nothing", example, 2)
+    return Rate(number, span)
+
+
+def size(text: str) -> int:
+    """A size in bytes."""
+    example = "write a number with its unit, like 64KiB or 192MB"
+    parts = QUANTITY.match(text)
+    if parts is None:
+        raise _other_kind(text, "a size", example)
+    sign, number, unit = parts[1], parts[2], parts[3] or ""
+    if sign:
+        raise Wrong(f"a size has no sign: {text}", f"write {number}{unit}")
+    if not unit:
+        raise Wrong(f"{text} has no unit where a size belongs (B, kB, MB, GB, KiB, MiB, GiB)",
+                    f"write {number}MB or {number}MiB, whichever you mean", code="no-unit")
+    if unit not in SIZES:
+        right = next((known for known in SIZES if known.lower() in (unit.lower(), unit.lower() + "b")), "")
+        if right:
+            raise Wrong(f"{unit} is not how a unit is written ({', '.join(SIZES)})", f"write {number}{right}",
+                        code="unit")
+        raise _other_kind(text, "a size", example)
+    value = Decimal(number) * SIZES[unit]
+    if value != int(value) or value > MOST_SIZE:
+        raise Wrong(f"{text} is no whole number of bytes, or too many")
+    return int(value)
+
+
+def show_size(number: int) -> str:
+    for unit in ("GiB", "GB", "MiB", "MB", "KiB", "kB"):
+        if number and number % SIZES[unit] == 0:
+            return f"{number // SIZES[unit]}{unit}"
+    return f"{number}B"
+
+
+def share(text: str) -> Decimal:
+    """A share as a fraction: 40% is 0.4."""
+    parts = QUANTITY.match(text)
+    if parts is None or parts[3] != "%" or parts[1]:
+        if PLAIN.match(text):
+            raise Wrong(f"{text} has no unit where a share belongs", f"write {show_share(Decimal(text))}" if
+                        Decimal(text) <= 1 else f"write {text}%", code="no-unit")
+        raise _other_kind(text, "a share", "write a share in per cent, like 40%")
+    value = Decimal(parts[2]) / 100
+    if value > 1:
+        raise Wrong(f"{text} is more than everything", "write at most 100%")
+    return value
+
+
+def show_share(value: Decimal) -> str:
+    return f"{plain(value * 100)}%"
+
+
+def count(text: str, least: int = 0, most: int = MOST_COUNT) -> int:
+    if not re.match(r"[0-9]{1,15}\Z", text):
+        if re.match(r"-?[0-9.]+\Z", text):
+            raise Wrong(f"{text} is not a whole number of at least {least}")
+        raise _other_kind(text, "a count", "write a whole number")
+    if not least <= int(text) <= most:
+        raise Wrong(f"{text} is out of range", f"write a whole number from {least} to {most:,}".replace(",", " "),
+                    code="range")
+    return int(text)
+
+
+def number(text: str) -> Decimal:
+    if not PLAIN.match(text):
+        raise _other_kind(text, "a plain number", "write a number like 3 or 0.5")
+    return Decimal(text)
+
+
+def plain(value: Decimal) -> str:
+    """A Decimal without exponent or closing zeros."""
+    text = f"{value:f}"
+    return text.rstrip("0").rstrip(".") if "." in text else text
--- /dev/null
+++ b/tests/lang/test_broken.py
@@ -0,0 +1,118 @@
+"""Broken files, each with the message that it must produce beside it; and what no file in a repository can hold.
+
+After a change of wording: `python tests/lang/test_broken.py` writes the messages anew; read them before they go in.
+"""
+import os
+import pathlib
+import sys
+
+import pytest
+
+from scalefall.lang import files, load, render
+
+BROKEN = pathlib.Path(__file__).parent / "broken"
+CASES = sorted(path.name for path in BROKEN.iterdir())
+
+
+def check(folder):
+    """What a checker prints for the folder, with places as seen from inside it."""
+    loaded = load.load(files.Disk(str(folder), ""), "site.scale")
+    return loaded, render.text(loaded.problems, loaded.source())
+
+
+@pytest.mark.parametrize("case", CASES)
+def test_each_broken_file_has_its_message(case):
+    loaded, text = check(BROKEN / case)
+    assert text == (BROKEN / case / "expected").read_text()
+    assert loaded.problems and all(problem.place.line >= 1 for problem in loaded.problems)
+    assert loaded.usable == (case in ("include-twice", "suspicious"))
+
+
+def test_the_corpus_is_whole():
+    assert len(CASES) >= 30
+
+
+def only(tmp_path, **texts):
+    for name, text in texts.items():
+        (tmp_path / f"{name}.scale").write_text(text)
+    loaded, text = check(tmp_path)
+    assert "Traceback" not in text
+    return loaded, [(str(problem.place), problem.code) for problem in loaded.problems]
+
+
+def test_a_file_of_50_mb_is_refused_unread(tmp_path):
+    with open(tmp_path / "big.scale", "wb") as file:
+        file.truncate(50 * 2**20)
+    loaded, found = only(tmp_path, site='\ninclude "big.scale"\n')
+    assert found == [("site.scale:2:9", "large")] and "4 MiB" in loaded.problems[0].text
+
+
+def test_all_files_together_are_bounded_too(tmp_path, monkeypatch):
+    monkeypatch.setattr("scalefall.lang.include.MOST_TOTAL", 100)
+    _, found = only(tmp_path, site='include "a.scale"\ninclude "b.scale"\n', a="#" * 60, b="#" * 60)
+    assert found == [("site.scale:2:9", "large")]
+
+
+def test_10_000_nested_blocks_are_one_error(tmp_path):
+    _, found = only(tmp_path, site="pool p {\n" * 10_000 + "}\n" * 10_000)
+    assert found == [("site.scale:1:1", "depth")]
+    _, found = only(tmp_path, site="pool p {\n" * 10_000)
+    assert found == [("site.scale:1:1", "depth"), ("site.scale:1:8", "unclosed")]
+
+
+def test_includes_are_bounded_in_depth(tmp_path):
+    texts = {f"f{n}": f'include "f{n + 1}.scale"\n' for n in range(20)}
+    _, found = only(tmp_path, site='include "f0.scale"\n', **texts)
+    assert found == [("f14.scale:1:9", "include")]
+
+
+class Refusing(files.Disk):
+    """A folder in which one file may not be read, whoever asks."""
+
+    def read(self, path, most):
+        if path == "secret.scale":
+            raise PermissionError(13, "Permission denied")
+        return super().read(path, most)
+
+
+@pytest.mark.parametrize("first", ["site.scale", "secret.scale"])
+def test_a_file_without_permission_is_named(tmp_path, first):
+    (tmp_path / "site.scale").write_text('include "secret.scale"\n')
+    loaded = load.load(Refusing(str(tmp_path), ""), first)
+    [problem] = loaded.problems
+    assert str(problem.place) == ("site.scale:1:9" if first == "site.scale" else "secret.scale:1:1")
+    assert problem.text == "secret.scale cannot be read: Permission denied"
+    assert loaded.fatal == (first == "secret.scale")
+
+
+@pytest.mark.parametrize("make", [pathlib.Path.mkdir, os.mkfifo])
+def test_a_folder_or_a_pipe_for_a_file_is_an_error_and_is_not_waited_for(tmp_path, make):
+    make(tmp_path / "a.scale")
+    loaded, found = only(tmp_path, site='include "a.scale"\n')
+    assert found == [("site.scale:1:9", "unreadable")] and "it is " in loaded.problems[0].text
+
+
+def test_a_link_out_of_the_folder_is_not_followed(tmp_path):
+    (tmp_path / "secret").write_text("class a { }")
+    inner = tmp_path / "inner"
+    inner.mkdir()
+    (inner / "a.scale").symlink_to(tmp_path / "secret")
+    (inner / "folder").symlink_to(tmp_path)
+    (inner / "b.scale").write_text("zone b { }")
+    (inner / "c.scale").symlink_to(inner / "b.scale")
+    _, found = only(inner, site='include "a.scale"\ninclude "folder/secret"\ninclude "c.scale"\n')
+    assert found == [("site.scale:1:9", "include"), ("site.scale:2:9", "include")]
+
+
+def test_a_glob_takes_files_in_the_order_of_their_names(tmp_path):
+    (tmp_path / "p").mkdir()
+    for name in ("b", "a", "c", ".hidden"):
+        (tmp_path / "p" / f"{name}.scale").write_text(f"zone {name.strip('.')} {{ }}")
+    loaded, _ = only(tmp_path, site='include "*/*.scale"\n')
+    assert list(loaded.site.of("zone")) == ["a", "b", "c"]
+
+
+if __name__ == "__main__":
+    sys.path.insert(0, str(BROKEN.parents[2]))
+    for each in CASES:
+        (BROKEN / each / "expected").write_text(check(BROKEN / each)[1])
