--- /dev/null
+++ b/example/demo.py
@@ -0,0 +1,145 @@
+"""The demonstration that example/demo.sh runs: every message that is handed in, and the one final answer that it had.
+
+    python example/demo.py [--config example/site.scale] [--messages N]
+
+It needs the addresses of example/site.scale to be free. The toy is the other side: it tells what was delivered to whom
+(its own count, not the sender's) and which notices came.
+"""
+import argparse
+import collections
+import http.client
+import json
+import os
+import queue
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+PATIENCE_S = 60
+AWAY_MS = 2500              # how long a message for the partner that is away may take
+
+
+class Child:
+    """A process whose lines are read as they come."""
+
+    def __init__(self, *words):
+        self.process = subprocess.Popen([sys.executable, "-u", *words], cwd=ROOT, text=True,
+                                        stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+        self.lines, self.seen = queue.Queue(), []
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self):
+        for line in self.process.stdout:
+            self.lines.put(line.rstrip("\n"))
+        self.lines.put(None)
+
+    def next(self, until):
+        """The next line; None if there is none in time, or no more."""
+        try:
+            line = self.lines.get(timeout=max(0.01, until - time.monotonic()))
+        except queue.Empty:
+            return None
+        if line is not None:
+            self.seen.append(line)
+        return line
+
+    def wait_for(self, part):
+        until = time.monotonic() + PATIENCE_S
+        while (line := self.next(until)) is not None:
+            if part in line:
+                return line
+        sys.exit("demo: no sign of %r. What it said:\n%s" % (part, "\n".join(self.seen)))
+
+    def end(self):
+        if self.process.poll() is None:
+            self.process.send_signal(signal.SIGTERM)
+        return self.process.wait(PATIENCE_S)
+
+
+def hand_in(address, name, cls, dest, deadline_ms):
+    """The first answer's status and its Retry-After."""
+    connection = http.client.HTTPConnection(*address, timeout=PATIENCE_S)
+    headers = {"X-Request-Id": name, "X-Deadline": f"{deadline_ms}m", "X-Route-To": f"dest={dest}"}
+    if cls == "event-notice":
+        headers["Idempotency-Key"] = f"key-{name}"
+    connection.request("POST", f"/{cls}", b"a message of the demonstration", headers)
+    answer = connection.getresponse()
+    answer.read()
+    connection.close()
+    return answer.status, answer.headers.get("Retry-After", "")
+
+
+def plan(number):
+    """(id, class, destination, milliseconds): two thirds for the partner that serves, some for each trouble."""
+    classes = ("fee-order", "event-notice", "status-update")
+    rows = [(f"m-{n:02}", classes[n % 3], 7, 20_000) for n in range(number)]
+    rows += [(f"away-{n}", classes[1 + n % 2], 9, AWAY_MS) for n in range(4)]
+    return rows + [("not-carried", "fee-order", 9, AWAY_MS), ("no-route", "status-update", 8, AWAY_MS)]
+
+
+def final(ends):
+    return ", ".join(ends) if ends else "NONE"
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--config", default="example/site.scale")
+    parser.add_argument("--messages", type=int, default=30)
+    options = parser.parse_args()
+    print(f"$ scalefall check {options.config}", flush=True)
+    if subprocess.run([sys.executable, "-m", "scalefall", "check", options.config], cwd=ROOT).returncode:
+        return 1
+    toy = sender = None
+    with tempfile.TemporaryDirectory() as state:
+        try:
+            toy = Child("example/toy_server.py")
+            toy.wait_for("discovery at")
+            print(f"$ scalefall run --config {options.config}", flush=True)
+            sender = Child("-O", "-m", "scalefall", "run", "--config", options.config, "--state", state)
+            host, _, port = sender.wait_for("ready: ").split()[-1].rpartition(":")
+            return account(toy, plan(options.messages), (host, int(port)))
+        finally:
+            code = sender.end() if sender else 0
+            if toy:
+                toy.end()
+            if code:
+                print("\n".join(sender.seen))
+                sys.exit(f"demo: the sender ended with {code}")
+
+
+def account(toy, rows, address):
+    ends = collections.defaultdict(list)
+    taken = set()
+    for name, cls, dest, deadline in rows:
+        status, after = hand_in(address, name, cls, dest, deadline)
+        if status == 202:
+            taken.add(name)
+        else:
+            ends[name].append(f"{status}" + (f", come back after {after} s" if after else ""))
+    until = time.monotonic() + PATIENCE_S
+    while any(not ends[name] for name in taken):
+        line = toy.next(until)
+        if line is None:
+            break
+        if line.startswith("delivered "):
+            _, name, _, port = line.split()
+            ends[name].append(f"delivered at {port}")
+        elif line.startswith("notice "):
+            notice = json.loads(line[len("notice "):])
+            ends[notice["id"]].append("notice: " + notice["state"])
+    print(f"\n{'message':<13}{'class':<15}{'route':<7}{'first answer':<14}final answer")
+    for name, cls, dest, _ in rows:
+        print(f"{name:<13}{cls:<15}{dest:<7}{'202' if name in taken else 'refused':<14}{final(ends[name])}")
+    wrong = [name for name, *_ in rows if len(ends[name]) != 1]
+    counts = collections.Counter(end.split(" at ")[0].split(",")[0] for rows_ in ends.values() for end in rows_)
+    print("\n" + ", ".join(f"{number} {what}" for what, number in sorted(counts.items())))
+    print(f"{len(rows) - len(wrong)} of {len(rows)} messages had exactly one final answer")
+    return 1 if wrong else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scalefall/__main__.py
+++ b/scalefall/__main__.py
@@ -1,13 +1,12 @@
-"""One real sender: `python -m scalefall`, told by RELAY_CONFIG and the other variables of the platform."""
+"""Bare, `python -m scalefall` is the platform's sender; with words behind it, the command line, loaded only then."""
 import logging
 import os
 import sys
 
-from scalefall.net.config import ConfigError, read_config
-from scalefall.net.host import run
 
-
-def main() -> int:
+def sender() -> int:
+    from scalefall.net.config import ConfigError, read_config
+    from scalefall.net.host import run
     level = logging.DEBUG if os.environ.get("SCALEFALL_LOG") == "debug" else logging.INFO
     logging.basicConfig(level=level, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
                         datefmt="%H:%M:%S", stream=sys.stderr)
@@ -20,5 +19,12 @@
     return 0
 
 
+def main() -> int:
+    if len(sys.argv) < 2 and "_SCALEFALL_COMPLETE" not in os.environ:
+        return sender()
+    from scalefall.cli import entry
+    return entry()
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- /dev/null
+++ b/scalefall/cli/config.py
@@ -0,0 +1,185 @@
+"""Commands on configurations: check, fmt, diff, explain, compile, import."""
+from __future__ import annotations
+
+import difflib
+import json
+import sys
+
+import click
+
+from scalefall.cli import output
+from scalefall.cli.output import color_option, config_argument, format_option, option, paint
+from scalefall.lang import diff as differ
+from scalefall.lang import explain as explainer
+from scalefall.lang import files, load, render
+from scalefall.lang import format as formatter
+from scalefall.lang.text import near
+
+
+@click.command(epilog="""\b
+Examples:
+  scalefall check site.scale
+  scalefall check --format json site.scale
+\b
+Exit code: 0 clean (warnings do no harm), 1 errors, 2 it could not run.""")
+@config_argument
+@format_option
+@option("--strict/--no-strict", default=False, help="Warnings count as errors.")
+@color_option
+def check(path: str, form: str, strict: bool) -> None:
+    """Say everything that is wrong with a configuration and all that it includes, in one run."""
+    loaded = output.read(path)
+    if form == "json":
+        click.echo(render.as_json(loaded.problems), nl=False)
+    else:
+        click.echo(render.text(loaded.problems, loaded.source(), paint), nl=False)
+    if loaded.fatal:
+        sys.exit(output.CANNOT_RUN)
+    sys.exit(output.ERRORS if loaded.errors or strict and loaded.problems else output.OK)
+
+
+@click.command(epilog="""\b
+Examples:
+  scalefall fmt site.scale partners/
+  scalefall fmt --check .
+  scalefall fmt - < site.scale
+\b
+Exit code: 0 done, or nothing to do; 1 something would change (--check, --diff) or a file
+has errors of shape (it is left alone); 2 it could not run.""")
+@click.argument("paths", nargs=-1, type=click.Path(), required=True)
+@option("--check", "only_check", is_flag=True, envvar="SCALEFALL_FMT_CHECK", help="Change nothing; name what would.")
+@option("--diff", "show_diff", is_flag=True, envvar="SCALEFALL_FMT_DIFF", help="Change nothing; show what would.")
+@color_option
+def fmt(paths: tuple[str, ...], only_check: bool, show_diff: bool) -> None:
+    """Lay out files in the one way; folders mean every .scale file below. Comments and meaning stay."""
+    code = output.OK
+    for path in paths:
+        if path == "-":
+            code = max(code, _format_stdin())
+            continue
+        try:
+            found = files.below(path)
+        except OSError as error:
+            output.cannot_run(f"{path}: {error.strerror or error}")
+        for name in found:
+            code = max(code, _format_file(name, only_check, show_diff))
+    sys.exit(code)
+
+
+def _format_stdin() -> int:
+    loaded = load.single_text(sys.stdin.buffer.read(), "standard input")
+    if not loaded.usable:
+        return _shape_errors(loaded)
+    click.echo(formatter.layout(loaded.documents[0]), nl=False)
+    return output.OK
+
+
+def _format_file(name: str, only_check: bool, show_diff: bool) -> int:
+    loaded = load.single(*files.locate(name))
+    if not loaded.usable:
+        return _shape_errors(loaded)
+    old, new = loaded.raw, formatter.layout(loaded.documents[0])
+    if old == new.encode():
+        return output.OK
+    if show_diff:
+        before = old.decode(errors="replace").splitlines(keepends=True)
+        click.echo("".join(difflib.unified_diff(before, new.splitlines(keepends=True), name, f"{name} (laid out)")),
+                   nl=False)
+    elif only_check:
+        click.echo(f"{name} would change")
+    else:
+        output.put(new, name)
+        click.echo(f"{name} laid out")
+    return output.DIFFERS if only_check or show_diff else output.OK
+
+
+def _shape_errors(loaded: load.Loaded) -> int:
+    click.echo(render.text([each for each in loaded.problems if each.severity == "error"], loaded.source(), paint),
+               err=True, nl=False)
+    return output.CANNOT_RUN if loaded.fatal else output.ERRORS
+
+
+@click.command(epilog="""\b
+Examples:
+  scalefall diff old/site.scale new/site.scale
+  scalefall diff --git HEAD site.scale              the last commit and the file as it is
+  scalefall diff --git v1 --git v2 site.scale       two revisions
+\b
+Exit code: 0 the same meaning, 1 it differs, 2 it could not run, 3 it differs dangerously.""")
+@click.argument("paths", nargs=-1, type=click.Path(), required=True)
+@option("--git", "revisions", multiple=True, metavar="REV", help="A revision to compare; twice for two of them.")
+@format_option
+@color_option
+def diff(paths: tuple[str, ...], revisions: tuple[str, ...], form: str) -> None:
+    """Say in plain sentences what an edit changes, worst first: of the meaning, not of the text."""
+    if len(paths) + len(revisions) not in (2, 3) or len(revisions) > 2 or bool(revisions) == (len(paths) == 2):
+        output.cannot_run("diff takes two paths, or one path and --git REV once or twice")
+    pairs = [(path, "") for path in paths] if not revisions else [(paths[0], rev) for rev in revisions]
+    old, new = (output.read(*pair) for pair in (pairs if len(pairs) == 2 else [*pairs, (paths[0], "")]))
+    for loaded in (old, new):
+        if not loaded.usable:
+            click.echo(render.text([each for each in loaded.problems if each.severity == "error"], loaded.source(),
+                                   paint), err=True, nl=False)
+            output.cannot_run("a configuration with errors has no meaning to compare")
+    changes = differ.compare(old.site, new.site)
+    click.echo(differ.as_json(changes) if form == "json" else differ.as_text(changes, paint), nl=False)
+    dangerous = any(change.level == differ.DANGEROUS for change in changes)
+    sys.exit(output.DANGEROUS if dangerous else output.DIFFERS if changes else output.OK)
+
+
+@click.command(epilog="""\b
+Example:
+  scalefall explain 7 --config site.scale""")
+@click.argument("route")
+@option("--config", "path", type=click.Path(), default=files.ROOT_FILE, show_default=True,
+        help="The configuration's file, or a folder with a site.scale.")
+@format_option
+@color_option
+def explain(route: str, path: str, form: str) -> None:
+    """Print each value in force on a route, with the file and line that it comes from."""
+    site = output.usable(path).site
+    if route not in site.of("route"):
+        found = near(route, site.of("route"))
+        output.cannot_run(f"{site.file} has no route {route}" + (f"; did you mean {found}?" if found else
+                          f"; it has {', '.join(sorted(site.of('route'), key=int)) or 'none'}"))
+    rows = explainer.explain(site, route)
+    click.echo(explainer.as_json(route, rows) if form == "json" else explainer.as_text(route, rows), nl=False)
+
+
+@click.command("compile", epilog="""\b
+Example:
+  scalefall compile site.scale -o config.json""")
+@config_argument
+@option("-o", "--output", "target", type=click.Path(), help="Write there instead of standard output.")
+def compile_(path: str, target: str | None) -> None:
+    """Write the platform's JSON. What it has no place for is named on standard error."""
+    from scalefall.lang import wire
+    table, lost = wire.compiled(output.usable(path).site)
+    for row in lost:
+        click.echo(f"not in the JSON: {row}", err=True)
+    output.put(json.dumps(table, indent=2) + "\n", target)
+
+
+@click.command("import", epilog="""\b
+Example:
+  scalefall import config.json -o site.scale""")
+@click.argument("path", type=click.Path())
+@option("-o", "--output", "target", type=click.Path(), help="Write there instead of standard output.")
+def import_(path: str, target: str | None) -> None:
+    """Write the platform's JSON in the language."""
+    from scalefall.lang import wire
+    from scalefall.net.config import ConfigError
+    try:
+        text, dropped = wire.imported(json.loads(files.read(path)))
+    except json.JSONDecodeError as error:
+        output.cannot_run(f"{path}:{error.lineno}:{error.colno}: {error.msg}")
+    except OSError as error:
+        output.cannot_run(f"{path} cannot be read: {error.strerror or error}")
+    except (ValueError, ConfigError, RecursionError) as error:
+        output.cannot_run(f"{path}: {error}")
+    for row in dropped:
+        click.echo(f"not in the language: {row}", err=True)
+    output.put(text, target)
+
+
+COMMANDS = (check, fmt, diff, explain, compile_, import_)
--- /dev/null
+++ b/scalefall/cli/logs.py
@@ -0,0 +1,61 @@
+"""Logs: the sender's lines of today on a terminal, or JSON lines with the same event names, by structlog.
+
+The network code logs through the standard library, with a message's fields (id, class, dest, endpoint) beside the text.
+An event's name is the constant text that its line begins with, as docs/operate/on-call.md lists them: "taken on".
+"""
+from __future__ import annotations
+
+import logging
+import re
+import sys
+
+import structlog
+
+NAME = re.compile(r"[^%:(]*")
+log = structlog.stdlib.get_logger("scalefall")
+LEVELS = ("debug", "info", "warning", "error")
+
+
+def event_name(template: str) -> str:
+    """The name of an event, from the text that its line is made of."""
+    return NAME.match(template)[0].strip(" ,;")
+
+
+def _fields(logger: object, method: str, event: dict) -> dict:
+    """Name, text and the message's fields of a record of the standard library."""
+    record: logging.LogRecord = event["_record"]
+    event["text"], event["event"] = event["event"], event_name(str(record.msg))
+    for name, value in getattr(record, "fields", {}).items():
+        event[name.rstrip("_")] = value
+    return event
+
+
+def _line(logger: object, method: str, event: dict) -> str:
+    """The sender's line: time, level, text."""
+    text = f"{event['timestamp']} {event['level'].upper()} {event['text']}"
+    return f"{text}\n{event['exception']}" if "exception" in event else text
+
+
+def set_up(level: str, form: str) -> None:
+    """Everything that is logged goes to standard error, in one form."""
+    chain = [structlog.stdlib.add_log_level, _fields, structlog.processors.format_exc_info]
+    if form == "json":
+        chain.append(structlog.processors.TimeStamper("iso", utc=True))
+        last = structlog.processors.JSONRenderer(sort_keys=False)
+    else:
+        chain.append(_clock)
+        last = _line
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(structlog.stdlib.ProcessorFormatter(
+        foreign_pre_chain=chain, processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, last]))
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level.upper())
+    logging.raiseExceptions = False     # a log that nobody reads must not end the program
+
+
+def _clock(logger: object, method: str, event: dict) -> dict:
+    record: logging.LogRecord = event["_record"]
+    event["timestamp"] = logging.Formatter("%(asctime)s.%(msecs)03d", "%H:%M:%S").format(
+        logging.makeLogRecord({"created": record.created, "msecs": record.msecs, "msg": ""}))
+    return event
--- a/scalefall/interface.py
+++ b/scalefall/interface.py
@@ -92,6 +92,7 @@
     fall_multiple: float
     turn_gap_us: int
     tick_us: int
+    attempts: dict[int, int] = field(default_factory=dict)     # by destination, where not max_attempts
 
 
 @dataclass(slots=True)
@@ -102,6 +103,7 @@
     destination: int
     status: Status
     weight: float
+    most_calls: int = 0     # at once, from this sender; 0: as many as its slots
 
 
 @dataclass(slots=True)
--- a/scalefall/lang/files.py
+++ b/scalefall/lang/files.py
@@ -91,6 +91,23 @@
         return f"{self._revision}:{path}"
 
 
+def below(path: str) -> list[str]:
+    """The file itself, or every .scale file below a folder, in the order of their names."""
+    if not os.path.isdir(path):
+        return [path]
+    found = []
+    for folder, folders, names in os.walk(path):
+        folders[:] = sorted(name for name in folders if not name.startswith("."))
+        found += [os.path.join(folder, name) for name in sorted(names) if name.endswith(".scale")]
+    return found
+
+
+def read(path: str) -> bytes:
+    """A whole file of whatever kind."""
+    with open(path, "rb") as file:
+        return file.read()
+
+
 def locate(path: str, revision: str = "") -> tuple[Disk | Git, str]:
     """Where a configuration named by its file or folder is, and its first file there; OSError if git can't say."""
     folder, name = (path, ROOT_FILE) if not os.path.basename(path) or os.path.isdir(path) else os.path.split(path)
--- a/scalefall/lang/include.py
+++ b/scalefall/lang/include.py
@@ -46,11 +46,12 @@
 class Loader:
     """Reads a file and all that it includes into documents, in order; problems are gathered, none is raised."""
 
-    def __init__(self, files: Files, problems: Problems) -> None:
-        self._files, self._problems = files, problems
+    def __init__(self, files: Files, problems: Problems, follow: bool = True) -> None:
+        self._files, self._problems, self._follow = files, problems, follow
         self._read: dict[str, Place | None] = {}
         self._total = 0
         self.documents: list[Document] = []
+        self.raw = b""          # of the file read last
 
     def load(self, path: str) -> list[Document]:
         self._load([_Step(posixpath.normpath(path), None)])
@@ -62,11 +63,11 @@
         if data is None:
             return
         shown = self._files.shown(step.path)
-        self._read[step.path] = step.place
+        self._read[step.path], self.raw = step.place, data
         text = self._text(data, shown)
         document = parse(text, shown, self._problems)
         self.documents.append(document)
-        for statement in document.statements:
+        for statement in document.statements if self._follow else ():
             if statement.name == "include" and statement.body is None:
                 self._include(document, statement, chain)
 
--- a/scalefall/lang/meaning.py
+++ b/scalefall/lang/meaning.py
@@ -318,12 +318,12 @@
                     meant(value.value, self.site.of(block), "defined are"))
 
     def _declared(self, pool: Def | None, block: str, value: Value | None) -> None:
-        """Kinds and zones need no definition; but where some are defined, an unknown one is a slip."""
+        """Kinds and zones need no definition; but where some are defined, an unknown one may be a slip."""
         known = self.site.of(block)
         if value is None or not known or value.value in known or self._was_tried(block, value.value):
             return
-        self._error("reference", value.place, f"{block} {value.value} is not defined",
-                    meant(value.value, known, "defined are"))
+        self.problems.warn("undeclared", value.place, f"{block} {value.value} is not defined, and counts as a plain "
+                           "one", meant(value.value, known, "defined are"))
 
     def _error(self, code: str, place: Place, text: str, instead: str = "",
                also: list[tuple[Place, str]] | None = None) -> None:
--- /dev/null
+++ b/scalefall/lang/sender.py
@@ -0,0 +1,93 @@
+"""A Site as what the sender is started with, and what of an edit a running one can take. No I/O.
+
+Endpoints are known to the module by name, pool and address together: one that moves is another endpoint, whose guards,
+waits and figures start anew, and one that comes back where it was is the one it was.
+"""
+from __future__ import annotations
+
+from scalefall import interface as i
+from scalefall.lang.model import Def, Endpoint, Site
+from scalefall.lang.schema import BLOCKS
+from scalefall.lang.units import SECOND, Rate
+from scalefall.lang.wire import settings_table
+from scalefall.net.config import Config, Fleet, RouteRules
+from scalefall.net.farm import Entry, Roll
+from scalefall.policy import DEPTH_US
+from scalefall.settings import read_settings
+
+STATES = {"ready": i.Status.READY, "draining": i.Status.DRAINING}
+LIVE = {"pool", "policy", "route"}          # whatever changes in these takes effect at once
+
+
+def config(site: Site, state: str, seed: int) -> Config:
+    """A complete sender, with no platform: its list of endpoints is the file's."""
+    sender, settings = site.sender, read_settings(settings_table(site))
+    settings.ask, settings.weights = False, "told"
+    fleet = Fleet(entries(site), routes(site))
+    return Config(
+        name=sender.get("name"), listen=tuple(sender.get("listen")), discovery=None, state=state, seed=seed,
+        sockets=sender.get("sockets"), disk_bytes=sender.get("disk"), memory_bytes=sender.get("memory"),
+        settings=settings, known=Roll(1, True, fleet.entries), reports=sender.get("reports"), fleet=fleet)
+
+
+def entries(site: Site) -> list[Entry]:
+    """The endpoints of all routes, in the file's order."""
+    rows = []
+    for route in site.of("route").values():
+        pool = site.pool_of(route)
+        dial = site.policy(route, "dial").value
+        idle, limit = site.idle_close(pool).value, pool.get("limit")
+        most, weight = pool.get("connections") or 0, pace(limit) if limit is not None else 0.0
+        for each in site.endpoints.get(pool.name, ()):
+            end = i.Endpoint(endpoint_id(each), each.zone, pool.get("kind"), int(route.name), STATES[each.state],
+                             weight, most)
+            host, _, port = each.address.rpartition(":")
+            rows.append(Entry(end, (host, int(port)), each.address, dial, idle))
+    return rows
+
+
+def endpoint_id(each: Endpoint) -> str:
+    return f"{each.pool}/{each.name}@{each.address}"
+
+
+def routes(site: Site) -> dict[int, RouteRules]:
+    return {int(route.name): RouteRules(frozenset(site.classes_of(route)), site.policy(route, "attempts").value,
+                                        site.policy(route, "wait").value) for route in site.of("route").values()}
+
+
+def pace(limit: Rate) -> float:
+    """Calls a second that never make more than the limit's count in any of its spans: what the module lets through at
+    once after a pause (one call, or what it gathers in DEPTH_US) comes on top of the pace."""
+    even, span = float(limit.a_second), limit.per_us / SECOND
+    depth = DEPTH_US / SECOND
+    return even if even * depth <= 1 else max(1 / depth, limit.count / (span + depth))
+
+
+def cannot_change(now: Site, new: Site) -> list[str]:
+    """What differs from the running sender's site and takes a restart, a sentence each. The rest changes at once."""
+    was, will, rows = now.meaning(), new.meaning(), []
+    for block in ("sender", "rules"):
+        rows += _values(block, block, was[block], will[block], now, new)
+    for block in ("class", "kind", "zone", "tenant"):
+        for name in sorted(will[block].keys() - was[block].keys()):
+            rows.append(f"{_at(new.of(block)[name])}: {block} {name} is new")
+        for name in sorted(was[block].keys() & will[block].keys()):
+            rows += _values(block, f"{block} {name}", was[block][name], will[block][name], now, new, name)
+        if block != "class":    # a class that goes is carried by no route any more, which takes effect
+            rows += [f"{new.file}: {block} {name} is gone" for name in sorted(was[block].keys() - will[block].keys())]
+    return rows
+
+
+def _values(block: str, title: str, was: dict, will: dict, now: Site, new: Site, name: str = "") -> list[str]:
+    rows = []
+    for word, setting in BLOCKS[block].items():
+        if was[word] != will[word]:
+            each: Def = getattr(new, block) if not name else new.of(block)[name]
+            rows.append(f"{_at(each, word)}: {word} of {title} is {setting.show(will[word])} in the file, and stays "
+                        f"{setting.show(was[word])}")
+    return rows
+
+
+def _at(each: Def, word: str = "") -> str:
+    place = each.values[word].place if word in each.values else each.place
+    return f"{place.file}:{place.line}"
--- a/scalefall/net/checks.py
+++ b/scalefall/net/checks.py
@@ -18,6 +18,12 @@
     return False
 
 
+def debug(text: str, *args: object, **fields: object) -> None:
+    """A line on one message; its fields (id, class_, dest, endpoint) stand beside the text for who reads by machine."""
+    if log.isEnabledFor(logging.DEBUG):
+        log.debug(text, *args, extra={"fields": fields})
+
+
 def report() -> None:
     """Log every non-zero count; the caller chooses when."""
     for name, count in sorted(broken.items()):
--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from scalefall.interface import Settings
-from scalefall.net.farm import Roll, read_roll
+from scalefall.net.farm import Entry, Roll, read_roll
 from scalefall.settings import read_settings
 
 Address = tuple[str, int]
@@ -18,11 +18,26 @@
     """The configuration cannot be used; the text is one plain line."""
 
 
+@dataclass(slots=True, frozen=True)
+class RouteRules:
+    """What holds on one route, where a file of the operator's own says so."""
+    classes: frozenset[str]     # what it carries
+    attempts: int
+    most_wait_us: int           # the longest time after which a client is told to come back
+
+
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    """Endpoints and routes as a file of the operator's own has them, instead of discovery."""
+    entries: list[Entry]
+    routes: dict[int, RouteRules]
+
+
 @dataclass(slots=True, frozen=True)
 class Config:
     name: str
     listen: Address
-    discovery: Address
+    discovery: Address | None       # None: the fleet is the list, and nothing else is asked
     state: str
     seed: int
     sockets: int
@@ -30,6 +45,9 @@
     memory_bytes: int
     settings: Settings
     known: Roll
+    reports: Address | None = None  # where notices go if there is no discovery; None: to the log
+    fleet: Fleet | None = None
+    left: tuple[str, ...] = ()      # read again: what differs from the running sender and takes a restart
 
 
 def read_address(value: Any, name: str) -> Address:
--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -28,6 +28,9 @@
     """One endpoint as the list has it: what the module is told, and where to dial."""
     endpoint: i.Endpoint
     address: tuple[str, int]
+    host: str = ""          # what it is called in a request's Host; else its id
+    dial_us: int = 0        # how long a dial to it may take, and when it closes an idle connection; 0: as the
+    idle_us: int = 0        # settings say
 
 
 @dataclass(slots=True, frozen=True)
@@ -59,7 +62,7 @@
 
 
 class Farm:
-    def __init__(self, scheduler: Scheduler, discovery: tuple[str, int], known: Roll,
+    def __init__(self, scheduler: Scheduler, discovery: tuple[str, int] | None, known: Roll,
                  tell: Callable[[i.Listed], None]) -> None:
         self._scheduler, self._discovery, self._tell = scheduler, discovery, tell
         self.entries: dict[str, Entry] = {}
--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -12,7 +12,7 @@
 from scalefall.net import http, streams
 from scalefall.net.checks import log
 from scalefall.net.scheduler import READ, READY, Scheduler, Task
-from scalefall.net.transaction import Conflict, Failed, Taken, Transaction, Verdict
+from scalefall.net.transaction import Conflict, Failed, NotCarried, Taken, Transaction, Verdict
 
 SECOND = 1_000_000
 REQUEST_US = 2 * SECOND         # from a request's first byte to its last, and to a connection's first byte
@@ -89,6 +89,8 @@
         return http.answer(500, [], b"given up\n", keep)
     if isinstance(verdict, Conflict):
         return http.answer(409, [], b"the id of another message that is open\n", keep)
+    if isinstance(verdict, NotCarried):
+        return http.answer(404, [], b"the route carries no messages of this class\n", keep)
     seconds = f"{-(-verdict.retry_after_us // 1000) / 1000:.3f}"
     fields = [("Retry-After", seconds)] if verdict.retry_after_us > 0 else []
     return http.answer(503 if verdict.turned_away else 429, fields, keep=keep)
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -7,15 +7,16 @@
 
 from scalefall import interface as i
 from scalefall.net import checks, http, paces
-from scalefall.net.checks import holds, log
-from scalefall.net.config import Config, ConfigError
+from scalefall.net.checks import debug, holds, log
+from scalefall.net.config import Config, ConfigError, Fleet
 from scalefall.net.farm import Entry, Farm
 from scalefall.net.front import Front
 from scalefall.net.journal import FAILED, RETURNED, Journal, Owed
-from scalefall.net.notices import Notices
+from scalefall.net.notices import LoggedNotices, Notices
 from scalefall.net.passes import Load, Passes, batch_size
+from scalefall.net.roster import Roster
 from scalefall.net.scheduler import Scheduler
-from scalefall.net.transaction import Conflict, Failed, Taken, Transaction, UnavailableAnswer
+from scalefall.net.transaction import Conflict, Failed, NotCarried, Taken, Transaction, UnavailableAnswer
 from scalefall.policy import Sender
 
 MS, SECOND = 1000, 1_000_000
@@ -47,8 +48,15 @@
         self._waits: dict[int | str, int] = {}      # until when, by destination or route apart
         self._wall = scheduler.wall() - scheduler.now()     # to add for wall time
         self._journal = Journal(config.state, config.disk_bytes - paces.MOST_BYTES)
-        self._farm = Farm(scheduler, config.discovery, config.known, self._listed)
-        self._notices = Notices(scheduler, config.discovery, self._journal.over)
+        self._rules, self._reloading, self._reload_again = None, False, False
+        reports = config.discovery or config.reports
+        if config.fleet is None:
+            self._farm = Farm(scheduler, config.discovery, config.known, self._listed)
+        else:
+            self._farm = Roster(scheduler, config.known, self._listed, config.settings.drain_grace_us)
+            self._follow(config.fleet)
+        self._notices = Notices(scheduler, reports, self._journal.over) if reports else \
+            LoggedNotices(self._journal.over)
         share = (config.sockets - OWN_SOCKETS) // 2
         self._passes = Passes(scheduler, config.settings, share, self._settled, self._may_begin)
         agents = min(share, config.memory_bytes // 4 // (http.MOST_HEAD + http.MOST_BODY))
@@ -89,6 +97,8 @@
             transaction.decide(UnavailableAnswer(owed.after_ms * MS) if owed.end == RETURNED else Failed())
         elif self._closing_at and self._scheduler.now() >= self._closing_at + CLOSED_US:
             transaction.decide(UnavailableAnswer(CLOSING_US, True))
+        elif not self._carried(transaction):
+            transaction.decide(NotCarried())
         elif not self._farm.serves(transaction.destination):
             transaction.decide(UnavailableAnswer(FULL_US, True))
         elif len(self._open) >= self._set.max_held or not self._journal.room(len(transaction.body)):
@@ -97,6 +107,11 @@
             self._open[transaction.id] = transaction
             self._gather(i.Message(transaction.id, transaction.destination, transaction.class_name, transaction.due))
 
+    def _carried(self, transaction: Transaction) -> bool:
+        """A route in the operator's file carries what it says there; any other has no endpoint anyway."""
+        rules = self._rules and self._rules.get(transaction.destination)
+        return not rules or transaction.class_name in rules.classes
+
     def _again(self, transaction: Transaction) -> None:
         """The id of an open transaction once more. What is open stays as it was handed in, whoever asks: another's
         body under its id would be sent to an endpoint, and its user agent's leaving would take it away."""
@@ -204,8 +219,9 @@
 
     def _take_on(self, transaction: Transaction) -> None:
         """Into the journal before the answer; what it can't hold after all is refused."""
-        log.debug("taken on %s: %s for %d, %d ms left", transaction.id, transaction.class_name,
-                  transaction.destination, (transaction.due - self._scheduler.now()) // MS)
+        debug("taken on %s: %s for %d, %d ms left", transaction.id, transaction.class_name,
+              transaction.destination, (transaction.due - self._scheduler.now()) // MS,
+              id=transaction.id, class_=transaction.class_name, dest=transaction.destination)
         if not self._journal.take_on(Owed(transaction.id, transaction.class_name, transaction.destination,
                                           transaction.due + self._wall, transaction.key, transaction.body)):
             transaction.decide(UnavailableAnswer(FULL_US, True))
@@ -225,8 +241,10 @@
             ids.append(send.id)
         if not loads:
             return
-        log.debug("pass to %s: %s", entry.endpoint.id, " ".join(
-            f"{load.id}/{load.attempt} for {(load.until - now) // MS} ms" for load in loads))
+        if log.isEnabledFor(10):
+            debug("pass to %s: %s", entry.endpoint.id, " ".join(
+                f"{load.id}/{load.attempt} for {(load.until - now) // MS} ms" for load in loads),
+                ids=ids, endpoint=entry.endpoint.id, dest=entry.endpoint.destination)
         if self._journal.pass_begun(ids, now + self._wall, entry.endpoint.zone):
             self._passes.begin(entry, loads)
         else:
@@ -261,8 +279,9 @@
         each goes alone from now on."""
         if unreadable and event.id in self._open:
             self._open[event.id].alone = True
-        log.debug("outcome %s/%d at %s: %s after %d ms, wait %d ms", event.id, event.attempt, event.endpoint,
-                  event.outcome.value, event.latency_us // MS, event.wait_us // MS)
+        debug("outcome %s/%d at %s: %s after %d ms, wait %d ms", event.id, event.attempt, event.endpoint,
+              event.outcome.value, event.latency_us // MS, event.wait_us // MS, id=event.id, attempt=event.attempt,
+              endpoint=event.endpoint, outcome=event.outcome.value, latency_us=event.latency_us)
         if event.wait_us and event.endpoint in self._farm.entries:
             bound = self._bound(self._farm.entries[event.endpoint].endpoint)
             self._waits[bound] = max(self._waits.get(bound, 0), self._scheduler.now() + event.wait_us)
@@ -280,7 +299,8 @@
         transaction = self._end(name)
         if transaction is None:
             return
-        log.debug("refused %s", name)
+        after = self._at_most(transaction, after)
+        self._say("refused %s", transaction)
         if transaction.verdict is None:
             transaction.decide(UnavailableAnswer(after))
             return
@@ -288,11 +308,19 @@
         self._journal.ended(name, RETURNED, after_ms)
         self._notices.returned(name, after_ms)
 
+    def _at_most(self, transaction: Transaction, after: int) -> int:
+        rules = self._rules and self._rules.get(transaction.destination)
+        return min(after, rules.most_wait_us) if rules else after
+
+    @staticmethod
+    def _say(text: str, transaction: Transaction) -> None:
+        debug(text, transaction.id, id=transaction.id, class_=transaction.class_name, dest=transaction.destination)
+
     def _fail(self, name: str) -> None:
         transaction = self._end(name)
         if transaction is None:
             return
-        log.debug("failed %s", name)
+        self._say("failed %s", transaction)
         if transaction.verdict is None:
             transaction.decide(Failed())
             return
@@ -322,7 +350,14 @@
             log.info("restored: %d open, %d with a notice to deliver", restored, len(self._journal.owed) - restored)
 
     def reload(self, read_again: Callable[[], Config]) -> None:
-        """SIGHUP: discovery, and with it the platform, may have moved. All else is settled at the start."""
+        """SIGHUP: discovery, and with it the platform, may have moved. All else is settled at the start, but for a
+        fleet of the operator's own: its file may be long, and is read beside the sending."""
+        if self._config.fleet is not None:
+            self._reload_again = True
+            if not self._reloading:
+                self._reloading = True
+                self._scheduler.spawn(self._reload_fleet, read_again)
+            return
         try:
             config = read_again()
         except ConfigError as error:
@@ -332,6 +367,30 @@
         self._farm.move(config.discovery)
         self._notices.move(config.discovery)
 
+    def _reload_fleet(self, read_again: Callable[[], Config]) -> None:
+        try:
+            while self._reload_again:
+                self._reload_again = False
+                try:
+                    config = self._scheduler.in_thread(read_again)
+                except ConfigError as error:
+                    for line in str(error).splitlines():
+                        log.error("configuration not taken, the old settings stay: %s", line)
+                    continue
+                for line in config.left:
+                    log.warning("left as it was until a restart: %s", line)
+                self._follow(config.fleet)
+                added, gone, changed = self._farm.replace(config.fleet.entries)
+                log.info("configuration read again: %d endpoints, %d new, %d gone, %d changed; %d routes",
+                         len(config.fleet.entries), added, gone, changed, len(config.fleet.routes))
+        finally:
+            self._reloading = False
+
+    def _follow(self, fleet: Fleet) -> None:
+        """The routes' rules from now on; those of messages that are held too."""
+        self._rules = fleet.routes
+        self._set.attempts = {number: rules.attempts for number, rules in fleet.routes.items()}
+
     def close(self) -> None:
         """SIGTERM: answer while connections come, begin nothing that may not finish, and end in time."""
         if self._closing_at:
--- a/scalefall/net/notices.py
+++ b/scalefall/net/notices.py
@@ -15,6 +15,26 @@
 MOST_LINES = 100                # in one POST
 
 
+class LoggedNotices:
+    """Where no platform hears notices: each is a line in the log, and that was its end."""
+    idle = True
+
+    def __init__(self, delivered: Callable[[str], None]) -> None:
+        self._delivered = delivered
+
+    def failed(self, name: str) -> None:
+        log.warning("notice: %s failed", name, extra={"fields": {"id": name, "state": "failed"}})
+        self._delivered(name)
+
+    def returned(self, name: str, after_ms: int) -> None:
+        log.warning("notice: %s returned, to come back after %d ms", name, after_ms,
+                    extra={"fields": {"id": name, "state": "returned", "after_ms": after_ms}})
+        self._delivered(name)
+
+    def move(self, platform: tuple[str, int]) -> None:
+        pass
+
+
 class Notices:
     def __init__(self, scheduler: Scheduler, platform: tuple[str, int], delivered: Callable[[str], None]) -> None:
         self._scheduler, self._platform, self._delivered = scheduler, platform, delivered
--- a/scalefall/net/passes.py
+++ b/scalefall/net/passes.py
@@ -74,6 +74,7 @@
     sock: socket.socket
     place: Place
     rested: int                 # from then on it may be used again
+    idle_close: int             # its endpoint closes it after so long
     keeper: Task | None = None
 
 
@@ -144,10 +145,11 @@
             raise OSError("no socket left")
         one.idled = False
         one.sock = streams.dial(self._scheduler, one.entry.address,
-                                min(until, self._scheduler.now() + self._set.dial_timeout_us))
+                                min(until, self._scheduler.now() + (one.entry.dial_us or self._set.dial_timeout_us)))
 
     def _keep(self, one: ProxyPass) -> None:
-        kept = Kept(one.sock, _place(one.entry), self._scheduler.now() + REST_US)
+        idle_close = one.entry.idle_us or self._set.idle_close_us
+        kept = Kept(one.sock, _place(one.entry), self._scheduler.now() + REST_US, idle_close)
         self._pools.setdefault(kept.place, deque()).append(kept)
         self._idle[kept] = None
         kept.keeper = self._scheduler.spawn(self._watch_over, kept)
@@ -155,7 +157,7 @@
 
     def _watch_over(self, kept: Kept) -> None:
         """Close an idle connection in time, and at once when its endpoint does or sends what nobody asked for."""
-        span = max(self._set.idle_close_us // 2, self._set.idle_close_us - IDLE_MARGIN_US)
+        span = max(kept.idle_close // 2, kept.idle_close - IDLE_MARGIN_US)
         if kept in self._idle:
             why = self._scheduler.pause(self._scheduler.now() + span, kept.sock, READ)
             if why is TIME_UP or kept in self._idle:
@@ -247,7 +249,7 @@
 
     def _encode(self, one: ProxyPass) -> bytes:
         left = max(1, max(load.until for load in one.loads) - self._scheduler.now())
-        host = one.entry.endpoint.id
+        host = one.entry.host or one.entry.endpoint.id
         deadline = ("X-Deadline", f"{left // MS}m" if left >= 10 * MS else f"{left}u")
         if len(one.loads) == 1:
             load = one.loads[0]
--- a/scalefall/net/scheduler.py
+++ b/scalefall/net/scheduler.py
@@ -5,6 +5,7 @@
 import select
 import signal
 import socket
+import threading
 import time
 from collections import deque
 from collections.abc import Callable
@@ -16,6 +17,7 @@
 from scalefall.net.checks import holds, log
 
 READ, WRITE = select.POLLIN, select.POLLOUT
+THREAD_DONE = 255               # a byte to the waker that is no signal's number
 MOST_IDLE_TIMERS = 256          # that were called off and still have a place in the order
 READY, TIME_UP = "ready", "time up"     # why a pause ended, where nobody woke it with a value
 
@@ -54,6 +56,7 @@
         self._waker.setblocking(False)
         self._poll.register(self._woken, READ)
         self._signals: dict[int, Callable[[], object]] = {}
+        self._in_threads: list[tuple[Task, list[Any]]] = []
 
     def now(self) -> int:
         return time.monotonic_ns() // 1000
@@ -132,6 +135,32 @@
         signal.set_wakeup_fd(self._waker.fileno(), warn_on_full_buffer=False)
         signal.signal(number, lambda *_: None)
 
+    def in_thread(self, function: Callable[..., Any], *args: Any) -> Any:
+        """Call a function that takes long beside the loop, while the calling task pauses; what it raises comes here.
+        The function must not touch anything that the loop's tasks use."""
+        task, done = getcurrent(), []
+
+        def work() -> None:
+            try:
+                done.append((function(*args), None))
+            except BaseException as error:
+                done.append((None, error))
+            self._waker.send(bytes([THREAD_DONE]))
+        self._in_threads.append((task, done))
+        threading.Thread(target=work, daemon=True).start()
+        while not done:
+            self.pause()
+        self._in_threads.remove((task, done))
+        result, error = done[0]
+        if error is not None:
+            raise error
+        return result
+
+    def _threads_done(self) -> None:
+        for task, done in self._in_threads:
+            if done:
+                self.wake(task, None)
+
     def run(self) -> None:
         """Run until stop(). May be called again."""
         self._loop, self._running = getcurrent(), True
@@ -182,6 +211,7 @@
             numbers = self._woken.recv(64)
         except BlockingIOError:
             return
+        self._threads_done()
         for number in numbers:
             if number in self._signals:
                 try:
--- a/scalefall/net/transaction.py
+++ b/scalefall/net/transaction.py
@@ -27,7 +27,12 @@
     """Its id belongs to another message that is open: nothing is done with this one."""
 
 
-Verdict = Taken | UnavailableAnswer | Failed | Conflict
+@dataclass(slots=True, frozen=True)
+class NotCarried:
+    """Its route carries no messages of its class: nothing is done with it, now or later."""
+
+
+Verdict = Taken | UnavailableAnswer | Failed | Conflict | NotCarried
 
 
 @dataclass(slots=True, eq=False)
--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -307,6 +307,8 @@
             server.gone = entry.status is Status.GONE
             if self.set.weights in ("nominal", "rough"):
                 server.route.limit = entry.weight
+            elif self.set.weights == "told" and server.ready:
+                self._set_limit(server.route, entry.weight)
             self.touched[entry.destination] = self._destination(entry.destination)
         for server in list(self.servers.values()):
             self._drop(server)
@@ -321,7 +323,7 @@
         destination = self.destinations.get(event.destination)
         route = destination.routes.get(event.route) if destination else None
         if route is not None:
-            route.known, route.limit = event.part, event.limit
+            route.known, route.limit = event.part, route.limit or event.limit
 
     def known(self) -> list[Known]:
         """What a later process of this sender should know; to be asked at any time."""
@@ -568,6 +570,8 @@
         if free <= 0 or sum(len(s.calls) for s in route.servers) >= max(1, free):
             self.starved[server.entry.destination] = self.destinations[server.entry.destination]
             return False
+        if 0 < server.entry.most_calls <= len(server.calls):
+            return False
         guard = self._guard(route, server)
         return not (guard.doubts and guard.next_call > self.now) and self._tokens(route) >= 1
 
@@ -634,7 +638,7 @@
     def _timeout(self, message: Held, envelope: Envelope) -> int:
         """Only what may be sent again is cut short; each further attempt is given twice the time."""
         left = message.due - self.now
-        if message.cls.effect is Effect.UNSAFE or message.attempts + 1 >= self.set.max_attempts:
+        if message.cls.effect is Effect.UNSAFE or message.attempts + 1 >= self._most_attempts(message):
             return left
         wait = self._expected(envelope, message.cls) << min(message.attempts, 4)
         if message.cls.effect is Effect.KEYED:
@@ -733,6 +737,13 @@
         route.top = even + TAKEN * max(0.0, left - UNUSED) / (1 - UNUSED) * (limit - even)
         route.rate = min(route.rate, route.top)
 
+    def _set_limit(self, route: Route, limit: float) -> None:
+        """A limit that the operator sets holds before any answer tells one; 0: there is none any more."""
+        if limit > 0:
+            self._told_limit(route, limit, 0.0)
+        elif route.limit > 0:
+            route.limit, route.top, route.rate = 0.0, inf, inf
+
     def _succeeded(self, guard: Guard) -> None:
         guard.last_ok = self.now
         guard.doubts = 0 if guard.doubts <= QUESTIONS else QUESTIONS + 1
@@ -810,9 +821,12 @@
 
     def _spent(self, message: Held) -> bool:
         """No further attempt is allowed; before a restart it may have run too."""
-        return (message.attempts >= self.set.max_attempts
+        return (message.attempts >= self._most_attempts(message)
                 or (message.ran_at >= 0 and message.cls.effect is Effect.UNSAFE))
 
+    def _most_attempts(self, message: Held) -> int:
+        return self.set.attempts.get(message.destination, self.set.max_attempts)
+
     # -- final answers
 
     def _give_up(self, message: Held) -> None:
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,87 @@
+"""What the operator's file sets and the module keeps: a limit, calls at once, attempts by destination."""
+import pytest
+from helpers import MS, Drive, S
+
+from scalefall import interface as i
+
+READY, DRAINING = i.Status.READY, i.Status.DRAINING
+
+
+def drive(limit=0.0, most=0, **changes):
+    d = Drive(weights="told", siblings=1, slots=100, max_held=1000, **changes)
+    listed(d, limit, most)
+    return d
+
+
+def listed(d, limit, most=0, status=READY, name="e"):
+    d.turn(i.Listed(i.ListKind.CHANGES, [i.Endpoint(name, "a", "one", 1, status, limit, most)]))
+
+
+def sends_in(d, span, more=200, each=50 * MS):
+    """Calls begun within the span, each served at once, with more waiting than may go."""
+    times, end = [], d.now + span
+    if more:
+        d.arrive(*(f"m{d.now}-{n}" for n in range(more)))
+    while d.now < end:
+        sent = d.of(i.Send)
+        while sent:
+            times.append(d.now)
+            send = sent.pop()
+            d.turn(i.Attempted(send.id, d.attempts[send.id], "e", i.Outcome.OK, 1, True))
+            sent += d.of(i.Send)
+        d.tick(each)
+    return times
+
+
+@pytest.mark.parametrize("limit", [2.0, 4.0, 16.0])
+def test_a_limit_in_the_file_is_kept_before_any_answer_tells_one(limit):
+    times = sends_in(drive(limit), 6 * S)
+    at_once = max(1, limit / 4)
+    assert limit * 4 <= len(times) <= limit * 6 + at_once
+    for start in times:
+        assert sum(start <= at < start + S for at in times) <= limit + at_once
+
+
+def test_without_one_all_goes_at_once_and_one_that_is_lifted_binds_no_more():
+    assert len(sends_in(drive(), S // 2)) == 200
+    d = drive(2.0)
+    assert len(sends_in(d, S)) <= 3
+    listed(d, 0.0)
+    assert len(sends_in(d, S // 2, more=0)) >= 190
+
+
+def test_a_limit_that_is_raised_holds_at_once_and_what_leaves_brings_no_old_one_back():
+    d = drive(2.0)
+    listed(d, 2.0, name="old")
+    listed(d, 20.0)
+    listed(d, 2.0, status=DRAINING, name="old")
+    listed(d, 2.0, status=i.Status.GONE, name="old")
+    assert len(sends_in(d, 2 * S)) >= 30
+
+
+def test_what_an_earlier_process_knew_does_not_go_before_the_file():
+    d = drive(8.0)
+    d.turn(i.Known(1, "", 1.0, 2.0))
+    assert d.sender.destinations[1].routes[""].limit == 8.0
+
+
+def test_an_endpoint_has_no_more_calls_at_once_than_it_may():
+    d = drive(most=3)
+    listed(d, 0.0, 2, name="f")
+    sent = d.arrive(*(f"m{n}" for n in range(20)))
+    assert len(sent) == 5
+    by = [send.endpoint for send in d.of(i.Send)]
+    assert (by.count("e"), by.count("f")) == (3, 2)
+    first = next(send.id for send in d.of(i.Send) if send.endpoint == "f")
+    assert len(d.result(first, "f")) == 1 and d.of(i.Send)[0].endpoint == "f"
+
+
+def test_attempts_are_counted_by_destination():
+    d = drive(attempts={1: 2})
+    assert d.arrive("m") == ["m"]
+    for _ in range(2):
+        d.result("m", "e", i.Outcome.ERROR)
+        while d.now < 7 * S and not d.of(i.Send) and not d.of(i.Refuse):
+            d.tick(50 * MS)
+    assert d.attempts["m"] == 1 and [refused.id for refused in d.of(i.Refuse)] == ["m"]
+    assert d.now < 7 * S        # at once, and not when its time is up
--- /dev/null
+++ b/tests/test_roster.py
@@ -0,0 +1,237 @@
+"""A list from the operator's own file: what goes drains under the rule, and a change is there at once or not at all."""
+import dataclasses
+import threading
+
+import pytest
+from nethelp import MS, Peer, S, World
+
+from scalefall import interface as i
+from scalefall.net.config import ConfigError, Fleet, RouteRules
+from scalefall.net.farm import Entry, Roll
+from scalefall.net.host import Host
+from scalefall.net.roster import Roster
+from scalefall.net.transaction import NotCarried, Taken, Transaction, UnavailableAnswer
+
+SITE = b"""
+sender { listen 127.0.0.1:0 }
+class fee { aim 3s; deadline 24s; repeat never }
+class note { aim 3s; deadline 24s; repeat freely }
+pool p { %s }
+route 7 { pool p; attempts %d; wait at-most %s; %s }
+"""
+
+
+def entry(name, address=("127.0.0.1", 1), weight=0.0):
+    return Entry(i.Endpoint(name, "here", "partner", 7, i.Status.READY, weight), address)
+
+
+def statuses(event):
+    return {end.id: end.status.name for end in event.endpoints}
+
+
+def roster(world, *names):
+    told = []
+    return Roster(world, Roll(1, True, [entry(name) for name in names]), told.append, S), told
+
+
+def test_what_goes_drains_at_once_and_is_gone_after_the_grace():
+    world = World()
+
+    def play():
+        farm, told = roster(world, "a", "b")
+        assert farm.known().kind is i.ListKind.WHOLE
+        assert farm.replace([entry("b"), entry("c")]) == (1, 1, 0)
+        assert [statuses(event) for event in told] == [{"a": "DRAINING", "c": "READY"}]
+        assert farm.left_at["a"] == world.now()
+        world.sleep(S - 1)
+        assert len(told) == 1
+        world.sleep(2 * MS)
+        assert statuses(told[1]) == {"a": "GONE"}
+    world.play(play)
+
+
+def test_what_comes_back_within_the_grace_stays():
+    world = World()
+
+    def play():
+        farm, told = roster(world, "a", "b")
+        farm.replace([entry("b")])
+        world.sleep(S // 2)
+        assert farm.replace([entry("a"), entry("b")]) == (1, 0, 0)
+        world.sleep(2 * S)
+        assert [statuses(event) for event in told] == [{"a": "DRAINING"}, {"a": "READY"}]
+        assert "a" not in farm.left_at
+        farm.replace([entry("b")])
+        world.sleep(2 * S)
+        assert statuses(told[-1]) == {"a": "GONE"}
+    world.play(play)
+
+
+def test_only_what_changed_is_told_and_a_new_limit_is_not_undone_by_what_went():
+    world = World()
+
+    def play():
+        farm, told = roster(world, "a", "b")
+        assert farm.replace([entry("b", weight=9.0)]) == (0, 1, 1)
+        assert [end.id for end in told[0].endpoints] == ["a", "b"]     # the new limit is told last
+        assert farm.replace([entry("b", weight=9.0)]) == (0, 0, 0)
+        assert told[1].endpoints == []
+    world.play(play)
+
+
+# -- the whole sender on a file
+
+def read(text, tmp_path, seed=1):
+    from scalefall.lang import load, render, sender
+    loaded = load.text(text, "site.scale")
+    assert loaded.usable, render.text(loaded.problems, loaded.source())
+    return sender.config(loaded.site, str(tmp_path), seed)
+
+
+def at(*peers):
+    return b"; ".join(b"endpoint e%d { at %s:%d }" % (n, peer.address[0].encode(), peer.address[1])
+                      for n, peer in enumerate(peers))
+
+
+def hand_in(world, host, name, cls="fee", dest=7, span=5 * S):
+    transaction = Transaction(name, cls, dest, world.now() + span, None, b"body")
+    host.offer(transaction)
+    world.until(lambda: transaction.verdict is not None)
+    return transaction.verdict
+
+
+def serve(world, peer, sock):
+    request = peer.read(sock)
+    sock.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    return request
+
+
+def reload(world, host, read_again):
+    host.reload(read_again)
+    world.until(lambda: not host._reloading)
+
+
+def started(world, tmp_path, *words):
+    host = Host(world, read(SITE % words, tmp_path))
+    host.start()
+    return host
+
+
+def test_a_sender_on_a_file_delivers_and_its_routes_carry_what_they_say(tmp_path):
+    world = World()
+
+    def play():
+        peer = Peer(world)
+        host = started(world, tmp_path, at(peer), 4, b"3s", b"classes fee")
+        assert hand_in(world, host, "m1") == Taken()
+        assert serve(world, peer, peer.accept()).fields["host"] == "%s:%d" % peer.address
+        assert hand_in(world, host, "m2", "note") == NotCarried()
+        assert isinstance(hand_in(world, host, "m3", dest=8), UnavailableAnswer)
+        reload(world, host, lambda: read(SITE % (at(peer), 4, b"3s", b"classes every"), tmp_path))
+        assert hand_in(world, host, "m4", "note") == Taken()
+    world.play(play)
+
+
+def test_an_endpoint_that_the_file_no_longer_has_gets_nothing_fresh(tmp_path):
+    world = World()
+
+    def play():
+        old, new = Peer(world), Peer(world)
+        host = started(world, tmp_path, at(old), 4, b"3s", b"")
+        hand_in(world, host, "m1")
+        out = old.accept()
+        old.read(out)               # m1 is out there when the file changes, and may end
+        reload(world, host, lambda: read(SITE % (at(new), 4, b"3s", b""), tmp_path))
+        for n in range(3):
+            assert hand_in(world, host, f"n{n}") == Taken()
+            serve(world, new, new.accept() if n == 0 or new.accepted == n else None)
+            world.sleep(S)
+        out.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        world.sleep(S)
+        assert old.accepted == 1 and not host._open
+    world.play(play)
+
+
+@pytest.mark.parametrize("error", ["site.scale:1:1: one\nsite.scale:2:1: two", "short"])
+def test_a_file_that_cannot_be_used_changes_nothing_and_every_error_is_logged(tmp_path, caplog, error):
+    world = World()
+
+    def play():
+        peer = Peer(world)
+        host = started(world, tmp_path, at(peer), 4, b"3s", b"")
+        before = dict(host._farm.entries), host._rules, host._farm.seq
+
+        def broken():
+            raise ConfigError(error)
+        reload(world, host, broken)
+        assert (dict(host._farm.entries), host._rules, host._farm.seq) == before
+        assert hand_in(world, host, "m1") == Taken()
+        serve(world, peer, peer.accept())
+    world.play(play)
+    lines = [record.getMessage() for record in caplog.records if "not taken" in record.getMessage()]
+    assert lines == [f"configuration not taken, the old settings stay: {line}" for line in error.splitlines()]
+
+
+def test_the_file_is_read_beside_the_sending_and_a_second_signal_meanwhile_reads_once_more(tmp_path):
+    world = World()
+
+    def play():
+        peer = Peer(world)
+        host = started(world, tmp_path, at(peer), 4, b"3s", b"")
+        held, reads = threading.Event(), []
+
+        def slow():
+            reads.append(threading.current_thread() is threading.main_thread())
+            held.wait(60)
+            return read(SITE % (at(peer), 2, b"3s", b""), tmp_path)
+        host.reload(slow)
+        host.reload(slow)
+        assert hand_in(world, host, "m1") == Taken()        # while the thread reads
+        serve(world, peer, peer.accept())
+        assert host._rules[7].attempts == 4
+        host.reload(slow)
+        held.set()
+        world.until(lambda: not host._reloading)
+        assert reads == [False, False] and host._rules[7].attempts == 2
+    world.play(play)
+
+
+def test_a_wait_is_never_told_longer_than_the_policy_says(tmp_path):
+    world = World()
+
+    def play():
+        host = started(world, tmp_path, b"endpoint a { at 127.0.0.1:1 }", 4, b"100ms", b"")
+        transaction = Transaction("m", "fee", 7, world.now(), None, b"")
+        assert host._at_most(transaction, 5 * S) == 100 * MS
+        assert host._at_most(dataclasses.replace(transaction, destination=8), 5 * S) == 5 * S
+    world.play(play)
+
+
+def test_without_a_reports_address_a_given_up_message_is_over_with_a_line_in_the_log(tmp_path, caplog):
+    world = World()
+
+    def play():
+        host = started(world, tmp_path, b"endpoint a { at 127.0.0.1:1 }", 4, b"3s", b"")
+        assert hand_in(world, host, "m1", span=2 * S) == Taken()
+        world.until(lambda: not host._open)
+        assert not host._journal.owed
+    world.play(play)
+    assert [r.fields["id"] for r in caplog.records if r.getMessage().startswith("notice: m1 returned")] == ["m1"]
+
+
+def fleet_of(limit):
+    return Fleet([entry("a", weight=limit)], {7: RouteRules(frozenset({"fee"}), 4, S)})
+
+
+def test_a_thread_that_ends_early_wakes_nobody_by_mistake():
+    world = World()
+
+    def play():
+        for n in range(20):
+            assert world.in_thread(lambda n=n: n) == n
+        began = world.now()
+        world.sleep(S)
+        assert world.now() - began >= S
+        with pytest.raises(ZeroDivisionError):
+            world.in_thread(lambda: 1 / 0)
+    world.play(play)
