--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -1,12 +1,14 @@
 """A list from the operator's own file: what goes drains under the rule, and a change is there at once or not at all."""
 import dataclasses
+import socket
 import threading
 
 import pytest
-from nethelp import MS, Peer, S, World
+from helpers import settings
+from nethelp import MS, Calls, Peer, S, World, closed
 
 from scalefall import interface as i
-from scalefall.net.config import ConfigError, Fleet, RouteRules
+from scalefall.net.config import ConfigError
 from scalefall.net.farm import Entry, Roll
 from scalefall.net.host import Host
 from scalefall.net.roster import Roster
@@ -219,10 +221,6 @@
     assert [r.fields["id"] for r in caplog.records if r.getMessage().startswith("notice: m1 returned")] == ["m1"]
 
 
-def fleet_of(limit):
-    return Fleet([entry("a", weight=limit)], {7: RouteRules(frozenset({"fee"}), 4, S)})
-
-
 def test_a_thread_that_ends_early_wakes_nobody_by_mistake():
     world = World()
 
@@ -235,3 +233,39 @@
         with pytest.raises(ZeroDivisionError):
             world.in_thread(lambda: 1 / 0)
     world.play(play)
+
+
+# -- what the file says of one pool's connections
+
+def test_a_pools_idle_close_goes_before_the_senders():
+    world = World()
+
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(idle_close_us=60 * S), peer.address)
+        calls.entry = dataclasses.replace(calls.entry, idle_us=2 * S)
+        calls.begin("m")
+        sock, began = peer.accept(), world.now()
+        serve(world, peer, sock)
+        assert closed(world, sock) and world.now() - began < 2 * S
+    world.play(play)
+
+
+def test_a_routes_dial_within_goes_before_the_default():
+    world = World()
+
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(dial_timeout_us=60 * S), peer.address)
+        calls.entry = dataclasses.replace(calls.entry, dial_us=S // 2)
+        full = [socket.socket() for _ in range(80)]     # the listener's queue is full: the dial goes unanswered
+        for sock in full:
+            sock.setblocking(False)
+            sock.connect_ex(peer.address)
+        world.sleep(MS)
+        calls.begin("m")
+        told = calls.outcome("m")
+        assert told.outcome is i.Outcome.CONNECT_FAILED and S // 2 <= told.latency_us < S
+        for sock in full:
+            sock.close()
+    world.play(play)
