--- a/scalefall/cli/run.py
+++ b/scalefall/cli/run.py
@@ -3,6 +3,7 @@
 
 import os
 import secrets
+import signal
 from dataclasses import replace
 
 import click
@@ -49,6 +50,7 @@
 def run(path: str, state: str, name: str | None, listen: tuple[str, int] | None, reports: tuple[str, int] | None,
         log_level: str, log_format: str) -> None:
     """Start a sender on a configuration, and serve until SIGTERM."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # one that comes before the sender is ready must not end it
     flags = {key: value for key, value in (("name", name), ("listen", listen), ("reports", reports)) if value}
     request = reader.Request(path, state, secrets.randbits(64), flags, None)
     try:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -123,6 +123,15 @@
     call("import", tmp_path / "none.json", code=2)
 
 
+def test_the_deployments_file_is_clean_and_has_the_classes_of_the_platforms_settings(tmp_path):
+    call("check", "--strict", ROOT / "deploy" / "site.scale")
+    call("compile", ROOT / "deploy" / "site.scale", "-o", tmp_path / "config.json")
+    from scalefall.settings import read_settings
+    was, now = (read_settings(json.loads(path.read_text())["settings"])
+                for path in (EXAMPLE / "config.json", tmp_path / "config.json"))
+    assert now.classes == was.classes and now.max_attempts == was.max_attempts and now.cold_us == was.cold_us
+
+
 def test_run_names_what_it_cannot_start_with(tmp_path):
     assert "3ms, 3s or 3min" in call("run", "--config", BROKEN / "duration-without-unit", "--state", tmp_path,
                                      code=1).output
