Control: grants that never add up to more than the allowance, and membership, as pure modules

Proxies that do the sending must keep the module's paces together, over links that are cut, late or silent. A ledger divides each destination's allowance into grants with a lease, counts what may still be in use from sent + delay + lease or the acknowledgement, and raises nobody but by free room; members know a process from its name, its twin and its restart. No transport yet.

--- /dev/null
+++ b/scalefall/control/members.py
@@ -0,0 +1,180 @@
+"""Membership: which processes of which proxies there are, and who may still be using grants. No I/O, no clock.
+
+A node id names a proxy's place in its fleet; it is no identity, as a restarted proxy has the same and a mistake in a
+configuration gives it to two. A holder is one process: its node id and an instance that the process makes at its start
+(a random word in the node's metadata; a client that sends none has a new one with each stream). Grants are a holder's.
+
+    state      heard   stream ends   silence    time       new stream of this instance
+    LIVE       LIVE    CUT           SILENT     -          LIVE (the old stream is closed: it reconnected)
+    SILENT     LIVE    CUT           -          GONE       LIVE (likewise)
+    CUT        -       -             -          GONE       LIVE
+    GONE       forgotten
+
+`time` is `lease + delay` after the last sign of it: by then nothing that it was granted may be in use. A process that
+comes back in that time is the same holder with what it had; one that comes back later is as good as new. Two instances
+of one node id at once are both held, each with grants of its own out of the same allowance, and told of: it may be a
+restart (the older one falls silent and its grants run out) or two processes under one name.
+"""
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass
+from enum import Enum
+
+from scalefall.net.checks import holds
+
+MOST_INSTANCES = 8          # of one node id, whose grants may be in use at a time: more are turned away
+
+
+class State(Enum):
+    LIVE = "live"
+    SILENT = "silent"
+    CUT = "cut"
+    GONE = "gone"
+
+
+class Sign(Enum):
+    """What can happen to a holder."""
+    HEARD = "heard"
+    ENDED = "stream ended"
+    QUIET = "silence"
+    TIME = "time"
+    STREAM = "stream"
+
+
+TABLE: dict[tuple[State, Sign], State] = {
+    (State.LIVE, Sign.HEARD): State.LIVE, (State.LIVE, Sign.ENDED): State.CUT, (State.LIVE, Sign.QUIET): State.SILENT,
+    (State.LIVE, Sign.STREAM): State.LIVE, (State.SILENT, Sign.HEARD): State.LIVE,
+    (State.SILENT, Sign.ENDED): State.CUT, (State.SILENT, Sign.TIME): State.GONE,
+    (State.SILENT, Sign.STREAM): State.LIVE, (State.CUT, Sign.TIME): State.GONE, (State.CUT, Sign.STREAM): State.LIVE,
+}
+
+
+@dataclass(slots=True)
+class Member:
+    holder: str
+    node: str
+    state: State
+    stream: int             # its stream now, or its last one
+    heard: int              # the last sign of it
+
+
+@dataclass(slots=True, frozen=True)
+class Joined:
+    """A stream belongs to a holder from now on."""
+    holder: str
+    came_back: bool         # it is known, and what it was granted may be in use
+    close: int | None       # the stream that it takes the place of
+    twin: bool              # another instance of its node id may still be in use
+
+
+@dataclass(slots=True, frozen=True)
+class Refused:
+    """Too many instances of one node id."""
+    node: str
+
+
+@dataclass(slots=True, frozen=True)
+class Change:
+    """A holder that is heard no more, or forgotten."""
+    holder: str
+    node: str
+    state: State
+
+
+class Members:
+    def __init__(self, silence_us: int, forget_us: int) -> None:
+        holds(0 < silence_us <= forget_us, "silence comes before forgetting")
+        self._silence, self._forget = silence_us, forget_us
+        self._members: OrderedDict[str, Member] = OrderedDict()     # the one heard longest ago first
+        self._streams: dict[int, str] = {}
+        self._nodes: dict[str, set[str]] = {}
+
+    def join(self, stream: int, node: str, instance: str, now: int) -> Joined | Refused:
+        """A stream has named its node; instance is empty for a client that has no such word."""
+        holder = f"{node}/{instance or f'stream-{stream}'}"
+        known = self._members.get(holder)
+        others = self._nodes.get(node, set()) - {holder}
+        if known is None and len(others) >= MOST_INSTANCES:
+            return Refused(node)
+        if known is None:
+            self._members[holder] = Member(holder, node, State.LIVE, stream, now)
+            self._nodes.setdefault(node, set()).add(holder)
+            self._streams[stream] = holder
+            return Joined(holder, False, None, bool(others))
+        old = known.stream if known.state in (State.LIVE, State.SILENT) and known.stream != stream else None
+        if old is not None:
+            self._streams.pop(old, None)
+        known.stream = stream
+        self._streams[stream] = holder
+        self._move(known, Sign.STREAM, now)
+        return Joined(holder, True, old, bool(others))
+
+    def heard(self, stream: int, now: int) -> str | None:
+        """Anything at all has come on the stream; the holder, if it was silent before and is live again."""
+        member = self._by(stream)
+        if member is None:
+            return None
+        was = member.state
+        self._move(member, Sign.HEARD, now)
+        return member.holder if was is State.SILENT else None
+
+    def ended(self, stream: int, now: int) -> Change | None:
+        """The stream is closed; nothing if it is nobody's any more, as its process has another by now."""
+        member = self._by(stream)
+        if member is None:
+            return None
+        del self._streams[stream]
+        heard = member.heard        # the end of a stream is no sign of life
+        self._move(member, Sign.ENDED, now)
+        member.heard = heard
+        return Change(member.holder, member.node, State.CUT)
+
+    def turn(self, now: int) -> list[Change]:
+        """Those that have been silent too long, and those whose grants have run out, which are forgotten."""
+        changes = []
+        for member in list(self._members.values()):
+            if member.state is State.LIVE and member.heard > now - self._silence:
+                break       # all behind it were heard later
+            if member.state is State.LIVE:
+                member.state = TABLE[member.state, Sign.QUIET]
+                changes.append(Change(member.holder, member.node, member.state))
+            if member.state is not State.LIVE and member.heard <= now - self._forget:
+                changes.append(self._drop(member))
+        return changes
+
+    def next_turn(self, now: int) -> int | None:
+        """When turn() is due if nothing is heard before; None if there is nobody."""
+        times = [member.heard + (self._silence if member.state is State.LIVE else self._forget)
+                 for member in self._members.values()]
+        return max(now, min(times)) if times else None
+
+    def holder(self, stream: int) -> str | None:
+        return self._streams.get(stream)
+
+    def state(self, holder: str) -> State:
+        member = self._members.get(holder)
+        return member.state if member else State.GONE
+
+    def live(self) -> list[str]:
+        return [member.holder for member in self._members.values() if member.state is State.LIVE]
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def _by(self, stream: int) -> Member | None:
+        return self._members.get(self._streams.get(stream, ""))
+
+    def _move(self, member: Member, sign: Sign, now: int) -> None:
+        member.state, member.heard = TABLE[member.state, sign], now
+        self._members.move_to_end(member.holder)
+
+    def _drop(self, member: Member) -> Change:
+        member.state = TABLE[member.state, Sign.TIME]
+        del self._members[member.holder]
+        if self._streams.get(member.stream) == member.holder:
+            del self._streams[member.stream]
+        self._nodes[member.node].discard(member.holder)
+        if not self._nodes[member.node]:
+            del self._nodes[member.node]
+        return Change(member.holder, member.node, State.GONE)
--- /dev/null
+++ b/tests/control/test_grants.py
@@ -0,0 +1,248 @@
+"""Grants from the holders' side: what they really may use, whatever is lost, late, cut, restarted or taken away."""
+from collections import defaultdict, deque
+
+import pytest
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from scalefall.control.grants import CALLS, LEAST, Grant, Ledger, fair
+
+S = 1_000_000
+LEASE, DELAY = 4 * S, 5 * S
+DEST = 7
+
+
+class Holder:
+    """One process of a proxy, by the contract: the highest number counts, for its lease from when it came."""
+
+    def __init__(self):
+        self.number, self.amount, self.until = 0, 0, 0
+
+    def get(self, grant, now):
+        if grant.number > self.number:
+            self.number, self.amount, self.until = grant.number, grant.amount, now + grant.lease_us
+
+    def may_use(self, now):
+        return self.amount if now < self.until else 0
+
+
+class World(RuleBasedStateMachine):
+    """Messages take up to DELAY each way or are lost; a holder cut off keeps what it has; the service may restart."""
+    names = st.sampled_from("abcd")
+
+    @initialize()
+    def start(self):
+        self.now, self.holders, self.wire = 0, {}, []
+        self.allowances = deque([(0, 0)])           # since when, how much
+        self.ledger, self.live, self.epoch = Ledger(0, LEASE, DELAY), set(), 0
+
+    def turn(self, delays):
+        for grant in self.ledger.turn(self.now):
+            delay = delays.pop() if delays else 0
+            if delay is not None:
+                self.wire.append((self.now + delay, "grant", grant, self.epoch))
+
+    @rule(span=st.integers(1, 3 * S), delays=st.lists(st.none() | st.integers(0, DELAY), max_size=4))
+    def time_goes_on(self, span, delays):
+        end = self.now + span
+        while True:
+            due = [row for row in self.wire if row[0] <= end]
+            at = min([max(self.now + 1, self.ledger.next_turn(self.now)), *(row[0] for row in due)])
+            if at > end:
+                break
+            self.now = at
+            for row in [row for row in due if row[0] == at]:
+                self.wire.remove(row)
+                self.arrived(row, delays)
+            self.turn(delays)
+            self.kept()
+        self.now = end
+
+    def arrived(self, row, delays):
+        _, kind, what, epoch = row
+        if kind == "ack" and epoch == self.epoch:
+            self.ledger.acknowledged(what.holder, DEST, what.number, self.now)
+        elif kind == "grant" and what.holder in self.holders:
+            self.holders[what.holder].get(what, self.now)
+            if what.holder in self.live:
+                self.wire.append((self.now + (delays.pop() or 0 if delays else 0), "ack", what, epoch))
+
+    @rule(name=names, wanted=st.integers(1, 20 * CALLS))
+    def joins(self, name, wanted):
+        self.holders.setdefault(name, Holder())
+        self.live.add(name)
+        self.ledger.join(name)
+        self.ledger.want(name, DEST, wanted)
+        self.turn([])
+
+    @rule(name=names)
+    def is_cut_off(self, name):
+        self.live.discard(name)
+        self.ledger.lost(name)
+
+    @rule(name=names, wanted=st.integers(0, 20 * CALLS))
+    def wants(self, name, wanted):
+        if name in self.live:
+            self.ledger.want(name, DEST, wanted)
+
+    @rule(amount=st.sampled_from([0, LEAST // 2, LEAST, 3 * LEAST, 5 * CALLS, 50 * CALLS]))
+    def the_module_allows(self, amount):
+        self.ledger.allow(DEST, amount)
+        self.allowances.append((self.now, amount))
+        self.turn([])
+
+    @rule()
+    def the_service_restarts(self):
+        self.ledger, self.epoch = Ledger(self.now, LEASE, DELAY), self.epoch + 1
+        number = max([holder.number for holder in self.holders.values()] +
+                     [row[2].number for row in self.wire if row[1] == "grant"], default=0)
+        self.ledger.resume(number)
+        for name in self.live:
+            self.ledger.join(name)
+            self.ledger.want(name, DEST, CALLS)
+        self.ledger.allow(DEST, self.allowances[-1][1])
+
+    @invariant()
+    def kept(self):
+        """What all may use is no more than was allowed at some moment of the last delay and lease."""
+        while len(self.allowances) > 1 and self.allowances[1][0] <= self.now - LEASE - DELAY:
+            self.allowances.popleft()
+        used = sum(holder.may_use(self.now) for holder in self.holders.values())
+        assert used <= max(amount for _, amount in self.allowances)
+        if not self.epoch:
+            assert used <= self.ledger.in_use(DEST, self.now)
+
+    def teardown(self):
+        """Left alone with an allowance, every live holder that wants work has some in the end."""
+        if not hasattr(self, "ledger"):
+            return
+        self.the_module_allows(LEAST)
+        for name in sorted(self.live):
+            self.ledger.want(name, DEST, CALLS)
+        served = defaultdict(int)
+        for _ in range(4 * 4 * 2 * 9 * 2):
+            self.time_goes_on(S // 2, [])
+            for name in self.live:
+                served[name] += self.holders[name].may_use(self.now)
+        assert all(served[name] for name in self.live)
+
+
+World.TestCase.settings = limits(max_examples=60, stateful_step_count=30, deadline=None, derandomize=True)
+TestWorld = World.TestCase
+
+
+def started(*holders, allow=10 * CALLS, want=20 * CALLS):
+    ledger = Ledger(-LEASE - DELAY, LEASE, DELAY)
+    ledger.allow(DEST, allow)
+    for holder in holders:
+        ledger.join(holder)
+        ledger.want(holder, DEST, want)
+    return ledger
+
+
+def amounts(grants):
+    return {grant.holder: grant.amount for grant in grants}
+
+
+def acknowledge(ledger, grants, now):
+    for grant in grants:
+        ledger.acknowledged(grant.holder, DEST, grant.number, now)
+
+
+def test_an_allowance_is_divided_and_a_newcomer_waits_for_room():
+    ledger = started("a", "b")
+    first = ledger.turn(0)
+    assert amounts(first) == {"a": 5 * CALLS, "b": 5 * CALLS}
+    acknowledge(ledger, first, S)
+    ledger.join("c")
+    ledger.want("c", DEST, 20 * CALLS)
+    second = ledger.turn(S)
+    assert amounts(second) == {"a": 3333, "b": 3333}    # less for them, and nothing yet for the newcomer
+    acknowledge(ledger, second[:1], S + 1)
+    assert amounts(ledger.turn(S + 1)) == {"c": 5000 - 3333}
+
+
+def test_what_a_silent_holder_has_is_nobody_elses_until_it_ran_out():
+    ledger = started("a", "b")
+    first = ledger.turn(0)
+    acknowledge(ledger, [grant for grant in first if grant.holder == "a"], 0)
+    ledger.lost("b")
+    assert amounts(ledger.turn(LEASE + DELAY - 1)) == {"a": 5 * CALLS}      # renewed, and not raised
+    assert amounts(ledger.turn(LEASE + DELAY)) == {"a": 10 * CALLS}
+
+
+def test_free_room_is_given_once():
+    ledger = started("x", "y")
+    acknowledge(ledger, ledger.turn(0), 0)
+    ledger.lost("x")
+    ledger.lost("y")
+    ledger.allow(DEST, 20 * CALLS)
+    for holder in ("b", "c"):
+        ledger.join(holder)
+        ledger.want(holder, DEST, 20 * CALLS)
+    assert amounts(ledger.turn(S)) == {"b": 10 * CALLS} and ledger.in_use(DEST, S) == 20 * CALLS
+
+
+def test_an_acknowledgement_of_an_earlier_grant_says_nothing_of_a_later_one():
+    ledger = started("a", allow=5 * CALLS)
+    first = ledger.turn(0)
+    ledger.allow(DEST, 10 * CALLS)
+    assert amounts(ledger.turn(1)) == {"a": 10 * CALLS}
+    acknowledge(ledger, first, 2)
+    assert ledger.in_use(DEST, 2) == ledger.in_use(DEST, 1 + DELAY + LEASE - 1) == 10 * CALLS
+
+
+def test_an_acknowledged_grant_runs_out_by_its_lease_and_a_lost_one_later():
+    ledger = started("a", "b")
+    acknowledge(ledger, [g for g in ledger.turn(0) if g.holder == "b"], S)
+    ledger.lost("a")
+    ledger.lost("b")
+    assert ledger.in_use(DEST, S + LEASE - 1) == 10 * CALLS
+    assert ledger.in_use(DEST, S + LEASE) == 5 * CALLS
+    assert ledger.in_use(DEST, DELAY + LEASE) == 0
+
+
+def test_nothing_is_granted_until_what_an_earlier_service_granted_has_run_out():
+    ledger = Ledger(0, LEASE, DELAY)
+    ledger.allow(DEST, CALLS)
+    ledger.join("a")
+    ledger.want("a", DEST, CALLS)
+    assert ledger.turn(LEASE + DELAY - 1) == [] and ledger.next_turn(0) == LEASE + DELAY
+    assert amounts(ledger.turn(LEASE + DELAY)) == {"a": CALLS}
+
+
+def test_a_fall_of_the_allowance_is_told_at_once_and_raises_nobody():
+    ledger = started("a", "b")
+    acknowledge(ledger, ledger.turn(0), 0)
+    ledger.allow(DEST, CALLS)
+    ledger.want("b", DEST, CALLS // 10)
+    less = ledger.turn(S)
+    assert amounts(less) == {"a": 900, "b": 100}
+    acknowledge(ledger, less[:1], S)
+    assert ledger.turn(S) == [] and ledger.in_use(DEST, S) > CALLS
+
+
+def test_a_destination_that_stays_as_it_is_costs_one_renewal_in_half_a_lease():
+    ledger = started("a")
+    sent, now = 0, 0
+    while now < 20 * LEASE:
+        grants = ledger.turn(now)
+        acknowledge(ledger, grants, now)
+        sent += len(grants)
+        now = max(now + 1, ledger.next_turn(now))
+    assert 40 <= sent <= 42
+
+
+@pytest.mark.parametrize("wanted, amount, shares", [
+    ({"a": 1, "b": 10, "c": 10}, 12, {"a": 1, "b": 5, "c": 6}), ({"a": 1, "b": 1}, 10, {"a": 5, "b": 5}),
+    ({}, 5, {}), ({"a": 5}, 0, {"a": 0})])
+def test_shares_are_max_min_fair(wanted, amount, shares):
+    assert fair(wanted, amount) == shares
+
+
+def test_a_grant_of_a_lower_number_that_comes_late_is_dropped_by_its_holder():
+    holder = Holder()
+    holder.get(Grant("a", DEST, 2, 0, LEASE), 0)
+    holder.get(Grant("a", DEST, 1, CALLS, LEASE), 1)
+    assert holder.may_use(2) == 0
--- /dev/null
+++ b/tests/control/test_members.py
@@ -0,0 +1,113 @@
+"""Proxies that come, go silent, return with what they had, appear twice, and restart within a lease."""
+from hypothesis import settings as limits
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from scalefall.control.members import MOST_INSTANCES, Change, Joined, Members, Refused, State
+
+SILENCE, FORGET = 10, 30
+
+
+def members(*streams, at=0):
+    found = Members(SILENCE, FORGET)
+    for number, node, instance in streams:
+        found.join(number, node, instance, at)
+    return found
+
+
+def test_one_that_reconnects_is_the_same_holder_and_its_old_stream_is_closed():
+    m = members((1, "p", "x"))
+    assert m.join(2, "p", "x", 5) == Joined("p/x", True, 1, False)
+    assert m.ended(1, 6) is None and m.state("p/x") is State.LIVE     # the old stream's end is no news
+    assert m.ended(2, 7) == Change("p/x", "p", State.CUT)
+    assert m.join(3, "p", "x", 8) == Joined("p/x", True, None, False)
+
+
+def test_silence_and_the_end_of_the_lease_count_from_the_last_sign_of_it():
+    m = members((1, "p", "x"))
+    assert m.turn(SILENCE - 1) == [] and m.next_turn(0) == SILENCE
+    assert m.turn(SILENCE) == [Change("p/x", "p", State.SILENT)]
+    m.ended(1, FORGET - 1)
+    assert m.turn(FORGET - 1) == []
+    assert m.turn(FORGET) == [Change("p/x", "p", State.GONE)] and len(m) == 0
+    assert m.join(2, "p", "x", FORGET) == Joined("p/x", False, None, False)
+
+
+def test_a_silent_one_that_speaks_is_live_again():
+    m = members((1, "p", "x"))
+    m.turn(SILENCE)
+    assert m.heard(1, SILENCE + 1) == "p/x" and m.heard(1, SILENCE + 2) is None
+    assert m.turn(SILENCE + 3) == [] and m.live() == ["p/x"]
+
+
+def test_a_restart_and_a_twin_are_holders_of_their_own():
+    m = members((1, "p", "x"))
+    assert m.join(2, "p", "y", 1) == Joined("p/y", False, None, True)
+    m.ended(1, 2)
+    assert m.join(3, "p", "z", 3).twin and sorted(m.live()) == ["p/y", "p/z"] and m.state("p/x") is State.CUT
+    assert m.join(4, "q", "x", 3) == Joined("q/x", False, None, False)
+
+
+def test_a_client_without_an_instance_is_new_with_each_stream():
+    m = members((1, "p", ""))
+    assert m.join(2, "p", "", 1) == Joined("p/stream-2", False, None, True)
+
+
+def test_one_name_cannot_fill_the_memory():
+    m = members(*((n, "p", f"i{n}") for n in range(MOST_INSTANCES)))
+    assert m.join(99, "p", "more", 1) == Refused("p") and len(m) == MOST_INSTANCES
+    assert isinstance(m.join(99, "q", "more", 1), Joined)
+    m.turn(FORGET)
+    assert isinstance(m.join(100, "p", "more", FORGET), Joined)
+
+
+class Fleet(RuleBasedStateMachine):
+    """Against a plain account of when each process was last heard."""
+
+    @initialize()
+    def start(self):
+        self.m, self.now, self.streams, self.heard, self.next = Members(SILENCE, FORGET), 0, {}, {}, 0
+
+    @rule(node=st.sampled_from("pq"), instance=st.sampled_from("xy"))
+    def joins(self, node, instance):
+        self.next += 1
+        joined = self.m.join(self.next, node, instance, self.now)
+        before = [stream for stream, holder in self.streams.items() if holder == joined.holder]
+        assert ([joined.close] if joined.close else []) == before
+        assert joined.came_back == (joined.holder in self.heard)
+        for stream in before:
+            del self.streams[stream]
+        self.streams[self.next], self.heard[joined.holder] = joined.holder, self.now
+
+    @rule(data=st.data(), ends=st.booleans())
+    def speaks_or_ends(self, data, ends):
+        if not self.streams:
+            return
+        stream = data.draw(st.sampled_from(sorted(self.streams)))
+        if ends:
+            assert self.m.ended(stream, self.now).state is State.CUT
+            del self.streams[stream]
+        else:
+            self.m.heard(stream, self.now)
+            self.heard[self.streams[stream]] = self.now
+
+    @rule(span=st.integers(1, 12))
+    def time_goes_on(self, span):
+        self.now += span
+        gone = {change.holder for change in self.m.turn(self.now) if change.state is State.GONE}
+        assert gone == {holder for holder, at in self.heard.items() if at <= self.now - FORGET}
+        self.heard = {holder: at for holder, at in self.heard.items() if holder not in gone}
+        self.streams = {stream: holder for stream, holder in self.streams.items() if holder not in gone}
+        assert self.m.next_turn(self.now) is None or self.m.next_turn(self.now) > self.now
+
+    @invariant()
+    def knows_who_is_live(self):
+        if hasattr(self, "m"):
+            assert len(self.m) == len(self.heard)
+            live = {holder for holder in self.streams.values() if self.m.state(holder) is State.LIVE}
+            assert set(self.m.live()) == live
+            assert all(self.m.holder(stream) == holder for stream, holder in self.streams.items())
+
+
+Fleet.TestCase.settings = limits(max_examples=80, stateful_step_count=40, deadline=None, derandomize=True)
+TestFleet = Fleet.TestCase
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -35,7 +35,7 @@
 
 
 def test_imports_point_down_only():
-    floors = ["cli", "lang", "net"]
+    floors = ["cli", "control", "lang", "net"]
     for path in sorted((ROOT / "scalefall").rglob("*.py")):
         if path.parent.name in floors:
             above = floors[:floors.index(path.parent.name)]
