Control: the module judges the calls that proxies report, and its allowances become grants

Proxies that do the sending need the module's paces, waits and guards, and no second policy beside it. In virtual time three proxies with three times a partner's load keep under fallMultiple of what it takes in every window after its cold return, also with one of them cut off meanwhile; with budgets taken out the test fails, as do six of seven deliberate faults (the seventh showed that tokens have no part in it, and went).

--- a/scalefall/interface.py
+++ b/scalefall/interface.py
@@ -140,6 +140,16 @@
     report: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass(slots=True)
+class Reported:
+    """A call that another proxy made under a grant of ours, as it told."""
+    endpoint: str
+    sent_us: int            # by our clock
+    outcome: Outcome
+    wait_us: int = 0
+    report: dict[str, float] = field(default_factory=dict)
+
+
 @dataclass(slots=True)
 class Probed:
     endpoint: str
@@ -169,6 +179,16 @@
     limit: float        # the limit that answers told; 0 if none
 
 
+@dataclass(slots=True)
+class Allowed:
+    """What all proxies together may send on a route now, in calls a second; inf: as much as they like."""
+    destination: int
+    route: str
+    endpoints: dict[str, float]     # those that may have fresh work, each with what its own guard leaves it
+    rate: float                     # the route's pace, or its guard's budget
+    silent_until: int               # nothing before: a wait that was told
+
+
 @dataclass(slots=True)
 class Closing:
     """The process ends at until_us, on purpose: a call still out then may have run."""
@@ -228,5 +248,5 @@
     line: str
 
 
-Event = Union[Message, Dropped, Attempted, Probed, Timer, Listed, Known, Closing]
+Event = Union[Message, Dropped, Attempted, Reported, Probed, Timer, Listed, Known, Closing]
 Action = Union[Send, Cancel, Refuse, Fail, SetTimer, Probe, Close, Subscribe, Log]
--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -11,9 +11,10 @@
 from itertools import chain
 from math import ceil, inf, log2, sqrt
 
-from scalefall.interface import (Action, Attempted, Cancel, Close, Closing, Dropped, Effect, Endpoint, Event,
-                                 Fail, Known, Listed, ListKind, Log, Message, MessageClass, Outcome, Refuse,
-                                 Send, SetTimer, Settings, Status, Subscribe, Timer)
+from scalefall.interface import (Action, Allowed, Attempted, Cancel, Close, Closing, Dropped, Effect,
+                                 Endpoint, Event, Fail, Known, Listed, ListKind, Log, Message, MessageClass,
+                                 Outcome, Refuse, Reported, Send, SetTimer, Settings, Status, Subscribe,
+                                 Timer)
 
 SECOND = 1_000_000
 BIN_US = 250_000            # the finest step of the request envelope
@@ -270,6 +271,8 @@
                 self._arrive(event)
             elif isinstance(event, Attempted):
                 self._outcome(event)
+            elif isinstance(event, Reported):
+                self._reported(event)
             elif isinstance(event, Listed):
                 self._listed(event)
             elif isinstance(event, Dropped):
@@ -693,6 +696,26 @@
         elif not key.out and key.rests_until <= self.now:
             del self.keys[name]
 
+    def _reported(self, event: Reported) -> None:
+        """A call that another proxy made under a grant: it counts, and is judged, as one of our own."""
+        server = self.servers.get(event.endpoint)
+        if server is not None:
+            server.route.sent.append(self.now)
+            self._trim(server.route.sent, RECENT_US)
+            self._tokens(server.route)      # a pace that was cut grows with the calls that it allows
+            server.route.silent_until = max(server.route.silent_until, self.now + event.wait_us)
+            self._judge(Call(server, event.sent_us), event)
+
+    def allowances(self) -> list[Allowed]:
+        """What all proxies together may send on each route; to be asked after a turn."""
+        return [Allowed(d.number, name,
+                        {s.entry.id: self._budget(self._guard(r, s)) for s in r.servers if s.ready},
+                        min(r.rate, self._budget(r.guard)), r.silent_until)
+                for d in self.destinations.values() for name, r in d.routes.items()]
+
+    def _budget(self, guard: Guard) -> float:
+        return inf if not guard.doubts else 0.0 if guard.next_call > self.now else SECOND / self._gap(guard)
+
     def _close(self, call: Call) -> None:
         call.open -= 1
         if not call.open:
--- /dev/null
+++ b/tests/control/test_judge.py
@@ -0,0 +1,189 @@
+"""The module judges what proxies report: paces, waits and budgets become grants, and a cold partner isn't flooded."""
+from math import inf
+
+import pytest
+from helpers import settings
+
+from scalefall import interface as i
+from scalefall.control.grants import CALLS, Ledger
+from scalefall.control.judge import UNLIMITED, Judge
+from scalefall.policy import Sender
+
+MS, S = 1000, 1_000_000
+LEASE, DELAY = 2 * S, S // 2
+O = i.Outcome  # noqa: E741
+
+
+def listed(*names, status=i.Status.READY):
+    return i.Listed(i.ListKind.CHANGES, [i.Endpoint(name, "a", "one", 1, status, 0.0) for name in names])
+
+
+def started(*holders, **changes):
+    judge = Judge(Sender(settings(siblings=1, **changes), 3), Ledger(-LEASE - DELAY, LEASE, DELAY))
+    for holder in holders:
+        judge._ledger.join(holder)
+        judge._ledger.want(holder, 1, 1000 * CALLS)
+    return judge
+
+
+def reports(outcome, times=1, at=0, wait=0, report=None, endpoint="e"):
+    return [i.Reported(endpoint, at, outcome, wait, report or {}) for _ in range(times)]
+
+
+def amounts(grants):
+    return {grant.holder: grant.amount for grant in grants}
+
+
+def test_what_the_module_does_not_pace_is_not_held_back():
+    judge = started("a")
+    assert amounts(judge.turn(0, [listed("e")])) == {"a": UNLIMITED}
+
+
+def test_a_limit_that_answers_tell_is_divided_among_all():
+    judge = started("a", "b")
+    judge.turn(0, [listed("e")])
+    grants = judge.turn(S, reports(O.OK, report={"x0": 0.0, "x1": 8.0}))
+    assert sum(amounts(grants).values()) <= 8 * CALLS and judge.allowed[0].rate <= 8
+
+
+def test_a_told_wait_stops_every_proxy_until_it_is_over():
+    judge = started("a", "b")
+    judge.turn(0, [listed("e")])
+    assert amounts(judge.turn(S, reports(O.OK, wait=3 * S))) == {"a": 0, "b": 0}      # a good answer may tell one too
+    assert judge.allowed[0].silent_until == 4 * S and judge.allowed[0].rate == inf
+    assert not any(amounts(judge.turn(4 * S - 1, [])).values())
+    assert any(amounts(judge.turn(20 * S, [])).values())
+
+
+def test_after_a_failure_nothing_goes_out_for_a_while_and_then_little():
+    judge = started("a")
+    judge.turn(0, [listed("e")])
+    judge.turn(S, reports(O.CONNECT_FAILED, at=S))
+    assert judge.allowed[0].rate == 0
+    judge.turn(60 * S, [])
+    assert 0 < judge.allowed[0].rate < 10
+
+
+def test_a_pace_that_was_cut_grows_with_the_calls_that_are_reported():
+    judge = started("a")
+    judge.turn(0, [listed("e")])
+    judge.turn(S, reports(O.OK, 40, S) + reports(O.FULL, at=S))
+    rates = []
+    for tenth in range(11, 18):
+        judge.turn(tenth * S // 10, reports(O.OK, at=tenth * S // 10))
+        rates.append(judge.allowed[0].rate)
+    assert rates == sorted(rates) and 1.2 * rates[0] < rates[-1] < inf
+
+
+def test_a_draining_endpoint_is_no_state_of_ready_and_the_last_one_leaves_no_allowance():
+    judge = started("a")
+    judge.turn(0, [listed("e", "f")])
+    judge.turn(1, [listed("e", status=i.Status.DRAINING)])
+    assert set(judge.allowed[0].endpoints) == {"f"}
+    assert amounts(judge.turn(2, [listed("f", status=i.Status.DRAINING)])) == {"a": 0}
+
+
+def test_an_endpoint_in_doubt_beside_one_that_serves_has_a_budget_of_its_own():
+    judge = started("a")
+    judge.turn(0, [listed("e", "f")])
+    for second in range(1, 8):
+        judge.turn(second * S, reports(O.OK, 5, second * S, endpoint="f") +
+                   reports(O.CONNECT_FAILED, 2, second * S - 1, endpoint="e"))
+    [row] = judge.allowed
+    assert row.endpoints["f"] == inf and row.endpoints["e"] < 5 and row.rate == inf
+    judge.turn(9 * S, [listed("f", status=i.Status.DRAINING)])     # now that one's budget is all there is
+    assert judge.allowed[0].rate == inf and judge._ledger._destinations[1].allowance < 5 * CALLS
+
+
+def test_a_report_on_an_endpoint_that_nobody_knows_changes_nothing():
+    judge = started("a")
+    judge.turn(0, [listed("e")])
+    before = judge.allowed
+    judge.turn(1, reports(O.TIMEOUT, 5, endpoint="never"))
+    assert judge.allowed == before
+
+
+class Partner:
+    """Takes so many calls a second; down for a while, then cold, and warm after cold_us; counts what reaches it."""
+
+    def __init__(self, warm, down, back, set_):
+        self.warm, self.down, self.back, self.set, self.calls, self.tokens, self.at = warm, down, back, set_, [], 0.0, 0
+
+    def capacity(self, now):
+        if now < self.back:
+            return self.warm
+        part = min(1.0, (now - self.back) / self.set.cold_us)
+        return self.warm * (self.set.cold_from + (1 - self.set.cold_from) * part)
+
+    def call(self, now):
+        self.calls.append(now)
+        if self.down <= now < self.back:
+            return O.CONNECT_FAILED
+        self.tokens = min(2.0, self.tokens + self.capacity(now) * (now - self.at) / S)
+        self.at = now
+        if self.tokens < 1:
+            return O.FULL
+        self.tokens -= 1
+        return O.OK
+
+
+class Proxy:
+    """Sends all that its grant lets it: one call at once, and then at the grant's pace. Reports what became of them."""
+
+    def __init__(self, name, backlog):
+        self.name, self.backlog, self.number, self.amount, self.until = name, backlog, 0, 0, 0
+        self.tokens, self.at, self.report, self.linked = 0.0, 0, [], True
+
+    def get(self, grant, now):
+        if grant.number > self.number:
+            self.number, self.amount, self.until = grant.number, grant.amount, now + grant.lease_us
+
+    def send(self, now, partner):
+        rate = min(self.backlog, self.amount / CALLS) if now < self.until else 0.0
+        self.tokens, self.at = min(1.0, self.tokens + rate * (now - self.at) / S), now
+        if self.tokens >= 1:
+            self.tokens -= 1
+            self.report.append(i.Reported("e", now, partner.call(now)))
+
+
+def play(cut=None, seconds=70):
+    """Three proxies with work for three times what the partner takes; it is down from 20 s to 35 s and returns cold."""
+    set_ = settings(siblings=1)
+    partner = Partner(30.0, 20 * S, 35 * S, set_)
+    proxies = [Proxy(name, 30.0) for name in "abc"]
+    judge, wire = started("a", "b", "c"), []
+    judge.turn(0, [listed("e")])
+    for now in range(0, seconds * S, 10 * MS):
+        for _, kind, proxy, what in [row for row in wire if row[0] <= now]:
+            if kind == "grant":
+                proxy.get(what, now)
+                wire.append((now + 50 * MS, "ack", proxy, what))
+            else:
+                judge._ledger.acknowledged(proxy.name, 1, what.number, now)
+        wire = [row for row in wire if row[0] > now]
+        for proxy in proxies:
+            proxy.send(now, partner)
+            linked = not (cut and proxy.name == cut[0] and cut[1] <= now < cut[2])
+            if linked != proxy.linked:
+                (judge._ledger.join if linked else judge._ledger.lost)(proxy.name)
+                proxy.linked = linked
+        if now % (100 * MS) == 0:
+            told = [report for proxy in proxies if proxy.linked for report in proxy.report]
+            for proxy in proxies:
+                proxy.report = proxy.report if not proxy.linked else []
+            for grant in judge.turn(now, told):
+                proxy = next(one for one in proxies if one.name == grant.holder)
+                if proxy.linked:
+                    wire.append((now + 50 * MS, "grant", proxy, grant))
+    return partner, set_
+
+
+@pytest.mark.parametrize("cut", [None, ("a", 30 * S, 45 * S), ("b", 19 * S, 36 * S)])
+def test_a_partner_that_returns_cold_is_not_flooded_and_is_used_again(cut):
+    partner, set_ = play(cut)
+    window = set_.fall_us
+    for start in range(35 * S, 70 * S - window, 100 * MS):
+        got = sum(start <= at < start + window for at in partner.calls)
+        room = set_.fall_multiple * window / S * partner.capacity(start + window)
+        assert got <= room + 3, (start / S, got, room)
+    assert sum(at >= 60 * S for at in partner.calls) >= 10 * 30 / 3
