--- a/scalefall/lang/diff.py
+++ b/scalefall/lang/diff.py
@@ -13,7 +13,7 @@
 
 from scalefall.lang import units
 from scalefall.lang.model import Site
-from scalefall.lang.schema import BLOCKS, DURATION, POLICY, RATE, SIZE, Repeat
+from scalefall.lang.schema import BLOCKS, DURATION, POLICY, RATE, Repeat
 from scalefall.lang.text import Place, listed
 
 DANGEROUS, NOTABLE, PLAIN = "dangerous", "notable", "plain"
@@ -238,7 +238,7 @@
         far = times >= MOST_TIMES
         how = "" if not times else f"{_round(times)} times {'shorter' if new < old else 'longer'}"
         return (DANGEROUS, "unit", f"{how}: a wrong unit?") if far else (PLAIN, "value", how)
-    words = ("smaller", "larger") if setting.kind is SIZE else ("fewer", "more") if isinstance(old, int) else \
+    words = ("smaller", "larger") if setting.kind.name == "a size" else ("fewer", "more") if isinstance(old, int) else \
         ("less", "more")
     return PLAIN, "value", f"{_round(times)} times {words[new > old]}" if times >= MOST_RAISE else ""
 
--- a/scalefall/lang/schema.py
+++ b/scalefall/lang/schema.py
@@ -225,6 +225,15 @@
     return Kind("a count", _one(lambda word: units.count(word, least, most), "a count"))
 
 
+def _size(least: int) -> Kind:
+    def read(word: str) -> int:
+        value = units.size(word)
+        if value < least:
+            raise Wrong(f"{word} is too little", f"write at least {units.show_size(least)}", code="range")
+        return value
+    return Kind("a size", _one(read, "a size"), units.show_size)
+
+
 def _score(word: str) -> Decimal:
     value = units.number(word)
     if value > MOST_SCORE:
@@ -258,7 +267,6 @@
 
 DURATION = Kind("a duration", _one(units.duration, "a duration"), units.show_duration)
 RATE = Kind("a rate", units.rate)
-SIZE = Kind("a size", _one(units.size, "a size"), units.show_size)
 SHARE = Kind("a share", _one(units.share, "a share"), units.show_share)
 SCORE = Kind("a number", _one(_score, "a number"), units.plain)
 FLAG = Kind("yes or no", _one(_flag), lambda value: "yes" if value else "no")
@@ -282,9 +290,9 @@
         Setting("number", Kind("a place in a row", _number_of, lambda v: f"{v[0]} of {v[1]}"),
                 "which of how many senders this is; they share the limits", "0 of 1"),
         Setting("cores", SCORE, "what it may use of the processor", "1"),
-        Setting("memory", SIZE, "what it may use of the memory", "192MB"),
+        Setting("memory", _size(16 * 10**6), "what it may use of the memory", "192MB"),
         Setting("sockets", _count(64, 1_000_000), "descriptors it may hold", "1024"),
-        Setting("disk", SIZE, "how large its folder may grow", "3MB"),
+        Setting("disk", _size(100_000), "how large its folder may grow", "3MB"),
         Setting("slots", _count(1, 100_000), "calls that may be out at once", "12"),
         Setting("hold", _count(1, 1_000_000), "messages that may be open at once", "200"),
         Setting("idle-close", DURATION, "an idle connection is closed before this", "10s"),
