Check the sum of grants once a turn, not once a grant; one piece each for errors and quantities

Printing errors stood in four places of the command line, and the beginning of a duration and of a size in two.

--- a/scalefall/cli/config.py
+++ b/scalefall/cli/config.py
@@ -69,7 +69,7 @@
 def _format_stdin() -> int:
     loaded = load.single_text(sys.stdin.buffer.read(), "standard input")
     if not loaded.usable:
-        return _shape_errors(loaded)
+        return output.print_errors(loaded)
     click.echo(formatter.layout(loaded.documents[0]), nl=False)
     return output.OK
 
@@ -77,7 +77,7 @@
 def _format_file(name: str, only_check: bool, show_diff: bool) -> int:
     loaded = load.single(*files.locate(name))
     if not loaded.usable:
-        return _shape_errors(loaded)
+        return output.print_errors(loaded)
     old, new = loaded.raw, formatter.layout(loaded.documents[0])
     if old == new.encode():
         return output.OK
@@ -93,12 +93,6 @@
     return output.DIFFERS if only_check or show_diff else output.OK
 
 
-def _shape_errors(loaded: load.Loaded) -> int:
-    click.echo(render.text([each for each in loaded.problems if each.severity == "error"], loaded.source(), paint),
-               err=True, nl=False)
-    return output.CANNOT_RUN if loaded.fatal else output.ERRORS
-
-
 @click.command(epilog="""\b
 Examples:
   scalefall diff old/site.scale new/site.scale
@@ -118,8 +112,7 @@
     old, new = (output.read(*pair) for pair in (pairs if len(pairs) == 2 else [*pairs, (paths[0], "")]))
     for loaded in (old, new):
         if not loaded.usable:
-            click.echo(render.text([each for each in loaded.problems if each.severity == "error"], loaded.source(),
-                                   paint), err=True, nl=False)
+            output.print_errors(loaded)
             output.cannot_run("a configuration with errors has no meaning to compare")
     changes = differ.compare(old.site, new.site)
     click.echo(differ.as_json(changes) if form == "json" else differ.as_text(changes, paint), nl=False)
--- a/scalefall/cli/output.py
+++ b/scalefall/cli/output.py
@@ -60,12 +60,16 @@
     """The same where only a configuration without errors is of use: otherwise they are printed, and that was it."""
     loaded = read(path, revision)
     if not loaded.usable:
-        errors = [problem for problem in loaded.problems if problem.severity == "error"]
-        click.echo(render.text(errors, loaded.source(), paint), err=True, nl=False)
-        raise SystemExit(CANNOT_RUN if loaded.fatal else ERRORS)
+        raise SystemExit(print_errors(loaded))
     return loaded
 
 
+def print_errors(loaded: load.Loaded) -> int:
+    """On standard error; the exit code that goes with them."""
+    click.echo(render.text(loaded.wrong, loaded.source(), paint), err=True, nl=False)
+    return CANNOT_RUN if loaded.fatal else ERRORS
+
+
 def put(text: str, path: str | None) -> None:
     """To a file if one is named, otherwise to standard output."""
     if path is None:
--- a/scalefall/cli/reader.py
+++ b/scalefall/cli/reader.py
@@ -100,8 +100,8 @@
         put(Wrong(f"scalefall: {line}\n", [line], True))
         return
     if not loaded.usable:
-        errors = [each for each in loaded.problems if each.severity == "error"]
-        put(Wrong(render.text(errors, loaded.source()), [render.line(each) for each in errors], loaded.fatal))
+        put(Wrong(render.text(loaded.wrong, loaded.source()), [render.line(each) for each in loaded.wrong],
+                  loaded.fatal))
         return
     config = replace(sender.config(loaded.site, request.state, request.seed), **request.flags)
     left = sender.cannot_change(request.fixed, loaded.site) if request.fixed else []
--- a/scalefall/control/grants.py
+++ b/scalefall/control/grants.py
@@ -202,7 +202,8 @@
         """What is to be less first; then what is to be more, or goes on, as far as there is room."""
         targets, grants = self._targets(place, now), []
         holds(sum(targets.values()) <= place.allowance, "shares are no more than the allowance")
-        room = place.allowance - place.in_use()
+        before = place.in_use()
+        room = place.allowance - before
         for holder in [holder for holder in place.shares if holder in self._live]:
             share, target = place.shares[holder], targets.get(holder, 0)
             if target < share.granted * (1 - CHANGED) or target < share.granted and room < 0:
@@ -215,15 +216,13 @@
                 continue
             room -= max(0, amount - share.in_use)
             grants.append(self._grant(number, holder, share, amount, now))
+        holds(place.in_use() <= max(before, place.allowance), "a raise takes free room only")
         return grants
 
     def _grant(self, number: int, holder: str, share: _Share, amount: int, now: int) -> Grant:
-        before = self.in_use(number, now)
         self._number += 1
         share.out.append(_Out(self._number, amount, now + self.delay + self.lease))
         share.sent = now
-        after = self.in_use(number, now)
-        holds(after == before or after <= self._destinations[number].allowance, "a raise takes free room only")
         return Grant(holder, number, self._number, amount, self.lease)
 
     def _targets(self, place: _Destination, now: int) -> dict[str, int]:
--- a/scalefall/lang/load.py
+++ b/scalefall/lang/load.py
@@ -7,7 +7,7 @@
 from scalefall.lang.meaning import understand
 from scalefall.lang.model import Def, Site
 from scalefall.lang.syntax import Document
-from scalefall.lang.text import Place, Problem, Problems
+from scalefall.lang.text import ERROR, Place, Problem, Problems
 
 
 @dataclass(slots=True)
@@ -23,6 +23,11 @@
     def usable(self) -> bool:
         return not self.errors
 
+    @property
+    def wrong(self) -> list[Problem]:
+        """The errors alone, for who has no use for warnings."""
+        return [problem for problem in self.problems if problem.severity == ERROR]
+
     @property
     def fatal(self) -> bool:
         """The first file could not be read, so nothing was checked."""
--- a/scalefall/lang/units.py
+++ b/scalefall/lang/units.py
@@ -67,18 +67,25 @@
     return Wrong(f"{text!r} is not {wanted}", example)
 
 
-def duration(text: str) -> int:
-    """A duration in whole microseconds."""
-    example = "write a number with its unit, like 3s, 1500ms or 2min"
+def _quantity(text: str, what: str, example: str, units: dict[str, int], meant: tuple[str, ...]) -> tuple[str, str]:
+    """The number and the unit of a text, which may be none of the units yet; meant are the likely ones."""
     parts = QUANTITY.match(text)
     if parts is None:
-        raise _other_kind(text, "a duration", example)
+        raise _other_kind(text, what, example)
     sign, number, unit = parts[1], parts[2], parts[3] or ""
     if sign:
-        raise Wrong(f"a duration has no sign: {text}", f"write {number}{unit}")
+        raise Wrong(f"{what} has no sign: {text}", f"write {number}{unit}")
     if not unit:
-        raise Wrong(f"{text} has no unit where a duration belongs (us, ms, s, min, h)",
-                    f"write {number}ms, {number}s or {number}min, whichever you mean", code="no-unit")
+        *first, last = (number + each for each in meant)
+        raise Wrong(f"{text} has no unit where {what} belongs ({', '.join(units)})",
+                    f"write {', '.join(first)} or {last}, whichever you mean", code="no-unit")
+    return number, unit
+
+
+def duration(text: str) -> int:
+    """A duration in whole microseconds."""
+    example = "write a number with its unit, like 3s, 1500ms or 2min"
+    number, unit = _quantity(text, "a duration", example, DURATIONS, ("ms", "s", "min"))
     if unit in ("m", "M"):
         raise Wrong(f"{text} could be minutes or milliseconds", f"write {number}min or {number}ms", code="unit")
     right = unit if unit in DURATIONS else SPELLED.get(unit.lower(), unit.lower())
@@ -138,15 +145,7 @@
 def size(text: str) -> int:
     """A size in bytes."""
     example = "write a number with its unit, like 64KiB or 192MB"
-    parts = QUANTITY.match(text)
-    if parts is None:
-        raise _other_kind(text, "a size", example)
-    sign, number, unit = parts[1], parts[2], parts[3] or ""
-    if sign:
-        raise Wrong(f"a size has no sign: {text}", f"write {number}{unit}")
-    if not unit:
-        raise Wrong(f"{text} has no unit where a size belongs (B, kB, MB, GB, KiB, MiB, GiB)",
-                    f"write {number}MB or {number}MiB, whichever you mean", code="no-unit")
+    number, unit = _quantity(text, "a size", example, SIZES, ("MB", "MiB"))
     if unit not in SIZES:
         right = next((known for known in SIZES if known.lower() in (unit.lower(), unit.lower() + "b")), "")
         if right:
