--- /dev/null
+++ b/scalefall/cli/control.py
@@ -0,0 +1,102 @@
+"""`scalefall control`: the control service for other proxies. Its libraries are loaded only when it starts."""
+from __future__ import annotations
+
+import ipaddress
+import secrets
+import signal
+from dataclasses import replace
+
+import click
+
+from scalefall.cli import logs, output, reader
+from scalefall.cli.output import option
+from scalefall.cli.run import folder as state_folder
+from scalefall.lang.files import ROOT_FILE
+from scalefall.net.checks import log
+from scalefall.net.config import Config, ConfigError, read_address
+
+MISSING = "the control service needs {}: pip install 'scalefall[tools,control]'"
+
+
+def _listen(context: click.Context, parameter: click.Parameter, value: str) -> str:
+    try:
+        host, port = read_address(value, "it")
+        ipaddress.ip_address(host.strip("[]"))
+        return f"{host}:{port}"
+    except (ConfigError, ValueError) as error:
+        raise click.BadParameter(str(error)) from None
+
+
+def _seconds(least: float, most: float) -> click.ParamType:
+    return click.FloatRange(least, most)
+
+
+@click.command(epilog="""\b
+Examples:
+  scalefall control --config site.scale --state /var/lib/scalefall-control --listen 10.0.0.5:18000 \\
+                    --certificate control.pem --key control.key --clients proxies-ca.pem
+  scalefall control --config site.scale --state state --plain-text         on loopback only
+\b
+SIGHUP reads the configuration again. Certificates that are replaced count from the next connection on.
+Exit code 2: it could not start.""")
+@option("--config", "path", type=click.Path(), default=ROOT_FILE, show_default=True,
+        help="The configuration's file, or a folder with a site.scale.")
+@option("--state", required=True, callback=state_folder,
+        help="The folder that lasts. Processes that share it stand by for each other.")
+@option("--listen", metavar="ADDRESS:PORT", default="127.0.0.1:18000", show_default=True, callback=_listen,
+        help="Where proxies connect: ADS, load reports and quotas.")
+@option("--certificate", type=click.Path(), help="This service's certificate, PEM, with its chain.")
+@option("--key", type=click.Path(), help="Its private key, PEM.")
+@option("--clients", type=click.Path(), help="The authorities of the proxies' certificates, PEM.")
+@option("--plain-text", is_flag=True, help="No certificates: whoever connects is believed. On loopback only.")
+@option("--lease", type=_seconds(0.5, 60), default=2.0, show_default=True,
+        help="Seconds that a grant lasts. A fall of an allowance takes lease + delay at most.")
+@option("--delay", type=_seconds(0, 60), default=0.5, show_default=True,
+        help="The longest that a message may be under way to a client that does not number its reports.")
+@option("--endpoint-lease", type=_seconds(0.3, 60), default=0.9, show_default=True,
+        help="Seconds that a proxy trusts its endpoints without a word from here: under 1 for the drain rule.")
+@option("--report-every", type=_seconds(0.1, 60), default=1.0, show_default=True, help="Seconds between load reports.")
+@option("--log-level", type=click.Choice(logs.LEVELS), default="info", show_default=True)
+@option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True,
+        help="Lines for people, or one JSON object each.")
+def control(path: str, state: str, listen: str, certificate: str | None, key: str | None, clients: str | None,
+            plain_text: bool, lease: float, delay: float, endpoint_lease: float, report_every: float, log_level: str,
+            log_format: str) -> None:
+    """Hand the decisions to other proxies over xDS, until SIGTERM."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # one that comes before it is ready must not end it
+    given = [word for word in (certificate, key, clients) if word]
+    if plain_text and given:
+        raise click.UsageError("--plain-text goes with no certificates")
+    if not plain_text and len(given) < 3:
+        raise click.UsageError("--certificate, --key and --clients are needed, or --plain-text on loopback")
+    if plain_text and not ipaddress.ip_address(listen.rpartition(":")[0].strip("[]")).is_loopback:
+        raise click.UsageError(f"--plain-text is for loopback only, not for {listen}")
+    try:
+        from scalefall.control.edge import keys, run, server
+        from scalefall.control.edge.state import Folder, Unusable
+    except ModuleNotFoundError as error:
+        if error.name.startswith("scalefall"):
+            raise
+        output.cannot_run(MISSING.format(error.name))
+    request = reader.Request(path, state, secrets.randbits(64), {}, None)
+    try:
+        start = reader.read(request)
+    except reader.Unusable as error:
+        click.echo(error.wrong.text, err=True, nl=False)
+        raise SystemExit(output.CANNOT_RUN if error.wrong.fatal else output.ERRORS) from None
+    except ConfigError as error:
+        output.cannot_run(str(error))
+    logs.set_up(log_level, log_format)
+
+    def tell(line: str, good: bool) -> None:
+        log.log(20 if good else 40, "%s", line)
+
+    def read_again() -> Config:
+        return reader.read(replace(request, fixed=start.fixed)).config
+
+    options = server.Options(listen, *(int(each * 1_000_000) for each in (lease, delay, endpoint_lease, report_every)))
+    try:
+        held = None if plain_text else keys.Keys(keys.Paths(certificate, key, clients), tell)
+        run.run(start.config, options, Folder(state), held, read_again)
+    except (keys.Unusable, Unusable, OSError) as error:
+        output.cannot_run(str(error))
--- a/scalefall/cli/main.py
+++ b/scalefall/cli/main.py
@@ -4,7 +4,7 @@
 import click
 
 from scalefall import __version__
-from scalefall.cli import config, run
+from scalefall.cli import config, control, run
 from scalefall.cli.output import SETTINGS
 
 EPILOG = """\b
@@ -39,5 +39,5 @@
     click.echo(kind(main, {}, "scalefall", "_SCALEFALL_COMPLETE").source())
 
 
-for command in (*config.COMMANDS, run.run):
+for command in (*config.COMMANDS, run.run, control.control):
     main.add_command(command)
--- a/scalefall/cli/run.py
+++ b/scalefall/cli/run.py
@@ -23,7 +23,7 @@
         raise click.BadParameter(str(error)) from None
 
 
-def _folder(context: click.Context, parameter: click.Parameter, value: str) -> str:
+def folder(context: click.Context, parameter: click.Parameter, value: str) -> str:
     if not os.path.isdir(value):
         raise click.BadParameter(f"{value} is not a folder")
     if not os.access(value, os.W_OK | os.X_OK):
@@ -39,7 +39,7 @@
 SIGTERM ends it within 3.3 s; what it owes stays in the folder. Exit code 2: it could not start.""")
 @option("--config", "path", type=click.Path(), default=ROOT_FILE, show_default=True,
         help="The configuration's file, or a folder with a site.scale.")
-@option("--state", required=True, callback=_folder, help="The folder that lasts. Nothing else is written.")
+@option("--state", required=True, callback=folder, help="The folder that lasts. Nothing else is written.")
 @option("--name", help="Goes before the file's name.")
 @option("--listen", metavar="ADDRESS:PORT", callback=_address, help="Goes before the file's listen.")
 @option("--reports", metavar="ADDRESS:PORT", callback=_address, help="Goes before the file's reports.")
--- /dev/null
+++ b/scalefall/control/bounds.py
@@ -0,0 +1,46 @@
+"""What a client may cost: how fast it may speak and open streams. No I/O, no clock."""
+from __future__ import annotations
+
+from collections import OrderedDict
+
+SECOND = 1_000_000
+
+
+class Bucket:
+    """So many at once, then so many a second."""
+
+    def __init__(self, now: int, burst: int, a_second: int) -> None:
+        self._burst, self._gap = burst, SECOND // a_second
+        self._next = now - burst * self._gap        # the moment up to which it is used
+
+    def take(self, now: int) -> int:
+        """Takes one; how many us to wait before it is let through, 0 for at once."""
+        self._next = max(self._next, now - self._burst * self._gap) + self._gap
+        return max(0, self._next - now)
+
+    def refuse(self, now: int) -> bool:
+        """Takes one if there is one; True if there is none."""
+        if max(self._next, now - self._burst * self._gap) + self._gap > now:
+            return True
+        self.take(now)
+        return False
+
+
+class Openings:
+    """How often each client opens something. The clients seen longest ago are forgotten beyond `most`."""
+
+    def __init__(self, burst: int, a_second: int, most: int) -> None:
+        self._burst, self._a_second, self._most = burst, a_second, most
+        self._buckets: OrderedDict[str, Bucket] = OrderedDict()
+
+    def refuse(self, client: str, now: int) -> bool:
+        bucket = self._buckets.get(client)
+        if bucket is None:
+            bucket = self._buckets[client] = Bucket(now, self._burst, self._a_second)
+            if len(self._buckets) > self._most:
+                self._buckets.popitem(last=False)
+        self._buckets.move_to_end(client)
+        return bucket.refuse(now)
+
+    def __len__(self) -> int:
+        return len(self._buckets)
--- /dev/null
+++ b/scalefall/control/edge/keys.py
@@ -0,0 +1,135 @@
+"""Certificates: this service's own, who may connect, and which node a certificate is for.
+
+The files are looked at for each new connection: a pair or an authority that was replaced counts from the next one on,
+with no restart. Replacing that is half done (a key that doesn't belong to the certificate) leaves the old pair in use.
+A certificate names its node by a DNS or URI entry of its subject alternative name that equals the node id.
+"""
+from __future__ import annotations
+
+import datetime
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import grpc
+from cryptography import x509
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives.serialization import Encoding, PublicFormat, load_pem_private_key
+
+MOST_BYTES = 1_000_000
+
+
+class Unusable(Exception):
+    """The files can't be used; the text is one plain line."""
+
+
+@dataclass(slots=True, frozen=True)
+class Paths:
+    certificate: str
+    key: str
+    clients: str        # the authorities that proxies' certificates are signed by
+
+
+@dataclass(slots=True, frozen=True)
+class Pair:
+    certificate: bytes
+    key: bytes
+    clients: bytes
+    ends: datetime.datetime
+
+
+def read(paths: Paths, now: datetime.datetime) -> Pair:
+    certificate, key, clients = (_bytes(path) for path in (paths.certificate, paths.key, paths.clients))
+    chain = _certificates(certificate, paths.certificate)
+    _certificates(clients, paths.clients)
+    try:
+        private = load_pem_private_key(key, None)
+    except (ValueError, TypeError) as error:
+        raise Unusable(f"{paths.key} holds no private key that can be read: {str(error).splitlines()[0]}") from None
+    if _public(private.public_key()) != _public(chain[0].public_key()):
+        raise Unusable(f"{paths.key} is not the key of {paths.certificate}")
+    if chain[0].not_valid_after_utc <= now:
+        raise Unusable(f"{paths.certificate} ended at {chain[0].not_valid_after_utc:%Y-%m-%d %H:%M} UTC")
+    return Pair(certificate, key, clients, chain[0].not_valid_after_utc)
+
+
+class Keys:
+    """The pair in use. `tell` is called with a line for the log when files change or can't be used."""
+
+    def __init__(self, paths: Paths, tell: Callable[[str, bool], None]) -> None:
+        self._paths, self._tell = paths, tell
+        self._seen = self._marks()
+        self.pair = read(paths, _now())
+
+    def credentials(self) -> grpc.ServerCredentials:
+        return grpc.dynamic_ssl_server_credentials(_configuration(self.pair), self._fetch, True)
+
+    def _fetch(self) -> grpc.ServerCertificateConfiguration | None:
+        """Called for each handshake, in a thread of the library; None: no change."""
+        marks = self._marks()
+        if marks == self._seen:
+            return None
+        self._seen = marks
+        try:
+            self.pair = read(self._paths, _now())
+        except Unusable as error:
+            self._tell(f"certificates stay as they were: {error}", False)
+            return None
+        self._tell(f"certificates replaced: valid until {self.pair.ends:%Y-%m-%d %H:%M} UTC", True)
+        return _configuration(self.pair)
+
+    def _marks(self) -> list[tuple[int, int, int]]:
+        marks = []
+        for path in (self._paths.certificate, self._paths.key, self._paths.clients):
+            try:
+                stat = os.stat(path)
+                marks.append((stat.st_mtime_ns, stat.st_size, stat.st_ino))
+            except OSError:
+                marks.append((0, 0, 0))
+        return marks
+
+    def trusts(self, certificate: bytes) -> bool:
+        """Whether an authority in use now has signed it: one that was taken out ends its proxies' streams."""
+        try:
+            theirs = x509.load_pem_x509_certificate(certificate)
+        except ValueError:
+            return False
+        for authority in _certificates(self.pair.clients, self._paths.clients):
+            try:
+                theirs.verify_directly_issued_by(authority)
+                return True
+            except (ValueError, TypeError, InvalidSignature):
+                continue
+        return False
+
+
+def ends(certificate: bytes) -> float:
+    """When a client's certificate ends, as seconds of the wall clock."""
+    return x509.load_pem_x509_certificate(certificate).not_valid_after_utc.timestamp()
+
+
+def _configuration(pair: Pair) -> grpc.ServerCertificateConfiguration:
+    return grpc.ssl_server_certificate_configuration([(pair.key, pair.certificate)], pair.clients)
+
+
+def _certificates(data: bytes, path: str) -> list[x509.Certificate]:
+    try:
+        return x509.load_pem_x509_certificates(data)
+    except ValueError:
+        raise Unusable(f"{path} holds no certificate that can be read") from None
+
+
+def _public(key: object) -> bytes:
+    return key.public_bytes(Encoding.DER, PublicFormat.SubjectPublicKeyInfo)
+
+
+def _bytes(path: str) -> bytes:
+    try:
+        with open(path, "rb") as file:
+            return file.read(MOST_BYTES)
+    except OSError as error:
+        raise Unusable(f"{path}: {error.strerror}") from None
+
+
+def _now() -> datetime.datetime:
+    return datetime.datetime.now(datetime.timezone.utc)
--- /dev/null
+++ b/scalefall/control/edge/reports.py
@@ -0,0 +1,88 @@
+"""Load reports as the module's events. No I/O.
+
+By endpoint (upstream_endpoint_stats) where a client gives them, else a zone's totals over its endpoints in turn. What
+is reported by named metrics beside successes and errors, each with its number of calls, says how errors ended:
+
+    scalefall.full, scalefall.timeout, scalefall.reset, scalefall.connect_failed     calls that ended so
+    scalefall.wait_ms       the longest wait that answers told, as of this report
+    x0, x1                  ORCA's named metrics as the endpoint told them (also as named_metrics.x0): the mean
+
+Errors that nothing says more of are errors. Source: envoy.service.load_stats.v3, gRFC A64, A85.
+"""
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+
+from envoy.config.endpoint.v3 import load_report_pb2
+
+from scalefall import interface as i
+from scalefall.control.edge import resources
+from scalefall.control.service import MOST_REPORTED
+from scalefall.net.farm import Entry
+
+PREFIX = "scalefall."
+ENDS = {"full": i.Outcome.FULL, "timeout": i.Outcome.TIMEOUT, "reset": i.Outcome.RESET,
+        "connect_failed": i.Outcome.CONNECT_FAILED}
+FIGURES = ("x0", "x1")
+MOST_WAIT_MS = 3_600_000
+MOST_INTERVAL_US = 60_000_000
+Place = tuple[int, str, int]        # route, address, port
+
+
+class Index:
+    """The endpoints of a fleet as load reports name them."""
+
+    def __init__(self, entries: Iterable[Entry]) -> None:
+        self._ids: dict[Place, str] = {}
+        self._zones: dict[tuple[int, str], list[str]] = {}
+        for entry in entries:
+            end = entry.endpoint
+            self._ids[end.destination, *entry.address] = end.id
+            self._zones.setdefault((end.destination, end.zone), []).append(end.id)
+
+    def events(self, stats: Iterable[load_report_pb2.ClusterStats], now: int) -> Iterator[i.Reported]:
+        """What is of no cluster or endpoint of ours says nothing."""
+        for cluster in stats:
+            route = resources.destination(cluster.cluster_name)
+            if route is None:
+                continue
+            span = min(MOST_INTERVAL_US, cluster.load_report_interval.ToMicroseconds())
+            for locality in cluster.upstream_locality_stats:
+                if locality.upstream_endpoint_stats:
+                    for row in locality.upstream_endpoint_stats:
+                        at = row.address.socket_address
+                        name = self._ids.get((route, at.address, at.port_value))
+                        if name is not None:
+                            yield from _calls([name], row, now, max(0, span))
+                else:
+                    names = self._zones.get((route, locality.locality.zone))
+                    if names:
+                        yield from _calls(names, locality, now, max(0, span))
+
+
+def _calls(names: list[str], row: object, now: int, span_us: int) -> Iterator[i.Reported]:
+    """Failures last, so that they aren't taken back by successes of the same report; successes count as sent at its
+    beginning and failures at its end, which is the cautious side of both."""
+    ends, report, wait = {}, {}, 0
+    for metric in row.load_metric_stats:
+        name = metric.metric_name.removeprefix("named_metrics.")
+        count, total = metric.num_requests_finished_with_metric, metric.total_metric_value
+        if not 0 <= total < float("inf"):
+            continue
+        if name in FIGURES and count:
+            report[name] = total / count
+        elif name == PREFIX + "wait_ms":
+            wait = int(min(total, MOST_WAIT_MS) * 1000)
+        elif name.startswith(PREFIX) and name.removeprefix(PREFIX) in ENDS:
+            ends[ENDS[name.removeprefix(PREFIX)]] = count
+    ends[i.Outcome.ERROR] = max(0, row.total_error_requests - sum(ends.values()))
+    at = 0
+    for _ in range(min(MOST_REPORTED, row.total_successful_requests)):
+        yield i.Reported(names[at % len(names)], now - span_us, i.Outcome.OK, 0, report)
+        at += 1
+    for outcome, count in ends.items():
+        for _ in range(min(MOST_REPORTED, count)):
+            yield i.Reported(names[at % len(names)], now, outcome, wait, report)
+            at += 1
+    if wait and not any(ends.values()):
+        yield i.Reported(names[0], now, i.Outcome.NOT_SENT, wait)
--- /dev/null
+++ b/scalefall/control/edge/run.py
@@ -0,0 +1,53 @@
+"""A control process from its start to its end: signals, and reading the configuration again."""
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Callable
+
+from scalefall.control.catalog import Inconsistent
+from scalefall.control.edge.keys import Keys
+from scalefall.control.edge.server import Control, Options
+from scalefall.control.edge.state import Folder
+from scalefall.net.checks import log, report
+from scalefall.net.config import Config, ConfigError
+
+
+def run(config: Config, options: Options, folder: Folder, held: Keys | None, read_again: Callable[[], Config]) -> None:
+    """Serve until SIGTERM or SIGINT. SIGHUP reads the configuration again. OSError if it can't listen; state.Unusable
+    if the folder can't be used."""
+    asyncio.run(_serve(config, options, folder, held, read_again))
+
+
+async def _serve(config: Config, options: Options, folder: Folder, held: Keys | None,
+                 read_again: Callable[[], Config]) -> None:
+    loop, end, again = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, end.set)
+    loop.add_signal_handler(signal.SIGHUP, again.set)
+    control = Control(config, options, folder, held)
+    await control.start()
+    reloads = asyncio.create_task(_reload(control, again, read_again))
+    log.info("ready: control at %s", control.address, extra={"fields": {"listen": control.address}})
+    await end.wait()
+    reloads.cancel()
+    await control.stop()
+    log.info("ended")
+    report()
+
+
+async def _reload(control: Control, again: asyncio.Event, read_again: Callable[[], Config]) -> None:
+    while True:
+        await again.wait()
+        again.clear()
+        began = time.monotonic()
+        try:
+            config = await asyncio.get_running_loop().run_in_executor(None, read_again)
+            control.configure(config)
+        except (ConfigError, Inconsistent) as error:
+            log.error("configuration not taken, the one in force stays: %s", error)
+            continue
+        for line in config.left:
+            log.warning("not taken until a restart: %s", line)
+        log.info("configuration read again: in %.0f ms", 1000 * (time.monotonic() - began))
--- /dev/null
+++ b/scalefall/control/edge/server.py
@@ -0,0 +1,452 @@
+"""The control service on the network: grpc.aio, ADS in both forms, load reports, quotas. It moves messages and decides
+nothing; what a message means is service.py's and its parts'.
+
+Each stream is one task that reads and one that writes. Reading is paced (bounds.py), and a client that reads slowly
+holds up its own writer alone: what it may have waiting is bounded by its streams' windows, or it is cut off.
+"""
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from collections import deque
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field
+
+import grpc
+from cryptography import x509
+from envoy.service.discovery.v3 import ads_pb2, discovery_pb2
+from envoy.service.load_stats.v3 import lrs_pb2
+from envoy.service.rate_limit_quota.v3 import rlqs_pb2
+from google.protobuf.message import DecodeError
+
+from scalefall import interface as i
+from scalefall.control import memory
+from scalefall.control.bounds import Bucket, Openings
+from scalefall.control.edge import keys, reports, resources, state, wire
+from scalefall.control.grants import Grant
+from scalefall.control.members import Refused
+from scalefall.control.service import Builder, Fleet, Out, Service
+from scalefall.control.streams import Close, Rejected, Response
+from scalefall.net.checks import log
+from scalefall.net.config import Config
+
+Code = grpc.StatusCode
+MOST_MESSAGE = 4_000_000        # bytes of one request: 20,000 names of 200 bytes
+MOST_STREAMS = 5_000
+MOST_WAITING = 2_000            # messages that one stream may have to be read
+FIRST_S = 10                    # a stream that has not said who it is by then
+MOST_NODE = 256
+TTL_FEATURE = "xds.config.supports-resource-ttl"        # as the protocol's specification names it
+SPEAK = (200, 100)              # requests of one stream: at once, and a second
+OPEN = (50, 10)                 # streams of one node likewise
+KEEP_S = 1.0                    # between looks at what has to outlast the process
+ENDS_S = 1.0                    # for streams to end in at the end of the process
+TAKE_S = 0.2                    # between tries to be the one that grants
+OPTIONS = [("grpc.max_receive_message_length", MOST_MESSAGE), ("grpc.max_send_message_length", -1),
+           ("grpc.max_concurrent_streams", 1000), ("grpc.so_reuseport", 0), ("grpc.keepalive_time_ms", 10_000),
+           ("grpc.keepalive_timeout_ms", 5_000), ("grpc.keepalive_permit_without_calls", 1),
+           ("grpc.http2.min_ping_interval_without_data_ms", 5_000), ("grpc.max_metadata_size", 16_384)]
+
+
+@dataclass(slots=True, frozen=True)
+class Options:
+    listen: str
+    lease_us: int
+    delay_us: int
+    endpoint_lease_us: int
+    report_us: int
+
+
+@dataclass(slots=True)
+class Peer:
+    """One stream."""
+    number: int
+    context: grpc.aio.ServicerContext
+    task: asyncio.Task
+    names: frozenset[str] | None        # the node ids that its certificate is for; None: plain text
+    certificate: bytes
+    ends: float                         # when that ends, by the wall clock
+    incremental: bool = False
+    leased: bool = False                # it knows times to live
+    node: str = ""
+    waiting: deque[bytes] = field(default_factory=deque)
+    ready: asyncio.Event = field(default_factory=asyncio.Event)
+    closing: tuple[Code, str] | None = None
+    buckets: dict[int, tuple[dict[str, str], int | None]] = field(default_factory=dict)    # by route, of a quota stream
+
+
+class Ended(Exception):
+    """The stream is to end with this status."""
+
+    def __init__(self, code: Code, text: str) -> None:
+        super().__init__(text)
+        self.code, self.text = code, text
+
+
+class Control:
+    def __init__(self, config: Config, options: Options, folder: state.Folder, held: keys.Keys | None) -> None:
+        self._options, self._folder, self._keys = options, folder, held
+        self._settings, self._seed = config.settings, config.seed
+        self._numbers = itertools.count(1)
+        self._peers: dict[int, Peer] = {}
+        self._opened = Openings(*OPEN, 10_000)
+        self._responses = wire.Responses()
+        self._index = reports.Index(())
+        self._timer: asyncio.TimerHandle | None = None
+        self._kept: object = None
+        self._beside: list[asyncio.Task] = []
+        self.granting = False
+        self.service = self._new_service()
+        self.address = ""
+        self._server: grpc.aio.Server | None = None
+        self.configure(config)
+
+    def _new_service(self) -> Service:
+        def endpoints(number: int, rows: list, allowed: list[i.Allowed], now: int) -> object:
+            return resources.endpoints(number, rows, allowed, now, self._options.endpoint_lease_us)
+
+        def fixed(fleet: Fleet) -> list:
+            return resources.fixed(fleet.entries, fleet.routes, self._settings)
+        service = Service(_now(), self._settings, self._seed, Builder(fixed, endpoints), self._options.lease_us,
+                          self._options.delay_us, self._options.lease_us)
+        service.ledger.stand_by()
+        return service
+
+    # -- life
+
+    async def start(self) -> None:
+        """OSError if the address can't be had."""
+        self._server = grpc.aio.server(options=OPTIONS)
+        self._server.add_generic_rpc_handlers([
+            _handlers(ads_pb2.DESCRIPTOR.services_by_name["AggregatedDiscoveryService"].full_name, {
+                "StreamAggregatedResources": self._stream(self._whole),
+                "DeltaAggregatedResources": self._stream(self._delta)}),
+            _handlers(lrs_pb2.DESCRIPTOR.services_by_name["LoadReportingService"].full_name, {
+                "StreamLoadStats": self._stream(self._load)}),
+            _handlers(rlqs_pb2.DESCRIPTOR.services_by_name["RateLimitQuotaService"].full_name, {
+                "StreamRateLimitQuotas": self._stream(self._quota)})])
+        try:
+            port = self._server.add_insecure_port(self._options.listen) if self._keys is None else \
+                self._server.add_secure_port(self._options.listen, self._keys.credentials())
+        except RuntimeError:
+            port = 0
+        if not port:
+            raise OSError(f"cannot listen at {self._options.listen}")
+        await self._server.start()
+        self.address = f"{self._options.listen.rpartition(':')[0]}:{port}"
+        self._take()
+        self._beside = [asyncio.create_task(self._keep()), asyncio.create_task(self._take_over())]
+        self._plan()
+
+    async def stop(self) -> None:
+        for task in self._beside:
+            task.cancel()
+        if self._timer is not None:
+            self._timer.cancel()
+        self._remember()
+        await self._server.stop(ENDS_S)
+        self._folder.release()
+
+    def configure(self, config: Config) -> None:
+        """A fleet, at the start or read again: its changes are on their way when this returns. Inconsistent, and
+        nothing changed, if it can't be."""
+        fleet = Fleet(tuple(config.fleet.entries), config.fleet.routes)
+        out = self.service.configure(fleet, _now())
+        self._index = reports.Index(fleet.entries)
+        self._send(out)
+        log.info("resources in force: generation %d, %d endpoints on %d routes", self.service.catalog.generation,
+                 len(fleet.entries), len(fleet.routes), extra={"fields": {
+                     "generation": self.service.catalog.generation, "endpoints": len(fleet.entries),
+                     "routes": len(fleet.routes)}})
+        self._say()
+
+    # -- who grants, and what outlasts the process
+
+    def _take(self) -> None:
+        if not self.granting and self._folder.take():
+            first = self._folder.begin()
+            now = _now()
+            self.service.ledger.begin(now)
+            self.service.ledger.resume(first)
+            try:
+                kept = self._folder.kept()
+                events = memory.recall(kept, now, _wall()) if kept is not None else []
+            except ValueError as error:
+                log.warning("figures of the one before: cannot be read (%s)", error)
+                events = []
+            self.service.reported(events, now)
+            self.granting = True
+            log.info("granting: from number %d, in %.1f s", first,
+                     (self._options.lease_us + self._options.delay_us) / 1e6,
+                     extra={"fields": {"epoch": first, "recalled": len(events)}})
+            self._plan()
+
+    async def _take_over(self) -> None:
+        if not self.granting:
+            log.info("standing by: another process grants on this folder")
+        while not self.granting:
+            await asyncio.sleep(TAKE_S)
+            try:
+                self._take()
+            except state.Unusable as error:
+                log.error("cannot grant: %s", error)
+                await asyncio.sleep(5)
+
+    async def _keep(self) -> None:
+        while True:
+            await asyncio.sleep(KEEP_S)
+            self._remember()
+            wall = time.time()
+            for peer in list(self._peers.values()):
+                if peer.ends <= wall:
+                    self._cut(peer, Code.UNAUTHENTICATED, "the certificate has ended")
+                elif peer.certificate and self._keys is not None and not self._keys.trusts(peer.certificate):
+                    self._cut(peer, Code.UNAUTHENTICATED, "the certificate's authority is not trusted any more")
+
+    def _remember(self) -> None:
+        if not self.granting:
+            return
+        now, wall = _now(), _wall()
+        self.service.judge.look()
+        kept = memory.keep(self.service.judge.allowed, self.service.module.known(), now, wall)
+        if kept | {"wall": 0} == self._kept and not kept["doubts"] and not kept["waits"]:
+            return
+        try:
+            self._folder.keep(kept)
+            self._kept = kept | {"wall": 0}
+        except OSError as error:
+            log.error("figures cannot be kept: %s", error.strerror or error)
+
+    # -- time
+
+    def _plan(self) -> None:
+        if self._server is None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        now = _now()
+        wait = max(0, self.service.next_turn(now) - now)
+        self._timer = asyncio.get_running_loop().call_later(wait / 1e6, self._turn)
+
+    def _turn(self) -> None:
+        self._timer = None
+        self._send(self.service.turn(_now()))
+        if self.granting and self.service.ledger.number > self._folder.reserved - state.BLOCK // 2:
+            try:
+                self._folder.reserve(self.service.ledger.number)
+            except state.Unusable as error:
+                log.error("cannot grant any more: %s", error)
+                self.granting = False
+        self._say()
+        self._plan()
+
+    def _say(self) -> None:
+        told, self.service.told = self.service.told, []
+        for row in told:
+            log.info(f"{row.event}: %s", " ".join(f"{key}={value}" for key, value in row.fields.items()),
+                     extra={"fields": row.fields})
+
+    # -- what goes out
+
+    def _send(self, out: Iterable[Out]) -> None:
+        for number, action in out:
+            peer = self._peers.get(number)
+            if peer is None:
+                continue
+            if isinstance(action, Response):
+                self._put(peer, self._responses.bytes(action, peer.incremental, peer.leased))
+            elif isinstance(action, Grant):
+                bucket = peer.buckets.get(action.destination)
+                if bucket is not None and self.granting:
+                    self._put(peer, wire.grant(action, *bucket).SerializeToString())
+                    log.info("granted: %s %s on route %d", action.holder, action.amount / 1000, action.destination,
+                             extra={"fields": {"holder": action.holder, "route": action.destination,
+                                               "number": action.number, "amount": action.amount,
+                                               "lease_ms": action.lease_us // 1000}})
+            elif isinstance(action, Rejected):
+                log.warning("rejected: %s keeps what it had of %s: %s", peer.node, ", ".join(action.names),
+                            action.text, extra={"fields": {"node": peer.node, "type": action.type,
+                                                           "names": action.names}})
+            elif isinstance(action, Close):
+                self._cut(peer, Code.INVALID_ARGUMENT, action.reason)
+
+    def _put(self, peer: Peer, data: bytes) -> None:
+        peer.waiting.append(data)
+        peer.ready.set()
+        if len(peer.waiting) > MOST_WAITING:
+            self._cut(peer, Code.RESOURCE_EXHAUSTED, "it does not read what it is sent")
+
+    def _cut(self, peer: Peer, code: Code, text: str) -> None:
+        if peer.closing is None:
+            peer.closing = (code, text)
+            peer.task.cancel()
+
+    async def _write(self, peer: Peer) -> None:
+        while True:
+            await peer.ready.wait()
+            while peer.waiting:
+                await peer.context.write(peer.waiting.popleft())
+            peer.ready.clear()
+
+    # -- what comes in
+
+    def _stream(self, serve: Callable[[Peer], Awaitable[None]]) -> Callable:
+        """A handler of one kind of stream: its writer, and how it ends."""
+        async def handle(_: object, context: grpc.aio.ServicerContext) -> None:
+            peer = self._admit(context)
+            if isinstance(peer, Ended):
+                await context.abort(peer.code, peer.text)
+            writer = asyncio.create_task(self._write(peer))
+            ended: Ended | None = None
+            try:
+                await serve(peer)
+            except Ended as end:
+                ended = end
+            except asyncio.CancelledError:
+                if peer.closing is None:
+                    raise
+                ended = Ended(*peer.closing)
+            except (grpc.aio.BaseError, grpc.RpcError):
+                pass            # it is gone
+            finally:
+                writer.cancel()
+                self._peers.pop(peer.number, None)
+                self.service.ended(peer.number)
+                self.service.left(peer.number, _now())
+                self._say()
+                if self._timer is not None:
+                    self._plan()
+            if ended is not None:
+                log.warning("stream ended: %s at %s: %s", peer.node or "a client that did not say who it is",
+                            context.peer(), ended.text,
+                            extra={"fields": {"node": peer.node, "status": ended.code.name}})
+                await context.abort(ended.code, ended.text)
+        return handle
+
+    def _admit(self, context: grpc.aio.ServicerContext) -> Peer | Ended:
+        if len(self._peers) >= MOST_STREAMS:
+            return Ended(Code.RESOURCE_EXHAUSTED, f"{MOST_STREAMS} streams are open")
+        names, certificate, ends = None, b"", float("inf")
+        if self._keys is not None:
+            auth = context.auth_context()
+            certificate = next(iter(auth.get("x509_pem_cert", ())), b"")
+            names = _node_names(certificate)
+            if not names:
+                return Ended(Code.UNAUTHENTICATED, "the certificate names no node")
+            ends = keys.ends(certificate)
+        peer = Peer(next(self._numbers), context, asyncio.current_task(), names, certificate, ends)
+        self._peers[peer.number] = peer
+        return peer
+
+    def _identify(self, peer: Peer, node: str) -> None:
+        if not node or len(node) > MOST_NODE or not node.isprintable() or "/" in node:
+            raise Ended(Code.INVALID_ARGUMENT, f"a node id is 1 to {MOST_NODE} printable characters without a slash")
+        if peer.node and node != peer.node:
+            raise Ended(Code.INVALID_ARGUMENT, "a stream is one node's")
+        if peer.names is not None and node not in peer.names:
+            raise Ended(Code.PERMISSION_DENIED, f"the certificate is not for node {node}")
+        if not peer.node and self._opened.refuse(node, _now()):
+            raise Ended(Code.RESOURCE_EXHAUSTED, "streams are opened too often")
+        peer.node = node
+
+    async def _messages(self, peer: Peer, kind: type) -> object:
+        """The stream's messages, no faster than they may come."""
+        pace = Bucket(_now(), *SPEAK)
+        while True:
+            if peer.node:
+                data = await peer.context.read()
+            else:
+                try:
+                    data = await asyncio.wait_for(peer.context.read(), FIRST_S)
+                except asyncio.TimeoutError:
+                    raise Ended(Code.DEADLINE_EXCEEDED, f"nothing said in {FIRST_S} s") from None
+            if data is grpc.aio.EOF:
+                return
+            message = kind()
+            try:
+                message.ParseFromString(data)
+            except DecodeError:
+                raise Ended(Code.INVALID_ARGUMENT, "that is no message of this protocol") from None
+            yield message
+            wait = pace.take(_now())
+            if wait:
+                await asyncio.sleep(wait / 1e6)
+
+    async def _whole(self, peer: Peer) -> None:
+        await self._resources(peer, discovery_pb2.DiscoveryRequest, wire.request)
+
+    async def _delta(self, peer: Peer) -> None:
+        peer.incremental = True
+        await self._resources(peer, discovery_pb2.DeltaDiscoveryRequest, wire.delta_request)
+
+    async def _resources(self, peer: Peer, kind: type, read: Callable) -> None:
+        async for message in self._messages(peer, kind):
+            if not peer.node:
+                self._identify(peer, message.node.id)
+                peer.leased = TTL_FEATURE in message.node.client_features
+                self.service.opened(peer.number, peer.node, peer.incremental, peer.leased)
+            elif message.node.id:
+                self._identify(peer, message.node.id)
+            self._send(self.service.request(peer.number, read(message), _now()))
+            self._plan()
+
+    async def _load(self, peer: Peer) -> None:
+        async for message in self._messages(peer, lrs_pb2.LoadStatsRequest):
+            if not peer.node:
+                self._identify(peer, message.node.id)
+                answer = lrs_pb2.LoadStatsResponse(send_all_clusters=True, report_endpoint_granularity=True)
+                answer.load_reporting_interval.FromMicroseconds(self._options.report_us)
+                self._put(peer, answer.SerializeToString())
+            now = _now()
+            calls = list(self._index.events(message.cluster_stats, now))
+            if calls:
+                self.service.reported(calls, now)
+                self._plan()
+
+    async def _quota(self, peer: Peer) -> None:
+        """A process names itself by the metadata scalefall-node and scalefall-instance, or by its domain alone."""
+        said = {key: value for key, value in peer.context.invocation_metadata() or () if isinstance(value, str)}
+        async for message in self._messages(peer, rlqs_pb2.RateLimitQuotaUsageReports):
+            now = _now()
+            if not peer.node:
+                self._identify(peer, said.get("scalefall-node") or message.domain)
+                joined = self.service.joined(peer.number, peer.node, said.get("scalefall-instance", "")[:64], now)
+                if isinstance(joined, Refused):
+                    raise Ended(Code.RESOURCE_EXHAUSTED, f"too many processes are node {peer.node}")
+                if joined.close is not None and joined.close in self._peers:
+                    self._cut(self._peers[joined.close], Code.ABORTED, "the same process has opened another stream")
+            for usage in message.bucket_quota_usages:
+                self._usage(peer, usage, now)
+            self._plan()
+
+    def _usage(self, peer: Peer, usage: rlqs_pb2.RateLimitQuotaUsageReports.BucketQuotaUsage, now: int) -> None:
+        route, had, number = wire.bucket_of(usage)
+        bucket = {key: value for key, value in usage.bucket_id.bucket.items() if key not in (wire.HAD, wire.SAID)}
+        if route is None or not self.service.used(peer.number, route, wire.calls_of(usage), had, now):
+            self._put(peer, wire.abandon(bucket).SerializeToString())
+            return
+        peer.buckets[route] = (bucket, number)
+
+
+def _handlers(service: str, methods: dict[str, Callable]) -> grpc.GenericRpcHandler:
+    return grpc.method_handlers_generic_handler(
+        service, {name: grpc.stream_stream_rpc_method_handler(serve) for name, serve in methods.items()})
+
+
+def _node_names(certificate: bytes) -> frozenset[str]:
+    try:
+        names = x509.load_pem_x509_certificate(certificate).extensions.get_extension_for_class(
+            x509.SubjectAlternativeName).value
+    except (ValueError, x509.ExtensionNotFound):
+        return frozenset()
+    return frozenset(names.get_values_for_type(x509.DNSName) +
+                     names.get_values_for_type(x509.UniformResourceIdentifier))
+
+
+def _now() -> int:
+    return time.monotonic_ns() // 1000
+
+
+def _wall() -> int:
+    return time.time_ns() // 1000
--- /dev/null
+++ b/scalefall/control/edge/wire.py
@@ -0,0 +1,161 @@
+"""Messages of the published protocol to and from the types of streams and grants. No I/O.
+
+A response is put together from two serialized messages, which protobuf reads as one: the resources, that are the same
+for every client, and the nonce and version that are its own. So an endpoint's change is serialized once for all.
+"""
+from __future__ import annotations
+
+from collections import OrderedDict
+
+from envoy.service.discovery.v3 import discovery_pb2
+from envoy.service.rate_limit_quota.v3 import rlqs_pb2
+from envoy.type.v3 import ratelimit_strategy_pb2, token_bucket_pb2
+from google.protobuf import any_pb2, duration_pb2, wrappers_pb2
+
+from scalefall.control.catalog import Resource
+from scalefall.control.grants import CALLS, Grant
+from scalefall.control.judge import MOST, UNLIMITED
+from scalefall.control.streams import Request, Response
+
+MOST_PARTS = 256            # serialized sets of resources that are kept for the next client
+FILL_US = 10_000            # the shortest time between fills of a token bucket
+IDENTIFIER = "scalefall"
+
+
+def request(message: discovery_pb2.DiscoveryRequest) -> Request:
+    return Request(message.type_url, message.response_nonce, tuple(message.resource_names),
+                   error=_error(message))
+
+
+def delta_request(message: discovery_pb2.DeltaDiscoveryRequest) -> Request:
+    return Request(message.type_url, message.response_nonce, tuple(message.resource_names_subscribe),
+                   tuple(message.resource_names_unsubscribe), tuple(message.initial_resource_versions.items()),
+                   _error(message))
+
+
+def _error(message: object) -> str | None:
+    return message.error_detail.message or "no reason given" if message.HasField("error_detail") else None
+
+
+class Responses:
+    """Responses as bytes."""
+
+    def __init__(self) -> None:
+        self._parts: OrderedDict[tuple, bytes] = OrderedDict()
+
+    def bytes(self, response: Response, incremental: bool, leased: bool) -> bytes:
+        key = (incremental, leased, response.beat, response.type, response.resources, response.removed)
+        part = self._parts.get(key)
+        if part is None:
+            made = _delta(response, leased) if incremental else _whole(response, leased)
+            part = self._parts[key] = made.SerializeToString()
+            if len(self._parts) > MOST_PARTS:
+                self._parts.popitem(last=False)
+        self._parts.move_to_end(key)
+        if incremental:
+            own = discovery_pb2.DeltaDiscoveryResponse(nonce=response.nonce, system_version_info=response.version)
+        else:
+            own = discovery_pb2.DiscoveryResponse(nonce=response.nonce, version_info=response.version)
+        return part + own.SerializeToString()
+
+
+def _whole(response: Response, leased: bool) -> discovery_pb2.DiscoveryResponse:
+    made = discovery_pb2.DiscoveryResponse(type_url=response.type)
+    made.control_plane.identifier = IDENTIFIER
+    for resource in response.resources:
+        if resource.ttl_us and leased:      # wrapped, as only so it can say how long it holds
+            made.resources.add().Pack(_wrapped(resource, response.beat, leased))
+        else:
+            made.resources.append(resource.body)
+    return made
+
+
+def _delta(response: Response, leased: bool) -> discovery_pb2.DeltaDiscoveryResponse:
+    made = discovery_pb2.DeltaDiscoveryResponse(type_url=response.type, removed_resources=response.removed)
+    made.control_plane.identifier = IDENTIFIER
+    made.resources.extend(_wrapped(resource, response.beat, leased) for resource in response.resources)
+    return made
+
+
+def _wrapped(resource: Resource, beat: bool, leased: bool) -> discovery_pb2.Resource:
+    made = discovery_pb2.Resource(name=resource.name, version=resource.version)
+    if resource.ttl_us and leased:
+        made.ttl.FromMicroseconds(resource.ttl_us)
+    if not beat:
+        made.resource.CopyFrom(resource.body)
+    return made
+
+
+# -- quotas
+
+ROUTE, HAD, SAID, GRANT, HEARD = "route", "had", "said", "grant", "heard"
+
+
+def bucket_of(usage: rlqs_pb2.RateLimitQuotaUsageReports.BucketQuotaUsage) -> tuple[int | None, int, int | None]:
+    """The route, the highest grant that the client has had (0: it doesn't number them), and the number of this report
+    where the client numbers them. The route is None if the bucket names none."""
+    keys = usage.bucket_id.bucket
+    return _whole_number(keys.get(ROUTE)), _whole_number(keys.get(HAD)) or 0, _whole_number(keys.get(SAID))
+
+
+def calls_of(usage: rlqs_pb2.RateLimitQuotaUsageReports.BucketQuotaUsage) -> float:
+    """Calls a second that the client would have made."""
+    elapsed = usage.time_elapsed.ToMicroseconds() / 1_000_000
+    return (usage.num_requests_allowed + usage.num_requests_denied) / elapsed if elapsed > 0 else 0.0
+
+
+def grant(given: Grant, bucket: dict[str, str], heard: int | None) -> rlqs_pb2.RateLimitQuotaResponse:
+    """An assignment. A client that numbers its reports is told the grant's number, and the last report that was heard
+    before: its lease counts from when it sent that one, so no delay of the link makes it longer."""
+    if heard is not None:
+        bucket = bucket | {GRANT: f"{given.number}", HEARD: f"{heard}"}
+    action = rlqs_pb2.RateLimitQuotaResponse.BucketAction(
+        bucket_id=rlqs_pb2.BucketId(bucket=bucket),
+        quota_assignment_action=rlqs_pb2.RateLimitQuotaResponse.BucketAction.QuotaAssignmentAction(
+            assignment_time_to_live=_duration(given.lease_us), rate_limit_strategy=_strategy(given.amount)))
+    return rlqs_pb2.RateLimitQuotaResponse(bucket_action=[action])
+
+
+def abandon(bucket: dict[str, str]) -> rlqs_pb2.RateLimitQuotaResponse:
+    """There is no such route."""
+    action = rlqs_pb2.RateLimitQuotaResponse.BucketAction(
+        bucket_id=rlqs_pb2.BucketId(bucket=bucket),
+        abandon_action=rlqs_pb2.RateLimitQuotaResponse.BucketAction.AbandonAction())
+    return rlqs_pb2.RateLimitQuotaResponse(bucket_action=[action])
+
+
+def _strategy(amount: int) -> ratelimit_strategy_pb2.RateLimitStrategy:
+    """Thousandths of a call a second as a bucket that holds one fill, so that nothing is saved up. Rounded down."""
+    if amount <= 0:
+        return ratelimit_strategy_pb2.RateLimitStrategy(blanket_rule=ratelimit_strategy_pb2.RateLimitStrategy.DENY_ALL)
+    if amount > MOST:
+        return ratelimit_strategy_pb2.RateLimitStrategy(blanket_rule=ratelimit_strategy_pb2.RateLimitStrategy.ALLOW_ALL)
+    tokens = max(1, amount * FILL_US // (CALLS * 1_000_000))
+    every = -(-tokens * CALLS * 1_000_000 // amount)
+    return ratelimit_strategy_pb2.RateLimitStrategy(token_bucket=token_bucket_pb2.TokenBucket(
+        max_tokens=tokens, tokens_per_fill=wrappers_pb2.UInt32Value(value=tokens), fill_interval=_duration(every)))
+
+
+def amount_of(strategy: ratelimit_strategy_pb2.RateLimitStrategy) -> int:
+    """The other way, for clients of our own: thousandths of a call a second."""
+    if strategy.HasField("token_bucket"):
+        bucket = strategy.token_bucket
+        return bucket.tokens_per_fill.value * CALLS * 1_000_000 // max(1, bucket.fill_interval.ToMicroseconds())
+    return UNLIMITED if strategy.blanket_rule == ratelimit_strategy_pb2.RateLimitStrategy.ALLOW_ALL else 0
+
+
+def _whole_number(text: str | None) -> int | None:
+    return int(text) if text and text.isascii() and text.isdigit() and len(text) < 19 else None
+
+
+def _duration(us: int) -> duration_pb2.Duration:
+    return duration_pb2.Duration(seconds=us // 1_000_000, nanos=us % 1_000_000 * 1000)
+
+
+def unwrapped(packed: any_pb2.Any) -> tuple[any_pb2.Any, int, str]:
+    """A state-of-the-world resource's body, its time to live in us (0: none) and its name (if that is known)."""
+    if packed.Is(discovery_pb2.Resource.DESCRIPTOR):
+        wrapped = discovery_pb2.Resource()
+        packed.Unpack(wrapped)
+        return wrapped.resource, wrapped.ttl.ToMicroseconds(), wrapped.name
+    return packed, 0, ""
--- a/scalefall/control/grants.py
+++ b/scalefall/control/grants.py
@@ -29,6 +29,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 from scalefall.net.checks import holds
@@ -36,6 +37,7 @@
 LEAST = 200             # a share below this is not split: one call in 5 s is the least that is of use
 CHANGED = 0.1           # a share that differs by less from what is granted waits for the renewal
 CALLS = 1000            # amounts in one call a second
+NEVER = 1 << 62
 
 
 @dataclass(slots=True, frozen=True)
@@ -99,6 +101,19 @@
         self._touched: set[int] = set()
         self._wakes: list[tuple[int, int]] = []     # when a destination is to be looked at again
 
+    @property
+    def number(self) -> int:
+        """The highest that was given."""
+        return self._number
+
+    def stand_by(self) -> None:
+        """Another service grants; nothing goes out from here until begin()."""
+        self.quiet_until = NEVER
+
+    def begin(self, now: int) -> None:
+        """Another service may have granted until now: nothing goes out until that must have run out."""
+        self.quiet_until = now + self.lease + self.delay
+
     def resume(self, number: int) -> None:
         """Numbers go on above the highest that an earlier service may have given (its durable epoch)."""
         self._number = max(self._number, number)
@@ -166,6 +181,9 @@
             return max(now, self.quiet_until)
         return self._wakes[0][0] if self._wakes else now + self.lease
 
+    def destinations(self) -> Iterable[int]:
+        return self._destinations.keys()
+
     def in_use(self, destination: int, now: int) -> int:
         """What all holders together may use there at the most, by what the service knows."""
         place = self._destinations.get(destination)
--- a/scalefall/control/judge.py
+++ b/scalefall/control/judge.py
@@ -17,29 +17,47 @@
 from scalefall.control.grants import CALLS, Grant, Ledger
 from scalefall.policy import Sender
 
-UNLIMITED = 10**9           # thousandths of a call a second, where the module sets no pace
+UNLIMITED = 10**12          # thousandths of a call a second, where the module sets no pace
+MOST = 10**8                # the same where it sets one, however high
 
 
 class Judge:
     def __init__(self, module: Sender, ledger: Ledger) -> None:
         self._module, self._ledger = module, ledger
         self.allowed: list[i.Allowed] = []      # as of the last turn
+        self.said: list[str] = []               # the module's lines of the last turn
+        self.unsettled: set[int] = set()        # destinations whose figures differ, or may change by time alone
+        self._before: set[int] = set()
 
     def turn(self, now: int, events: list[i.Event]) -> list[Grant]:
         """Reports and lists to the module, its allowances to the ledger; the grants that follow."""
-        self._module.handle(now, events)
-        self.allowed = self._module.allowances()
-        sums: dict[int, int] = {}
+        self.said = [action.line for action in self._module.handle(now, events) if isinstance(action, i.Log)]
+        self.look()
+        waver = {row.destination for row in self.allowed
+                 if row.silent_until > now or row.rate < inf or any(own < inf for own in row.endpoints.values())}
+        self.unsettled, self._before = waver | self._before, waver
+        sums: dict[int, int] = dict.fromkeys(self._ledger.destinations(), 0)
         for row in self.allowed:
             sums[row.destination] = sums.get(row.destination, 0) + self._amount(row, now)
         for destination, amount in sums.items():
             self._ledger.allow(destination, min(amount, UNLIMITED))
         return self._ledger.turn(now)
 
+    def look(self) -> dict[int, list[i.Allowed]]:
+        """The module's figures of this moment, by destination."""
+        self.allowed = self._module.allowances()
+        return self.by_route()
+
+    def by_route(self) -> dict[int, list[i.Allowed]]:
+        rows: dict[int, list[i.Allowed]] = {}
+        for row in self.allowed:
+            rows.setdefault(row.destination, []).append(row)
+        return rows
+
     @staticmethod
     def _amount(row: i.Allowed, now: int) -> int:
         if row.silent_until > now or not row.endpoints:
             return 0
         own = sum(row.endpoints.values())       # inf as soon as one endpoint is in no doubt
         rate = min(row.rate, own)
-        return UNLIMITED if rate == inf else int(rate * CALLS)
+        return UNLIMITED if rate == inf else min(MOST, int(rate * CALLS))
--- a/scalefall/control/members.py
+++ b/scalefall/control/members.py
@@ -156,6 +156,9 @@
         member = self._members.get(holder)
         return member.state if member else State.GONE
 
+    def get(self, holder: str) -> Member | None:
+        return self._members.get(holder)
+
     def live(self) -> list[str]:
         return [member.holder for member in self._members.values() if member.state is State.LIVE]
 
--- /dev/null
+++ b/scalefall/control/service.py
@@ -0,0 +1,234 @@
+"""The control service without its network: streams, reports and the clock go in, what is to be sent comes out.
+
+No I/O, no clock, no protobuf: a builder is handed in that makes resources of the fleet and of the module's figures. So
+a test drives a whole service, its proxies and its partners in virtual time.
+
+Theory of operation. News (an edit, a report, a demand) are taken in at once and answered at the next turn, which the
+transport calls SETTLE after the first of them, or when next_turn says so. An endpoint that the operator drains is no
+news to wait for: configure() gives what goes out at once. A turn asks the module once, sends the resources that differ
+and the grants that follow, and beats what has a time to live.
+
+A holder of grants is a process (members.py) heard on its quota stream; resource streams hold none, and need no member.
+"""
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from math import inf
+
+from scalefall import interface as i
+from scalefall.control.catalog import EDS, Catalog, Key, Resource
+from scalefall.control.grants import CALLS, LEAST, Grant, Ledger
+from scalefall.control.judge import Judge
+from scalefall.control.members import Change, Joined, Members, Refused, State
+from scalefall.control.streams import Action, Request, Stream
+from scalefall.net.config import RouteRules
+from scalefall.net.farm import Entry
+from scalefall.policy import Sender
+
+SETTLE = 10_000             # us from the first news to the turn that answers them
+WATCHED = 100_000           # between turns while a wait, a guard or a pace may end by itself
+RESTS = 1_000_000           # between turns otherwise
+HEADROOM = 1.25             # a holder's demand by what it used
+MOST_REPORTED = 1000        # calls of one endpoint and outcome in one report that the module is told one by one
+
+Out = tuple[int, Action | Grant]        # to a stream
+
+
+@dataclass(slots=True, frozen=True)
+class Fleet:
+    entries: tuple[Entry, ...]
+    routes: dict[int, RouteRules]
+
+
+@dataclass(slots=True, frozen=True)
+class Builder:
+    """fixed: fleet to resources; endpoints: route, entries, the module's rows and now to one resource."""
+    fixed: Callable[[Fleet], list[Resource]]
+    endpoints: Callable[[int, list[Entry], list[i.Allowed], int], Resource]
+
+
+@dataclass(slots=True, frozen=True)
+class Told:
+    """For the log: an event's name, its fields."""
+    event: str
+    fields: dict[str, object]
+
+
+class Service:
+    def __init__(self, now: int, settings: i.Settings, seed: int, builder: Builder, lease_us: int, delay_us: int,
+                 silence_us: int) -> None:
+        settings.probes = False         # control makes no calls of its own
+        self.module = Sender(settings, seed)
+        self.ledger = Ledger(now, lease_us, delay_us)
+        self.judge = Judge(self.module, self.ledger)
+        self.catalog = Catalog()
+        self.members = Members(silence_us, lease_us + delay_us)
+        self.told: list[Told] = []
+        self.fleet = Fleet((), {})
+        self._build = builder
+        self._streams: dict[int, Stream] = {}
+        self._beats: dict[int, float] = {}          # when a stream's next heartbeat is due
+        self._rows: dict[int, list[Entry]] = {}     # by route
+        self._events: list[i.Event] = []
+        self._due = now
+        self._has_news = False
+
+    # -- the fleet
+
+    def configure(self, fleet: Fleet, now: int) -> list[Out]:
+        """The fleet from now on, whole or (Inconsistent) not at all; what goes out at once."""
+        made = self._build.fixed(fleet)
+        rows: dict[int, list[Entry]] = {number: [] for number in fleet.routes}
+        for entry in fleet.entries:
+            rows.setdefault(entry.endpoint.destination, []).append(entry)
+        was = {entry.endpoint.id: entry.endpoint for entry in self.fleet.entries}
+        new = {entry.endpoint.id: entry.endpoint for entry in fleet.entries}
+        changes = [end for name, end in new.items() if was.get(name) != end]
+        changes += [_gone(end) for name, end in was.items() if name not in new]
+        for end in changes:
+            if _status(was.get(end.id)) != _status(end):
+                self._tell("endpoint", endpoint=end.id, route=end.destination, was=_status(was.get(end.id)),
+                           now=_status(end))
+        self.module.handle(now, [i.Listed(i.ListKind.CHANGES, changes)] if changes else [])
+        allowed = self.judge.look()
+        made += [self._build.endpoints(number, rows[number], allowed.get(number, []), now) for number in fleet.routes]
+        changed = self.catalog.replace(made)
+        self.fleet, self._rows = fleet, rows
+        self._news(now)
+        return self._changed(changed)
+
+    # -- resource streams
+
+    def opened(self, stream: int, holder: str, incremental: bool, leased: bool) -> None:
+        """leased: the client knows times to live."""
+        self._streams[stream] = Stream(self.catalog, holder, incremental, leased)
+
+    def request(self, stream: int, request: Request, now: int) -> list[Out]:
+        client = self._streams[stream]
+        out = [(stream, action) for action in client.request(request)]
+        self._beats[stream] = client.next_beat(now)
+        return out
+
+    def ended(self, stream: int) -> None:
+        """A resource stream is closed."""
+        self._streams.pop(stream, None)
+        self._beats.pop(stream, None)
+
+    # -- grants and reports
+
+    def joined(self, stream: int, node: str, instance: str, now: int) -> Joined | Refused:
+        """A quota stream has named its process."""
+        answer = self.members.join(stream, node, instance, now)
+        if isinstance(answer, Joined):
+            self.ledger.join(answer.holder)
+            self._news(now)
+            self._tell("proxy joined", holder=answer.holder, came_back=answer.came_back, twin=answer.twin)
+        return answer
+
+    def left(self, stream: int, now: int) -> None:
+        change = self.members.ended(stream, now)
+        if change is not None:
+            self._lost(change)
+            self._news(now)
+
+    def used(self, stream: int, route: int, calls: float, had: int, now: int) -> bool:
+        """A holder's demand on a route in calls a second, let through or not, and the highest grant that it has had
+        (0: it doesn't say). False if there is no such route."""
+        holder = self.members.holder(stream)
+        if holder is None or route not in self._rows:
+            return False
+        if self.members.heard(stream, now) is not None:
+            self.ledger.join(holder)
+            self._tell("proxy heard again", holder=holder)
+        if had:
+            self.ledger.acknowledged(holder, route, had, now)
+        self.ledger.want(holder, route, max(LEAST, _step(calls * HEADROOM * CALLS)))
+        self._news(now)
+        return True
+
+    def gone_from(self, stream: int, route: int, now: int) -> None:
+        """A holder has no more use for a route."""
+        holder = self.members.holder(stream)
+        if holder is not None and route in self._rows:
+            self.ledger.want(holder, route, 0)
+            self._news(now)
+
+    def reported(self, calls: Iterable[i.Reported], now: int) -> None:
+        self._events += calls
+        self._news(now)
+
+    # -- time
+
+    def turn(self, now: int) -> list[Out]:
+        """Everything that is due: reports judged, resources that differ, grants, heartbeats, silent proxies."""
+        for change in self.members.turn(now):
+            self._lost(change)
+        events, self._events, self._has_news = self._events, [], False
+        grants = self.judge.turn(now, events)
+        for line in self.judge.said:
+            self._tell("judged", text=line)
+        allowed = self.judge.by_route()
+        made = [self._build.endpoints(number, self._rows[number], allowed.get(number, []), now)
+                for number in self.judge.unsettled if number in self._rows]
+        out = self._changed(self.catalog.update(made)) if made else []
+        for grant in grants:
+            member = self.members.get(grant.holder)
+            if member is not None and member.state is State.LIVE:
+                out.append((member.stream, grant))
+        out += self._beat(now)
+        self._due = now + (WATCHED if self.judge.unsettled else RESTS)
+        return out
+
+    def next_turn(self, now: int) -> int:
+        times = [self._due, self.ledger.next_turn(now), self.members.next_turn(now) or self._due,
+                 *self._beats.values()]
+        return int(max(now, min(times)))
+
+    def _beat(self, now: int) -> list[Out]:
+        out: list[Out] = []
+        for stream, due in self._beats.items():
+            if due <= now:
+                client = self._streams[stream]
+                out += [(stream, action) for action in client.beat(now)]
+                self._beats[stream] = max(client.next_beat(now), now + WATCHED)
+        return out
+
+    def _changed(self, keys: set[Key]) -> list[Out]:
+        """What each client is sent for it; endpoints first, and to all, as a drain is among them."""
+        first = {key for key in keys if key[0] == EDS}
+        out: list[Out] = []
+        for part in (first, keys - first):
+            if part:
+                out += [(stream, action) for stream, client in self._streams.items() for action in client.changed(part)]
+        return out
+
+    def _lost(self, change: Change) -> None:
+        self.ledger.lost(change.holder)
+        self._tell("proxy lost", holder=change.holder, state=change.state.value)
+
+    def _news(self, now: int) -> None:
+        if not self._has_news:
+            self._has_news, self._due = True, min(self._due, now + SETTLE)
+
+    def _tell(self, event: str, **fields: object) -> None:
+        self.told.append(Told(event, fields))
+
+    def __len__(self) -> int:
+        return len(self._streams)
+
+
+def _step(amount: float) -> int:
+    """A demand in steps of an eighth, so that one that wavers is no news each time."""
+    if not 0 < amount < inf:
+        return 0
+    step = max(1, 1 << max(0, int(amount).bit_length() - 4))
+    return -(-int(min(amount, 10**9)) // step) * step
+
+
+def _gone(end: i.Endpoint) -> i.Endpoint:
+    return i.Endpoint(end.id, end.zone, end.kind, end.destination, i.Status.GONE, end.weight, end.most_calls)
+
+
+def _status(end: i.Endpoint | None) -> str:
+    return end.status.name.lower() if end is not None else "none"
--- a/scalefall/control/streams.py
+++ b/scalefall/control/streams.py
@@ -75,6 +75,7 @@
 class _Out:
     nonce: str
     resources: dict[str, Resource]
+    beat: bool = False
 
 
 @dataclass(slots=True)
@@ -103,8 +104,9 @@
 class Stream:
     """One client. `holder` names it in the catalog; each call gives what is to be sent, in order."""
 
-    def __init__(self, catalog: Catalog, holder: str, incremental: bool) -> None:
-        self._catalog, self._holder, self._incremental = catalog, holder, incremental
+    def __init__(self, catalog: Catalog, holder: str, incremental: bool, leased: bool = True) -> None:
+        """leased: the client says that it knows times to live; one that does not has none and gets no heartbeat."""
+        self._catalog, self._holder, self._incremental, self._leased = catalog, holder, incremental, leased
         self._watches: dict[str, Watch] = {}
         self._nonce = 0
         self.closed = False
@@ -142,19 +144,21 @@
         return self._flush()
 
     def beat(self, now: int) -> list[Action]:
-        """Heartbeats for what the client would drop otherwise, three in a time to live; next_beat says when."""
+        """Heartbeats for what the client would drop otherwise, three in a time to live; next_beat says when. None goes
+        out while a response of that type has no answer: so one tells its client that its last answer was heard, and
+        a client that counts its lease from when it gave that answer is right whatever the link's delay."""
         actions: list[Action] = []
-        for watch in self._watches.values():
+        for watch in self._watches.values() if self._leased else ():
             leased = [resource for resource in watch.sent.values() if resource.ttl_us]
             shortest = min((resource.ttl_us for resource in leased), default=0)
-            if leased and len(watch.out) < WINDOW and now >= watch.beaten + shortest // 3:
+            if leased and not watch.out and now >= watch.beaten + shortest // 3:
                 watch.beaten = now
                 actions.append(self._respond(watch, leased, (), True))
         return actions
 
     def next_beat(self, now: int) -> float:
         return min((max(now, watch.beaten + resource.ttl_us // 3) for watch in self._watches.values()
-                    for resource in watch.sent.values() if resource.ttl_us), default=inf)
+                    for resource in watch.sent.values() if resource.ttl_us), default=inf) if self._leased else inf
 
     def has(self, key: Key) -> Resource | None:
         """What the client is known to have of a resource, as it said itself."""
@@ -179,6 +183,9 @@
         if request.error is None:
             self._accept(watch, out)
             return []
+        if out.beat:
+            watch.beaten = inf      # it does not take heartbeats, whatever it said
+            return [Rejected(watch.type, (), request.error[:MOST_TEXT])]
         suspects = [name for name, resource in out.resources.items() if watch.good.get(name) != resource]
         for name in suspects:
             if len(suspects) == 1:
@@ -318,7 +325,7 @@
         if not self._incremental and watch.type in (LDS, CDS) and not beat:
             resources, removed = list(watch.sent.values()), ()
         watch.answered = True
-        watch.out.append(_Out(nonce, {resource.name: resource for resource in resources}))
+        watch.out.append(_Out(nonce, {resource.name: resource for resource in resources}, beat))
         watch.last = nonce
         return Response(watch.type, nonce, f"{self._catalog.generation}", tuple(resources), removed, beat)
 
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -24,7 +24,8 @@
             yield from (f"{node.module}.{alias.name}" for alias in node.names)
 
 
-EXTRAS = {"lang": {"lark", "netaddr"}, "cli": {"click", "structlog"}}    # by package; the sender takes none of them
+EXTRAS = {"lang": {"lark", "netaddr"}, "cli": {"click", "structlog"},    # by package; the sender takes none of them
+          "edge": {"grpc", "google", "envoy", "xds", "cryptography"}}
 
 
 def test_run_time_imports_are_standard_our_own_or_a_package_s_own_extras():
@@ -35,11 +36,12 @@
 
 
 def test_imports_point_down_only():
-    floors = ["cli", "control", "lang", "net"]
+    floors = ["cli", "edge", "control", "lang", "net"]
+    names = {"edge": "scalefall.control.edge"}
     for path in sorted((ROOT / "scalefall").rglob("*.py")):
         if path.parent.name in floors:
-            above = floors[:floors.index(path.parent.name)]
-            assert [name for name in imports(path) if name.startswith(tuple(f"scalefall.{up}" for up in above))] == []
+            above = tuple(names.get(up, f"scalefall.{up}") for up in floors[:floors.index(path.parent.name)])
+            assert [name for name in imports(path) if name.startswith(above)] == [], path
 
 
 def test_the_language_does_its_reading_in_one_module():
@@ -50,6 +52,14 @@
         assert path.name == "files.py" or not opens and not using, path.name
 
 
+def test_what_control_decides_knows_no_clock_file_or_socket():
+    for path in sorted((ROOT / "scalefall" / "control").glob("*.py")):
+        using = {name.split(".")[0] for name in imports(path)}
+        assert not using & {"os", "io", "pathlib", "socket", "time", "asyncio", "grpc", "google", "envoy"}, path
+        assert not [node for node in ast.walk(ast.parse(path.read_text())) if isinstance(node, ast.Name)
+                    and node.id == "open"], path
+
+
 def test_policy_speaks_only_interface_types():
     tree = ast.parse((ROOT / "scalefall" / "policy.py").read_text())
     ours = [n.module for n in ast.walk(tree) if isinstance(n, ast.ImportFrom) and n.module.startswith("scalefall")]
