--- /dev/null
+++ b/benchmarks/control_proof.py
@@ -0,0 +1,84 @@
+"""The long proof of control in virtual time: seeded runs with failing links, judged by the audit.
+
+    python benchmarks/control_proof.py [--runs 200] [--first SEED] [--seconds S]
+
+Links are reset, silent for up to 20 s, slow by up to 5 s; endpoints drain at the moment a link fails. Then a partner
+that returns cold with all proxies waiting: whole, with one proxy cut off over the return, and with control restarted in
+the middle; and the three things that a proxy may do when its lease ends, compared. Exit code 1 if a rule was broken.
+"""
+import argparse
+import json
+import pathlib
+import sys
+import time
+from collections import Counter
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent))
+from scalefall.control import audit  # noqa: E402
+from scalefall.lab.world import SECOND, Plan, World, returning  # noqa: E402
+
+RETURNS = {"whole": {}, "one proxy cut off over the return": {"cuts": ((0, 15 * SECOND, 30 * SECOND),)},
+           "cut off from before the outage to its end": {"cuts": ((1, 11 * SECOND, 20 * SECOND),)},
+           "control restarted at the return": {"restarts": ((21 * SECOND, 22 * SECOND),)},
+           "control restarted in the ramp": {"restarts": ((26 * SECOND, 27 * SECOND),)}}
+
+
+def judged(world):
+    rows, _ = audit.read(json.dumps(row) for row in world.run())
+    return rows, audit.audit(rows)
+
+
+def many(title, worlds):
+    """Prints one line; how many rules were broken."""
+    counts, checked, broken, began = Counter(), Counter(), [], time.perf_counter()
+    number = fell = 0
+    for seed, world in worlds:
+        _, findings = judged(world)
+        number, fell = number + 1, fell + world.partner.fell
+        for proxy in world.proxies:
+            counts.update(proxy.counts)
+        for found in findings:
+            checked[found.rule] += found.checked
+            broken += [f"seed {seed}: {found.rule}: {line}" for line in found.broken]
+    print(f"{title}: {number} runs in {time.perf_counter() - began:.0f} s; "
+          f"{', '.join(f'{rule} {checked[rule]}' for rule in audit.NAMES)} checked, {len(broken)} broken; "
+          f"partner fell over {fell} times")
+    print("    " + ", ".join(f"{how} {count}" for how, count in sorted(counts.items())))
+    for line in broken[:10]:
+        print("    " + line)
+    return len(broken)
+
+
+def ramp(seed):
+    """The cold return, second by second: what was sent, and what the partner takes."""
+    world = returning(seed)
+    rows, _ = judged(world)
+    sent = Counter(row.at // SECOND for row in rows if row.event == "took")
+    takes = {row.at // SECOND: row.fields["a_second"] for row in rows if row.event == "capacity"}
+    print(f"ramp of seed {seed}: second, calls sent (#), what it takes (|)")
+    for second in range(10, 45):
+        line = list("#" * sent[second] + " " * 40)[:40]
+        line[min(39, int(takes.get(second, 30)))] = "|"
+        print(f"  {second:3} {''.join(line).rstrip()}")
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--runs", type=int, default=200)
+    parser.add_argument("--first", type=int, default=0)
+    parser.add_argument("--seconds", type=int, default=30)
+    options = parser.parse_args()
+    seeds = range(options.first, options.first + options.runs)
+    broken = many("failing links", ((seed, World(Plan(seconds=options.seconds), seed)) for seed in seeds))
+    for title, more in RETURNS.items():
+        broken += many(f"cold return, {title}", ((seed, returning(seed, **more)) for seed in list(seeds)[:20]))
+    for choice in ("fallback", "stop", "floor"):
+        plan = Plan(seconds=options.seconds, at_end=choice)
+        broken_here = many(f"at the lease's end: {choice}", ((seed, World(plan, seed)) for seed in list(seeds)[:50]))
+        broken += broken_here if choice != "floor" else 0
+    ramp(options.first)
+    return 1 if broken else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scalefall/cli/control.py
+++ b/scalefall/cli/control.py
@@ -11,6 +11,7 @@
 from scalefall.cli import logs, output, reader
 from scalefall.cli.output import option
 from scalefall.cli.run import folder as state_folder
+from scalefall.control import audit
 from scalefall.lang.files import ROOT_FILE
 from scalefall.net.checks import log
 from scalefall.net.config import Config, ConfigError, read_address
@@ -31,7 +32,7 @@
     return click.FloatRange(least, most)
 
 
-@click.command(epilog="""\b
+@click.group(invoke_without_command=True, epilog="""\b
 Examples:
   scalefall control --config site.scale --state /var/lib/scalefall-control --listen 10.0.0.5:18000 \\
                     --certificate control.pem --key control.key --clients proxies-ca.pem
@@ -41,7 +42,7 @@
 Exit code 2: it could not start.""")
 @option("--config", "path", type=click.Path(), default=ROOT_FILE, show_default=True,
         help="The configuration's file, or a folder with a site.scale.")
-@option("--state", required=True, callback=state_folder,
+@option("--state", callback=lambda *args: args[2] and state_folder(*args),
         help="The folder that lasts. Processes that share it stand by for each other.")
 @option("--listen", metavar="ADDRESS:PORT", default="127.0.0.1:18000", show_default=True, callback=_listen,
         help="Where proxies connect: ADS, load reports and quotas.")
@@ -59,10 +60,15 @@
 @option("--log-level", type=click.Choice(logs.LEVELS), default="info", show_default=True)
 @option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True,
         help="Lines for people, or one JSON object each.")
-def control(path: str, state: str, listen: str, certificate: str | None, key: str | None, clients: str | None,
-            plain_text: bool, lease: float, delay: float, endpoint_lease: float, report_every: float, log_level: str,
-            log_format: str) -> None:
-    """Hand the decisions to other proxies over xDS, until SIGTERM."""
+@click.pass_context
+def control(context: click.Context, path: str, state: str | None, listen: str, certificate: str | None,
+            key: str | None, clients: str | None, plain_text: bool, lease: float, delay: float, endpoint_lease: float,
+            report_every: float, log_level: str, log_format: str) -> None:
+    """Hand the decisions to other proxies over xDS, until SIGTERM. Without a command behind it, it serves."""
+    if context.invoked_subcommand:
+        return
+    if state is None:
+        raise click.UsageError("--state is needed: a folder that lasts")
     signal.signal(signal.SIGHUP, signal.SIG_IGN)    # one that comes before it is ready must not end it
     given = [word for word in (certificate, key, clients) if word]
     if plain_text and given:
@@ -100,3 +106,24 @@
         run.run(start.config, options, Folder(state), held, read_again)
     except (keys.Unusable, Unusable, OSError) as error:
         output.cannot_run(str(error))
+
+
+@control.command("audit", epilog="""\b
+Example:
+  scalefall control audit control.log proxy-*.log partner.log
+\b
+Exit code 0: every rule that could be judged was kept. 1: one was broken. 2: a log could not be read.""")
+@click.argument("logs_", metavar="LOG...", nargs=-1, required=True, type=click.Path())
+def audit_command(logs_: tuple[str, ...]) -> None:
+    """Say rule by rule whether the JSON logs of control (at --log-level debug), proxies and partners show it kept."""
+    lines: list[str] = []
+    for path in logs_:
+        try:
+            with open(path, encoding="utf-8", errors="replace") as file:
+                lines += file.read().splitlines()
+        except OSError as error:
+            output.cannot_run(f"{path}: {error.strerror}")
+    rows, foreign = audit.read(lines)
+    findings = audit.audit(rows)
+    click.echo(audit.text(findings, foreign), nl=False)
+    raise SystemExit(1 if any(found.broken for found in findings) else 0)
--- a/scalefall/control/edge/run.py
+++ b/scalefall/control/edge/run.py
@@ -14,6 +14,9 @@
 from scalefall.net.config import Config, ConfigError
 
 
+MARGIN_MS = 500         # for a report's way through this process, where the audit asks when a wait must have been heard
+
+
 def run(config: Config, options: Options, folder: Folder, held: Keys | None, read_again: Callable[[], Config]) -> None:
     """Serve until SIGTERM or SIGINT. SIGHUP reads the configuration again. OSError if it can't listen; state.Unusable
     if the folder can't be used."""
@@ -29,7 +32,9 @@
     control = Control(config, options, folder, held)
     await control.start()
     reloads = asyncio.create_task(_reload(control, again, read_again))
-    log.info("ready: control at %s", control.address, extra={"fields": {"listen": control.address}})
+    log.info("ready: control at %s", control.address, extra={"fields": {
+        "listen": control.address, "wait_heard_ms": (options.report_us + options.lease_us + options.delay_us) // 1000 +
+        MARGIN_MS}})
     await end.wait()
     reloads.cancel()
     await control.stop()
--- a/scalefall/control/edge/server.py
+++ b/scalefall/control/edge/server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import itertools
+import logging
 import time
 from collections import deque
 from collections.abc import Awaitable, Callable, Iterable
@@ -244,8 +245,10 @@
     def _say(self) -> None:
         told, self.service.told = self.service.told, []
         for row in told:
-            log.info(f"{row.event}: %s", " ".join(f"{key}={value}" for key, value in row.fields.items()),
-                     extra={"fields": row.fields})
+            level = logging.DEBUG if row.fine else logging.INFO
+            if log.isEnabledFor(level):
+                log.log(level, f"{row.event}: %s", " ".join(f"{key}={value}" for key, value in row.fields.items()),
+                        extra={"fields": row.fields})
 
     # -- what goes out
 
@@ -260,10 +263,6 @@
                 bucket = peer.buckets.get(action.destination)
                 if bucket is not None and self.granting:
                     self._put(peer, wire.grant(action, *bucket).SerializeToString())
-                    log.info("granted: %s %s on route %d", action.holder, action.amount / 1000, action.destination,
-                             extra={"fields": {"holder": action.holder, "route": action.destination,
-                                               "number": action.number, "amount": action.amount,
-                                               "lease_ms": action.lease_us // 1000}})
             elif isinstance(action, Rejected):
                 log.warning("rejected: %s keeps what it had of %s: %s", peer.node, ", ".join(action.names),
                             action.text, extra={"fields": {"node": peer.node, "type": action.type,
--- a/scalefall/control/grants.py
+++ b/scalefall/control/grants.py
@@ -18,7 +18,8 @@
   1. A grant raises what its holder may use only by room that is free: after it, the sum over all holders, live or not,
      is no more than the allowance of the moment.
   2. When an allowance falls, nothing is raised there until the sum is below it again, which takes delay + lease at
-     most; smaller grants go out at once.
+     most. Smaller grants go out at once, and what was granted since the fall adds up to no more than the allowance,
+     holders that cannot be heard included: else these would be too much when the larger ones have run out.
   3. After a start nothing is granted for delay + lease, as an earlier service may have granted all of it.
   4. Every live holder that wants work has a grant in the end: where the allowance is too small to be split, holders
      take turns.
@@ -70,6 +71,10 @@
     def in_use(self) -> int:
         return max((out.amount for out in self.out), default=0)
 
+    def since(self, number: int) -> int:
+        """The most that it may use of grants above this number."""
+        return max((out.amount for out in self.out if out.number > number), default=0)
+
     @property
     def granted(self) -> int:
         """What it was told last, if that may still hold."""
@@ -79,6 +84,7 @@
 @dataclass(slots=True)
 class _Destination:
     allowance: int = 0
+    fell: int = 0                   # the highest number given before the allowance last fell
     shares: dict[str, _Share] = field(default_factory=dict)
     turns: int = 0                  # how often the turn has gone on
     turn_until: int = 0
@@ -120,13 +126,17 @@
 
     # -- what is told
 
-    def allow(self, destination: int, amount: int) -> None:
-        """The module's present allowance for a destination, for all proxies together."""
+    def allow(self, destination: int, amount: int) -> bool:
+        """The module's present allowance for a destination, for all proxies together. Whether it is another one."""
         holds(amount >= 0, "an allowance is no debt")
         place = self._destinations.setdefault(destination, _Destination())
-        if place.allowance != amount:
-            place.allowance = amount
-            self._touched.add(destination)
+        if place.allowance == amount:
+            return False
+        if amount < place.allowance:
+            place.fell = self._number
+        place.allowance = amount
+        self._touched.add(destination)
+        return True
 
     def join(self, holder: str) -> None:
         """A holder can be heard, for the first time or again."""
@@ -147,15 +157,19 @@
             share.wanted = amount
             self._touched.add(destination)
 
-    def acknowledged(self, holder: str, destination: int, number: int, now: int) -> None:
+    def acknowledged(self, holder: str, destination: int, number: int, now: int) -> bool:
         """The holder has had the grant of this number: lower ones are out of use, and this one runs out by its lease
-        from now at the latest. A number that is unknown here says nothing."""
+        from now at the latest. A number that is unknown here, or known to be had, says nothing: False."""
         share = self._share(holder, destination)
         if share is None or number not in [out.number for out in share.out]:
-            return
+            return False
+        was = [(out.number, out.until) for out in share.out]
         share.out = [out for out in share.out if out.number >= number]
         share.out[0].until = min(share.out[0].until, now + self.lease)
+        if was == [(out.number, out.until) for out in share.out]:
+            return False
         self._touched.add(destination)
+        return True
 
     # -- what follows
 
@@ -222,19 +236,26 @@
         holds(sum(targets.values()) <= place.allowance, "shares are no more than the allowance")
         before = place.in_use()
         room = place.allowance - before
+        anew = place.allowance - sum(share.since(place.fell) for share in place.shares.values())
         for holder in [holder for holder in place.shares if holder in self._live]:
             share, target = place.shares[holder], targets.get(holder, 0)
             if target < share.granted * (1 - CHANGED) or target < share.granted and room < 0:
-                grants.append(self._grant(number, holder, share, target, now))
+                had = share.since(place.fell)
+                amount = min(target, had + anew)
+                anew -= max(0, amount - had)
+                grants.append(self._grant(number, holder, share, amount, now))
         for holder in sorted(targets, key=lambda name: (place.shares[name].in_use - targets[name], name)):
             share = place.shares[holder]
-            amount = min(targets[holder], share.in_use + max(0, room))
+            had = share.since(place.fell)
+            amount = min(targets[holder], share.in_use + max(0, room), had + anew)
             more = amount > share.granted * (1 + CHANGED)
             if not amount or not more and now < share.sent + self.lease // 2:
                 continue
             room -= max(0, amount - share.in_use)
+            anew -= max(0, amount - had)
             grants.append(self._grant(number, holder, share, amount, now))
         holds(place.in_use() <= max(before, place.allowance), "a raise takes free room only")
+        holds(anew >= 0, "what was given since the allowance fell is no more than it")
         return grants
 
     def _grant(self, number: int, holder: str, share: _Share, amount: int, now: int) -> Grant:
--- a/scalefall/control/judge.py
+++ b/scalefall/control/judge.py
@@ -26,6 +26,7 @@
         self._module, self._ledger = module, ledger
         self.allowed: list[i.Allowed] = []      # as of the last turn
         self.said: list[str] = []               # the module's lines of the last turn
+        self.changed: dict[int, int] = {}       # allowances that the last turn changed
         self.unsettled: set[int] = set()        # destinations whose figures differ, or may change by time alone
         self._before: set[int] = set()
 
@@ -39,8 +40,8 @@
         sums: dict[int, int] = dict.fromkeys(self._ledger.destinations(), 0)
         for row in self.allowed:
             sums[row.destination] = sums.get(row.destination, 0) + self._amount(row, now)
-        for destination, amount in sums.items():
-            self._ledger.allow(destination, min(amount, UNLIMITED))
+        self.changed = {destination: min(amount, UNLIMITED) for destination, amount in sums.items()
+                        if self._ledger.allow(destination, min(amount, UNLIMITED))}
         return self._ledger.turn(now)
 
     def look(self) -> dict[int, list[i.Allowed]]:
--- a/scalefall/control/members.py
+++ b/scalefall/control/members.py
@@ -125,9 +125,7 @@
         if member is None:
             return None
         del self._streams[stream]
-        heard = member.heard        # the end of a stream is no sign of life
-        self._move(member, Sign.ENDED, now)
-        member.heard = heard
+        member.state = TABLE[member.state, Sign.ENDED]      # no sign of life: its place among them stays
         return Change(member.holder, member.node, State.CUT)
 
     def turn(self, now: int) -> list[Change]:
@@ -141,6 +139,7 @@
                 changes.append(Change(member.holder, member.node, member.state))
             if member.state is not State.LIVE and member.heard <= now - self._forget:
                 changes.append(self._drop(member))
+        holds(not self._members or self.next_turn(now) > now, "what was due is done")
         return changes
 
     def next_turn(self, now: int) -> int | None:
--- a/scalefall/control/service.py
+++ b/scalefall/control/service.py
@@ -50,9 +50,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Told:
-    """For the log: an event's name, its fields."""
+    """For the log: an event's name, its fields; fine: of interest to the audit, not to a person."""
     event: str
     fields: dict[str, object]
+    fine: bool = False
 
 
 class Service:
@@ -141,8 +142,8 @@
         if self.members.heard(stream, now) is not None:
             self.ledger.join(holder)
             self._tell("proxy heard again", holder=holder)
-        if had:
-            self.ledger.acknowledged(holder, route, had, now)
+        if had and self.ledger.acknowledged(holder, route, had, now):
+            self._tell("had", fine=True, holder=holder, route=route, number=had)
         self.ledger.want(holder, route, max(LEAST, _step(calls * HEADROOM * CALLS)))
         self._news(now)
         return True
@@ -172,10 +173,14 @@
         made = [self._build.endpoints(number, self._rows[number], allowed.get(number, []), now)
                 for number in self.judge.unsettled if number in self._rows]
         out = self._changed(self.catalog.update(made)) if made else []
+        for route, amount in self.judge.changed.items():
+            self._tell("allowance", fine=True, route=route, amount=amount)
         for grant in grants:
             member = self.members.get(grant.holder)
             if member is not None and member.state is State.LIVE:
                 out.append((member.stream, grant))
+                self._tell("granted", fine=True, holder=grant.holder, route=grant.destination, number=grant.number,
+                           amount=grant.amount, lease_ms=grant.lease_us // 1000, delay_ms=self.ledger.delay // 1000)
         out += self._beat(now)
         self._due = now + (WATCHED if self.judge.unsettled else RESTS)
         return out
@@ -211,8 +216,8 @@
         if not self._has_news:
             self._has_news, self._due = True, min(self._due, now + SETTLE)
 
-    def _tell(self, event: str, **fields: object) -> None:
-        self.told.append(Told(event, fields))
+    def _tell(self, event: str, fine: bool = False, **fields: object) -> None:
+        self.told.append(Told(event, fields, fine))
 
     def __len__(self) -> int:
         return len(self._streams)
--- a/tests/control/test_grants.py
+++ b/tests/control/test_grants.py
@@ -223,6 +223,20 @@
     assert ledger.turn(S) == [] and ledger.in_use(DEST, S) > CALLS
 
 
+def test_what_is_given_after_a_fall_adds_up_also_with_a_holder_that_is_lost_meanwhile():
+    ledger = started("a", "b", "c", allow=1000 * CALLS)
+    ledger.turn(0)
+    ledger.allow(DEST, 30 * CALLS)
+    ledger.turn(S)
+    ledger.lost("c")            # what it was given after the fall is its own until it has run out
+    ledger.want("a", DEST, 40 * CALLS)
+    for now in range(2 * S, S + LEASE + DELAY, S):
+        ledger.turn(now)
+    assert ledger.in_use(DEST, LEASE + DELAY) <= 30 * CALLS
+    ledger.turn(S + LEASE + DELAY)
+    assert ledger.in_use(DEST, S + LEASE + DELAY) > 20 * CALLS       # and then it is others'
+
+
 def test_a_destination_that_stays_as_it_is_costs_one_renewal_in_half_a_lease():
     ledger = started("a")
     sent, now = 0, 0
--- a/tests/control/test_members.py
+++ b/tests/control/test_members.py
@@ -33,6 +33,14 @@
     assert m.join(2, "p", "x", FORGET) == Joined("p/x", False, None, False)
 
 
+def test_one_whose_stream_ends_after_a_long_silence_is_forgotten_in_time_though_others_are_heard():
+    m = members((1, "p", "x"), (2, "q", "y"))
+    m.turn(SILENCE)
+    m.heard(2, FORGET - 2)
+    m.ended(1, FORGET - 1)          # it was last heard long ago, and its place is before the other's
+    assert m.turn(FORGET) == [Change("p/x", "p", State.GONE)] and m.next_turn(FORGET) > FORGET
+
+
 def test_a_silent_one_that_speaks_is_live_again():
     m = members((1, "p", "x"))
     m.turn(SILENCE)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -25,7 +25,8 @@
 
 
 EXTRAS = {"lang": {"lark", "netaddr"}, "cli": {"click", "structlog"},    # by package; the sender takes none of them
-          "edge": {"grpc", "google", "envoy", "xds", "cryptography"}}
+          "edge": {"grpc", "google", "envoy", "xds", "cryptography"},
+          "proxy": {"grpc", "google", "envoy"}}
 
 
 def test_run_time_imports_are_standard_our_own_or_a_package_s_own_extras():
@@ -36,7 +37,7 @@
 
 
 def test_imports_point_down_only():
-    floors = ["cli", "edge", "control", "lang", "net"]
+    floors = ["cli", "lab", "edge", "control", "lang", "net"]
     names = {"edge": "scalefall.control.edge"}
     for path in sorted((ROOT / "scalefall").rglob("*.py")):
         if path.parent.name in floors:
