Stand-in proxies, partners and failing links on sockets; heartbeats and demands no longer ask the module

scalefall.lab.proxy speaks ADS, RLQS and LRS and keeps the contract; scalefall.lab.partner is the model behind HTTP; scalefall.lab.link is a relay that goes silent, slow or is reset. example/control.sh plays an installation and ends with the audit's verdict. The audit counts grants by control's own clock: lines are written some ms after what they tell, which it first took for a breach.

At rest every heartbeat was a turn of the whole service, and a turn asks the module for all endpoints. Heartbeats go out on a grid of 25 ms, two in a time to live instead of three, and demands call the ledger alone.

--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,158 @@
+"""Control at size: how long a drain takes to reach each of N proxies, what a proxy costs, and bytes of one change.
+
+    python benchmarks/control.py [--streams 3 100 1000] [--endpoints 2000] [--names 3] [--drains 10] [--whole]
+
+A control process of its own; the streams are raw ones in this process, each asking for --names routes of 100 endpoints,
+acknowledging everything and answering heartbeats. Times count from the change in the control process (its log) to the
+message's arrival here, so what this process takes to read its share of them is part of the figure. CPU and memory are
+the control process's; `at rest` is with all leases beating.
+"""
+import argparse
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from datetime import datetime
+
+import grpc
+from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
+
+ROOT = pathlib.Path(__file__).parent.parent
+EDS = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
+PER_ROUTE, PER_CHANNEL = 100, 50
+TICK = os.sysconf("SC_CLK_TCK")
+
+
+def site(folder, endpoints, drained):
+    """Endpoint 0 of route 0 is ready or drains."""
+    rows = ["sender { name bench; listen 127.0.0.1:0 }", "class c { aim 3s; deadline 24s; repeat freely }",
+            "kind one { per-call 1 }"]
+    for route in range(max(1, endpoints // PER_ROUTE)):
+        rows.append(f"pool p{route} {{ kind one")
+        rows += [f"  endpoint e{n} {{ at 10.{route // 250}.{route % 250}.{n + 1}:80"
+                 f"{'; state draining' if drained and not route + n else ''} }}" for n in range(PER_ROUTE)]
+        rows += ["}", f"route {route + 1} {{ pool p{route} }}"]
+    (folder / "site.scale").write_text("\n".join(rows) + "\n")
+
+
+class Stream:
+    def __init__(self, channel, number, names, incremental):
+        self.incremental, self.names = incremental, names
+        stub = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel)
+        self.call = (stub.DeltaAggregatedResources if incremental else stub.StreamAggregatedResources)()
+        self.kind = discovery_pb2.DeltaDiscoveryRequest if incremental else discovery_pb2.DiscoveryRequest
+        self.node = {"id": f"n{number}", "client_features": ["xds.config.supports-resource-ttl"]}
+        self.news, self.bytes, self.at, self.ready = 0, 0, 0.0, asyncio.Event()
+
+    async def run(self):
+        word = "resource_names_subscribe" if self.incremental else "resource_names"
+        await self.call.write(self.kind(node=self.node, type_url=EDS, **{word: self.names}))
+        more = {} if self.incremental else {"resource_names": self.names}
+        async for response in self.call:
+            if self.incremental:
+                fresh = any(row.HasField("resource") for row in response.resources)
+            else:
+                fresh = any(len(row.value) > 200 for row in response.resources)     # a heartbeat has no body
+            if fresh:
+                self.at, self.bytes, self.news = time.time(), response.ByteSize(), self.news + 1
+                self.ready.set()
+            await self.call.write(self.kind(type_url=EDS, response_nonce=response.nonce, **more))
+
+
+def used(pid):
+    """Seconds of CPU, and MB resident."""
+    fields = pathlib.Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    rss = int(pathlib.Path(f"/proc/{pid}/statm").read_text().split()[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+    return (int(fields[11]) + int(fields[12])) / TICK, rss
+
+
+def share(values, part):
+    return sorted(values)[min(len(values) - 1, int(len(values) * part))]
+
+
+async def measure(count, options):
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        (folder / "state").mkdir()
+        site(folder, options.endpoints, False)
+        child = subprocess.Popen([sys.executable, "-O", "-m", "scalefall", "control", "--config", name, "--state",
+                                  f"{name}/state", "--plain-text", "--listen", "127.0.0.1:0", "--log-format", "json"],
+                                 cwd=ROOT, stderr=subprocess.PIPE, text=True)
+        lines = asyncio.Queue()
+        loop = asyncio.get_running_loop()
+
+        def read():
+            for line in child.stderr:
+                loop.call_soon_threadsafe(lines.put_nowait, json.loads(line))
+        reader = loop.run_in_executor(None, read)
+
+        async def event(wanted):
+            while True:
+                row = await asyncio.wait_for(lines.get(), 60)
+                if row["event"] == wanted:
+                    return row
+        try:
+            at = (await event("ready"))["listen"]
+            empty = used(child.pid)[1]
+            channels = [grpc.aio.insecure_channel(at, options=[("grpc.use_local_subchannel_pool", 1)])
+                        for _ in range(-(-count // PER_CHANNEL))]
+            names = [f"route-{n + 1}" for n in range(options.names)]
+            streams = [Stream(channels[n // PER_CHANNEL], n, names, not options.whole) for n in range(count)]
+            tasks = [asyncio.create_task(stream.run()) for stream in streams]
+            await asyncio.gather(*(asyncio.wait_for(stream.ready.wait(), 60) for stream in streams))
+            await asyncio.sleep(2)
+            before, began = used(child.pid), time.time()
+            mine = time.process_time()
+            await asyncio.sleep(options.rest)
+            spent, rest = used(child.pid)[0] - before[0], time.time() - began
+            mine = time.process_time() - mine
+            delays, lasts = [], []
+            for drain in range(options.drains):
+                for stream in streams:
+                    stream.ready.clear()
+                site(folder, options.endpoints, drain % 2 == 0)
+                child.send_signal(signal.SIGHUP)
+                row = await event("endpoint")
+                told = datetime.fromisoformat(row["timestamp"].replace("Z", "+00:00")).timestamp()
+                await asyncio.gather(*(asyncio.wait_for(stream.ready.wait(), 60) for stream in streams))
+                times = [stream.at - told for stream in streams]
+                delays += times
+                lasts.append(max(times))
+                await asyncio.sleep(1)
+            memory = used(child.pid)[1]
+            print(f"{count:5} streams: told p50 {1000 * share(delays, .5):.1f} ms, "
+                  f"p99 {1000 * share(delays, .99):.1f} ms, last "
+                  f"{1000 * share(lasts, .5):.1f} ms in the middle and {1000 * max(lasts):.1f} ms at worst of "
+                  f"{len(lasts)};\n      at rest {100 * spent / rest:.1f}% of a core (the streams here: "
+                  f"{100 * mine / rest:.1f}%); {memory:.0f} MB, {(memory - empty) * 1000 / count:.0f} kB a stream;\n"
+                  f"      one change of {options.endpoints} endpoints: {streams[0].bytes} bytes", flush=True)
+            for task in tasks:
+                task.cancel()
+            for channel in channels:
+                await channel.close()
+        finally:
+            child.terminate()
+            child.wait(10)
+            await reader
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--streams", type=int, nargs="+", default=[3, 100, 1000])
+    parser.add_argument("--endpoints", type=int, default=2000)
+    parser.add_argument("--names", type=int, default=3)
+    parser.add_argument("--drains", type=int, default=10)
+    parser.add_argument("--rest", type=float, default=5.0)
+    parser.add_argument("--whole", action="store_true", help="state of the world instead of incremental")
+    options = parser.parse_args()
+    for count in options.streams:
+        asyncio.run(measure(count, options))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/example/control_demo.py
@@ -0,0 +1,152 @@
+"""The demonstration that example/control.sh runs, and the proof on sockets: `--runs N` plays N seeds.
+
+    python example/control_demo.py [--runs N] [--first SEED] [--keep FOLDER]
+
+Each run takes half a minute: control on a file of its own, three proxies with 8 messages a second each, two endpoints
+of one partner of 30 calls a second. An endpoint drains at the moment that a proxy's link is cut (silent, reset or slow,
+by the seed); the partner goes away and returns cold; a second link fails over the return. The audit reads the logs.
+"""
+import argparse
+import json
+import os
+import pathlib
+import random
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+
+ROOT = pathlib.Path(__file__).parent.parent
+SITE = """
+sender {{ name demo; listen 127.0.0.1:0 }}
+class fee-order {{ aim 3s; deadline 24s; repeat never }}
+class event-notice {{ aim 3s; deadline 24s; repeat keyed for 6s }}
+class status-update {{ aim 3s; deadline 28s; repeat freely }}
+kind one {{ per-call 1 }}
+pool partner {{
+  kind one; limit 30 per 1s
+  endpoint a {{ at 127.0.0.1:{a} }}
+  endpoint b {{ at 127.0.0.1:{b}; state {state} }}
+}}
+route 7 {{ pool partner }}
+rules {{ cold 12s; cold-from 25%; fall 3s; fall-multiple 1.5; drain-grace 1s }}
+"""
+
+
+def start(*words, log=None, **more):
+    return subprocess.Popen([sys.executable, "-u", "-m", *words], cwd=ROOT, text=True,
+                            stdout=log or subprocess.PIPE, stdin=subprocess.PIPE, **more)
+
+
+def wait_for(path, event):
+    until = time.monotonic() + 30
+    while time.monotonic() < until:
+        for line in path.read_text().splitlines():
+            row = json.loads(line) if line.startswith("{") else {}
+            if row.get("event") == event:
+                return row
+        time.sleep(0.05)
+    sys.exit(f"demo: no {event!r} in {path}:\n{path.read_text()[-2000:]}")
+
+
+def play(folder, seed, say):
+    """One run; the logs are in the folder."""
+    chance, children = random.Random(seed), []
+
+    def child(name, *words, **more):
+        with open(folder / f"{name}.log", "w") as log:
+            children.append(start(*words, log=log, **more))
+        return children[-1]
+    try:
+        child("partner-a", "scalefall.lab.partner", "--limit", "30", "--away", "12-16", "--seed", str(seed))
+        a = wait_for(folder / "partner-a.log", "listening")["port"]
+        b = a       # two endpoints of one partner: a second address in front of it
+        relay = start("scalefall.lab.link", f"127.0.0.1:{a}")
+        children.append(relay)
+        b = int(relay.stdout.readline())
+        (folder / "state").mkdir()
+        site = folder / "site.scale"
+        site.write_text(SITE.format(a=a, b=b, state="ready"))
+        with open(folder / "control.log", "w") as log:
+            control = start("scalefall", "control", "--config", str(site), "--state", str(folder / "state"),
+                            "--listen", "127.0.0.1:0", "--plain-text", "--log-level", "debug", "--log-format", "json",
+                            "--report-every", "0.25", log=subprocess.DEVNULL, stderr=log)
+        children.append(control)
+        at = wait_for(folder / "control.log", "ready")["listen"]
+        links = []
+        for number in range(3):
+            links.append(start("scalefall.lab.link", at))
+            children.append(links[-1])
+            port = links[-1].stdout.readline().strip()
+            child(f"proxy-{number}", "scalefall.lab.proxy", "--control", f"127.0.0.1:{port}", "--node",
+                  f"proxy-{number}", "--routes", "7", "--load", "8", "--seed", str(seed * 10 + number))
+
+        def link(number, word):
+            say(f"link of proxy-{number}: {word}")
+            links[number].stdin.write(word + "\n")
+            links[number].stdin.flush()
+
+        def cut(number):
+            word = chance.choice(["silence", "reset", f"delay {chance.randint(200, 3000)}"])
+            link(number, word)
+            return lambda: link(number, "delay 0" if word.startswith("delay") else "heal")
+        time.sleep(6 + chance.random())
+        drained, late = chance.randrange(3), chance.uniform(0, 0.1)
+        say("endpoint b is to drain")
+        site.write_text(SITE.format(a=a, b=b, state="draining"))
+        control.send_signal(signal.SIGHUP)
+        wait_for(folder / "control.log", "configuration read again") if late < 0.03 else time.sleep(0.45 + late)
+        mend = cut(drained)
+        time.sleep(4)
+        mend()
+        site.write_text(SITE.format(a=a, b=b, state="ready"))
+        control.send_signal(signal.SIGHUP)
+        say("endpoint b is back; the partner goes away soon and returns cold")
+        time.sleep(2 + chance.random())
+        mend = cut((drained + 1) % 3)
+        time.sleep(8)
+        mend()
+        time.sleep(6)
+        for proxy in [each for each in children if "scalefall.lab.proxy" in each.args]:
+            proxy.send_signal(signal.SIGTERM)
+        for proxy in [each for each in children if "scalefall.lab.proxy" in each.args]:
+            proxy.wait(30)
+        control.send_signal(signal.SIGTERM)
+        if control.wait(10):
+            sys.exit(f"demo: control ended with {control.returncode}")
+    finally:
+        for each in children:
+            if each.poll() is None:
+                each.kill()
+            each.wait()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--first", type=int, default=1)
+    parser.add_argument("--keep", help="leave the logs there")
+    options = parser.parse_args()
+    codes = Counter()
+    for seed in range(options.first, options.first + options.runs):
+        with tempfile.TemporaryDirectory() as name:
+            folder = pathlib.Path(options.keep or name) / f"run-{seed}"
+            folder.mkdir(parents=True)
+            print(f"run {seed}", flush=True)
+            play(folder, seed, (lambda text: print("  " + text, flush=True)) if options.runs == 1 else lambda _: None)
+            logs = sorted(str(path) for path in folder.glob("*.log"))
+            ends = Counter(row["how"] for path in logs for line in open(path) if '"ended"' in line
+                           if (row := json.loads(line)).get("how"))
+            print("  " + ", ".join(f"{number} {how}" for how, number in sorted(ends.items())))
+            if options.runs == 1:
+                print(f"$ scalefall control audit {' '.join(os.path.basename(path) for path in logs)}", flush=True)
+            codes[subprocess.run([sys.executable, "-m", "scalefall", "control", "audit", *logs],
+                                 cwd=ROOT).returncode] += 1
+    print(f"{codes[0]} of {options.runs} runs kept every rule that could be judged")
+    return 0 if codes[0] == options.runs else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/scalefall/control/judge.py
+++ b/scalefall/control/judge.py
@@ -44,6 +44,11 @@
                         if self._ledger.allow(destination, min(amount, UNLIMITED))}
         return self._ledger.turn(now)
 
+    def grants(self, now: int) -> list[Grant]:
+        """What follows from news of holders alone; the module isn't asked."""
+        self.said, self.changed = [], {}
+        return self._ledger.turn(now)
+
     def look(self) -> dict[int, list[i.Allowed]]:
         """The module's figures of this moment, by destination."""
         self.allowed = self._module.allowances()
--- a/scalefall/control/members.py
+++ b/scalefall/control/members.py
@@ -144,8 +144,11 @@
 
     def next_turn(self, now: int) -> int | None:
         """When turn() is due if nothing is heard before; None if there is nobody."""
-        times = [member.heard + (self._silence if member.state is State.LIVE else self._forget)
-                 for member in self._members.values()]
+        times = []
+        for member in self._members.values():
+            times.append(member.heard + (self._silence if member.state is State.LIVE else self._forget))
+            if member.state is State.LIVE:
+                break       # those behind it were heard later, and silence comes before forgetting
         return max(now, min(times)) if times else None
 
     def holder(self, stream: int) -> str | None:
--- a/scalefall/control/service.py
+++ b/scalefall/control/service.py
@@ -12,6 +12,7 @@
 """
 from __future__ import annotations
 
+import heapq
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from math import inf
@@ -29,6 +30,7 @@
 SETTLE = 10_000             # us from the first news to the turn that answers them
 WATCHED = 100_000           # between turns while a wait, a guard or a pace may end by itself
 RESTS = 1_000_000           # between turns otherwise
+GRID = 25_000               # heartbeats are sent at multiples of it
 HEADROOM = 1.25             # a holder's demand by what it used
 MOST_REPORTED = 1000        # calls of one endpoint and outcome in one report that the module is told one by one
 
@@ -69,7 +71,9 @@
         self.fleet = Fleet((), {})
         self._build = builder
         self._streams: dict[int, Stream] = {}
-        self._beats: dict[int, float] = {}          # when a stream's next heartbeat is due
+        self._beats: list[tuple[int, int]] = []     # when a stream's next heartbeat may be due
+        self._planned: set[int] = set()             # streams that are there
+        self._judge_at = now
         self._rows: dict[int, list[Entry]] = {}     # by route
         self._events: list[i.Event] = []
         self._due = now
@@ -87,16 +91,18 @@
         new = {entry.endpoint.id: entry.endpoint for entry in fleet.entries}
         changes = [end for name, end in new.items() if was.get(name) != end]
         changes += [_gone(end) for name, end in was.items() if name not in new]
+        places = {entry.endpoint.id: entry.address for entry in (*self.fleet.entries, *fleet.entries)}
         for end in changes:
             if _status(was.get(end.id)) != _status(end):
-                self._tell("endpoint", endpoint=end.id, route=end.destination, was=_status(was.get(end.id)),
-                           now=_status(end))
+                self._tell("endpoint", endpoint=end.id, address="{}:{}".format(*places[end.id]),
+                           route=end.destination, was=_status(was.get(end.id)), now=_status(end))
         self.module.handle(now, [i.Listed(i.ListKind.CHANGES, changes)] if changes else [])
         allowed = self.judge.look()
         made += [self._build.endpoints(number, rows[number], allowed.get(number, []), now) for number in fleet.routes]
         changed = self.catalog.replace(made)
         self.fleet, self._rows = fleet, rows
         self._news(now)
+        self._judge_at = min(self._judge_at, now + SETTLE)
         return self._changed(changed)
 
     # -- resource streams
@@ -108,13 +114,12 @@
     def request(self, stream: int, request: Request, now: int) -> list[Out]:
         client = self._streams[stream]
         out = [(stream, action) for action in client.request(request)]
-        self._beats[stream] = client.next_beat(now)
+        self._plan_beat(stream, client.next_beat(now))
         return out
 
     def ended(self, stream: int) -> None:
         """A resource stream is closed."""
         self._streams.pop(stream, None)
-        self._beats.pop(stream, None)
 
     # -- grants and reports
 
@@ -143,7 +148,7 @@
             self.ledger.join(holder)
             self._tell("proxy heard again", holder=holder)
         if had and self.ledger.acknowledged(holder, route, had, now):
-            self._tell("had", fine=True, holder=holder, route=route, number=had)
+            self._tell("had", fine=True, clock=now, holder=holder, route=route, number=had)
         self.ledger.want(holder, route, max(LEAST, _step(calls * HEADROOM * CALLS)))
         self._news(now)
         return True
@@ -165,38 +170,53 @@
         """Everything that is due: reports judged, resources that differ, grants, heartbeats, silent proxies."""
         for change in self.members.turn(now):
             self._lost(change)
-        events, self._events, self._has_news = self._events, [], False
-        grants = self.judge.turn(now, events)
-        for line in self.judge.said:
-            self._tell("judged", text=line)
-        allowed = self.judge.by_route()
-        made = [self._build.endpoints(number, self._rows[number], allowed.get(number, []), now)
-                for number in self.judge.unsettled if number in self._rows]
-        out = self._changed(self.catalog.update(made)) if made else []
+        out, grants = self._judged(now) if self._events or now >= self._judge_at else ([], self.judge.grants(now))
+        self._has_news, self._due = False, self._judge_at
         for route, amount in self.judge.changed.items():
-            self._tell("allowance", fine=True, route=route, amount=amount)
+            self._tell("allowance", fine=True, clock=now, route=route, amount=amount)
         for grant in grants:
             member = self.members.get(grant.holder)
             if member is not None and member.state is State.LIVE:
                 out.append((member.stream, grant))
-                self._tell("granted", fine=True, holder=grant.holder, route=grant.destination, number=grant.number,
-                           amount=grant.amount, lease_ms=grant.lease_us // 1000, delay_ms=self.ledger.delay // 1000)
+                self._tell("granted", fine=True, clock=now, holder=grant.holder, route=grant.destination,
+                           number=grant.number, amount=grant.amount, lease_ms=grant.lease_us // 1000,
+                           delay_ms=self.ledger.delay // 1000)
         out += self._beat(now)
-        self._due = now + (WATCHED if self.judge.unsettled else RESTS)
         return out
 
+    def _judged(self, now: int) -> tuple[list[Out], list[Grant]]:
+        """The module's turn: it looks at every endpoint, so it comes for reports and by time, not for each demand."""
+        events, self._events = self._events, []
+        grants = self.judge.turn(now, events)
+        for line in self.judge.said:
+            self._tell("judged", text=line)
+        allowed = self.judge.by_route()
+        made = [self._build.endpoints(number, self._rows[number], allowed.get(number, []), now)
+                for number in self.judge.unsettled if number in self._rows]
+        self._judge_at = now + (WATCHED if self.judge.unsettled else RESTS)
+        return self._changed(self.catalog.update(made)) if made else [], grants
+
     def next_turn(self, now: int) -> int:
-        times = [self._due, self.ledger.next_turn(now), self.members.next_turn(now) or self._due,
-                 *self._beats.values()]
-        return int(max(now, min(times)))
+        times = [self._due, self.ledger.next_turn(now), self.members.next_turn(now) or self._due]
+        if self._beats:
+            times.append(self._beats[0][0])
+        return max(now, min(times))
+
+    def _plan_beat(self, stream: int, at: float) -> None:
+        """On a grid, so that the heartbeats of many streams take few turns."""
+        if at < inf and stream not in self._planned:
+            self._planned.add(stream)
+            heapq.heappush(self._beats, (-(-int(at) // GRID) * GRID, stream))
 
     def _beat(self, now: int) -> list[Out]:
         out: list[Out] = []
-        for stream, due in self._beats.items():
-            if due <= now:
-                client = self._streams[stream]
+        while self._beats and self._beats[0][0] <= now:
+            _, stream = heapq.heappop(self._beats)
+            self._planned.discard(stream)
+            client = self._streams.get(stream)
+            if client is not None:
                 out += [(stream, action) for action in client.beat(now)]
-                self._beats[stream] = max(client.next_beat(now), now + WATCHED)
+                self._plan_beat(stream, max(client.next_beat(now), now + GRID))
         return out
 
     def _changed(self, keys: set[Key]) -> list[Out]:
--- a/scalefall/control/streams.py
+++ b/scalefall/control/streams.py
@@ -30,6 +30,7 @@
 MOST_LENGTH = 512           # of a name
 MOST_TEXT = 500             # of a rejection's text that is kept for the log
 WILDCARD = "*"
+BEATS = 2                   # heartbeats in the shortest time to live
 
 
 @dataclass(slots=True, frozen=True)
@@ -96,6 +97,7 @@
     answered: bool = False          # the first answer has gone out
     last: str = ""                  # the nonce of the last one
     beaten: float = -inf
+    ttl: int = 0                    # the shortest time to live of what was sent; 0: nothing has one
 
     def wants(self, name: str) -> bool:
         return self.wildcard or name in self.names
@@ -144,21 +146,22 @@
         return self._flush()
 
     def beat(self, now: int) -> list[Action]:
-        """Heartbeats for what the client would drop otherwise, three in a time to live; next_beat says when. None goes
+        """Heartbeats for what the client would drop otherwise, BEATS in a time to live; next_beat says when. None goes
         out while a response of that type has no answer: so one tells its client that its last answer was heard, and
         a client that counts its lease from when it gave that answer is right whatever the link's delay."""
         actions: list[Action] = []
         for watch in self._watches.values() if self._leased else ():
-            leased = [resource for resource in watch.sent.values() if resource.ttl_us]
-            shortest = min((resource.ttl_us for resource in leased), default=0)
-            if leased and not watch.out and now >= watch.beaten + shortest // 3:
-                watch.beaten = now
-                actions.append(self._respond(watch, leased, (), True))
+            if watch.ttl and not watch.out and now >= watch.beaten + watch.ttl // BEATS:
+                leased = [resource for resource in watch.sent.values() if resource.ttl_us]
+                watch.ttl = min((resource.ttl_us for resource in leased), default=0)
+                if leased:
+                    watch.beaten = now
+                    actions.append(self._respond(watch, leased, (), True))
         return actions
 
     def next_beat(self, now: int) -> float:
-        return min((max(now, watch.beaten + resource.ttl_us // 3) for watch in self._watches.values()
-                    for resource in watch.sent.values() if resource.ttl_us), default=inf) if self._leased else inf
+        return min((max(now, watch.beaten + watch.ttl // BEATS) for watch in self._watches.values() if watch.ttl),
+                   default=inf) if self._leased else inf
 
     def has(self, key: Key) -> Resource | None:
         """What the client is known to have of a resource, as it said itself."""
@@ -283,6 +286,8 @@
             if resource.name not in watch.sent:
                 watch.since[resource.name] = self._nonce + 1
             watch.sent[resource.name] = resource
+            if resource.ttl_us:
+                watch.ttl = min(watch.ttl or resource.ttl_us, resource.ttl_us)
             watch.again.discard(resource.name)
             watch.absent.discard(resource.name)
         return [self._respond(watch, ready, ())]
--- /dev/null
+++ b/scalefall/lab/partner/__main__.py
@@ -0,0 +1,100 @@
+"""A stand-in partner on a socket: `python -m scalefall.lab.partner --port P --limit N [--away FROM-TO]`.
+
+Times are seconds from its start. It logs JSON lines for the audit to standard output: took, effect, capacity, fell.
+"""
+from __future__ import annotations
+
+import argparse
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from scalefall.interface import Outcome
+from scalefall.lab.partner.model import SECOND, Partner, Shape
+
+REPEAT = {"fee-order": "never", "event-notice": "keyed", "status-update": "freely"}
+LOOK_S = 0.1
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=__doc__, formatter_class=argparse.RawDescriptionHelpFormatter)
+    parser.add_argument("--port", type=int, default=0)
+    parser.add_argument("--limit", type=float, default=30.0)
+    parser.add_argument("--away", action="append", default=[], metavar="FROM-TO")
+    parser.add_argument("--resets", type=float, default=0.0)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--name", default="partner")
+    options = parser.parse_args()
+    away = tuple((int(float(a) * SECOND), int(float(b) * SECOND)) for a, _, b in
+                 (span.partition("-") for span in options.away))
+    shape = Shape(options.limit, away=away, resets=options.resets)
+    partner, lock, began = Partner(shape, options.seed), threading.Lock(), time.monotonic_ns()
+
+    def now() -> int:
+        return (time.monotonic_ns() - began) // 1000
+
+    def say(event: str, **fields: object) -> None:
+        print(json.dumps({"at": time.time_ns() // 1000, "who": options.name, "event": event,
+                          "partner": options.name, **fields}), flush=True)
+
+    class Handler(BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def log_message(self, *_: object) -> None:
+            pass
+
+        def do_POST(self) -> None:
+            self.rfile.read(int(self.headers.get("Content-Length", 0)))
+            name, cls = self.headers.get("X-Request-Id", ""), self.path.strip("/").partition("/")[0]
+            with lock:
+                say("took", id=name)
+                before, fell = partner.effects[name], partner.fell
+                answer = partner.call(name, now())
+                if partner.fell > fell:
+                    say("fell")
+                if partner.effects[name] > before:
+                    say("effect", id=name, repeat=REPEAT.get(cls, "never"))
+            time.sleep(answer.after_us / SECOND)
+            if answer.outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
+                self.close_connection = True
+                return
+            self.send_response(429 if answer.outcome is Outcome.FULL else 200)
+            if answer.wait_us:
+                self.send_header("Retry-After", f"{answer.wait_us / SECOND:.3f}")
+            self.send_header("X-Load", json.dumps(answer.report))
+            self.send_header("Content-Length", "0")
+            self.end_headers()
+
+    class Server(ThreadingHTTPServer):
+        daemon_threads = True
+        request_queue_size = 128
+
+        def handle_error(self, *_: object) -> None:
+            pass                    # a proxy that has gone
+
+    def serve(port: int) -> Server:
+        server = Server(("127.0.0.1", port), Handler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return server
+
+    server: Server | None = serve(options.port)
+    port = server.server_address[1]
+    say("listening", port=port)
+    while True:
+        time.sleep(LOOK_S)
+        with lock:
+            gone, capacity, since = partner.away(now()), partner.capacity(now()), partner.cold_since
+        if gone and server is not None:
+            server.shutdown()
+            server.server_close()
+            server = None
+        elif not gone and server is None:
+            server = serve(port)
+        if since >= 0:
+            say("capacity", a_second=capacity, cold=now() < since + shape.cold_us, fall=shape.fall,
+                fall_ms=shape.fall_us // 1000, since=time.time_ns() // 1000 - now() + since)
+
+
+if __name__ == "__main__":
+    main()
