Control: requests cost by their size, repeated names are cheap; a proof with bad peers

Ten streams that each asked for other 10,000 names again and again took the whole process: each request is 14 ms, and good streams heard nothing for 3.4 s, past their leases. A request now costs by its bytes; one that repeats the names of the one before (an acknowledgement of the state of the world) skips the comparison and costs a twentieth.

--- a/scalefall/control/bounds.py
+++ b/scalefall/control/bounds.py
@@ -13,9 +13,9 @@
         self._burst, self._gap = burst, SECOND // a_second
         self._next = now - burst * self._gap        # the moment up to which it is used
 
-    def take(self, now: int) -> int:
-        """Takes one; how many us to wait before it is let through, 0 for at once."""
-        self._next = max(self._next, now - self._burst * self._gap) + self._gap
+    def take(self, now: int, cost: int = 1) -> int:
+        """Takes so many; how many us to wait before the next is let through, 0 for at once."""
+        self._next = max(self._next, now - self._burst * self._gap) + self._gap * cost
         return max(0, self._next - now)
 
     def refuse(self, now: int) -> bool:
--- a/scalefall/control/edge/server.py
+++ b/scalefall/control/edge/server.py
@@ -40,6 +40,7 @@
 MOST_NODE = 256
 TTL_FEATURE = "xds.config.supports-resource-ttl"        # as the protocol's specification names it
 SPEAK = (200, 100)              # requests of one stream: at once, and a second
+DEAR, CHEAP = 1_000, 20_000     # bytes that cost as much as a request; where it repeats the last one's names
 OPEN = (50, 10)                 # streams of one node likewise
 KEEP_S = 1.0                    # between looks at what has to outlast the process
 ENDS_S = 1.0                    # for streams to end in at the end of the process
@@ -71,6 +72,8 @@
     incremental: bool = False
     leased: bool = False                # it knows times to live
     node: str = ""
+    said: tuple[str, ...] = ()          # the names of its last request
+    repeats: bool = False               # the last one but one had the same
     waiting: deque[bytes] = field(default_factory=deque)
     ready: asyncio.Event = field(default_factory=asyncio.Event)
     closing: tuple[Code, str] | None = None
@@ -368,7 +371,7 @@
             except DecodeError:
                 raise Ended(Code.INVALID_ARGUMENT, "that is no message of this protocol") from None
             yield message
-            wait = pace.take(_now())
+            wait = pace.take(_now(), 1 + len(data) // (CHEAP if peer.repeats else DEAR))
             if wait:
                 await asyncio.sleep(wait / 1e6)
 
@@ -387,7 +390,9 @@
                 self.service.opened(peer.number, peer.node, peer.incremental, peer.leased)
             elif message.node.id:
                 self._identify(peer, message.node.id)
-            self._send(self.service.request(peer.number, read(message), _now()))
+            request = read(message)
+            peer.repeats, peer.said = request.names == peer.said, request.names
+            self._send(self.service.request(peer.number, request, _now()))
             self._plan()
 
     async def _load(self, peer: Peer) -> None:
--- a/scalefall/control/streams.py
+++ b/scalefall/control/streams.py
@@ -85,6 +85,7 @@
     type: str
     wildcard: bool = False
     names: set[str] = field(default_factory=set)
+    said: tuple[str, ...] | None = None     # the names of the last request, where each has them all
     sent: dict[str, Resource] = field(default_factory=dict)     # what the client has, or will have when it has read all
     since: dict[str, int] = field(default_factory=dict)         # the response from which on it is with the client
     good: dict[str, Resource] = field(default_factory=dict)     # what it has acknowledged
@@ -214,6 +215,9 @@
         if self._incremental:
             self._more_or_less(watch, request, new)
             return
+        if request.names == watch.said and not new:
+            return                  # an acknowledgement, which says all names again
+        watch.said = request.names
         asked = set(request.names) - {WILDCARD}
         wildcard = WILDCARD in request.names or (watch.type in (LDS, CDS) and not request.names and
                                                  (new or watch.wildcard and not watch.names))
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -331,3 +331,15 @@
     with control(folder) as process:
         assert process.end(signal.SIGTERM) == 0
         assert all("event" in json.loads(line) for line in process.seen)
+
+
+def test_many_names_again_and_again_are_taken_slowly_and_a_repetition_is_cheap(folder):
+    with control(folder) as process, grpc.insecure_channel(process.at) as channel:
+        names = [[f"{word}-{n}" for n in range(15_000)] + ["route-7"] for word in "ab"]
+        greedy, good = Raw(channel, node="greedy"), Raw(channel, node="good")
+        good.ask(EDS, "route-7")
+        for turn in range(100):
+            greedy.ask(EDS, *names[turn % 2])
+        for _ in range(4):      # one after the other, each half a lease: it is heard in between all along
+            good.ack(good.next(), "route-7")
+        assert not good.call.done() and not greedy.call.done()
