--- a/scalefall/control/edge/server.py
+++ b/scalefall/control/edge/server.py
@@ -38,6 +38,7 @@
 MOST_WAITING = 2_000            # messages that one stream may have to be read
 FIRST_S = 10                    # a stream that has not said who it is by then
 MOST_NODE = 256
+ELSEWHERE = "another process grants here"
 TTL_FEATURE = "xds.config.supports-resource-ttl"        # as the protocol's specification names it
 SPEAK = (200, 100)              # requests of one stream: at once, and a second
 DEAR, CHEAP = 1_000, 20_000     # bytes that cost as much as a request; where it repeats the last one's names
@@ -397,6 +398,8 @@
 
     async def _load(self, peer: Peer) -> None:
         async for message in self._messages(peer, lrs_pb2.LoadStatsRequest):
+            if not self.granting:
+                raise Ended(Code.UNAVAILABLE, ELSEWHERE)
             if not peer.node:
                 self._identify(peer, message.node.id)
                 answer = lrs_pb2.LoadStatsResponse(send_all_clusters=True, report_endpoint_granularity=True)
@@ -413,6 +416,8 @@
         said = {key: value for key, value in peer.context.invocation_metadata() or () if isinstance(value, str)}
         async for message in self._messages(peer, rlqs_pb2.RateLimitQuotaUsageReports):
             now = _now()
+            if not self.granting:
+                raise Ended(Code.UNAVAILABLE, ELSEWHERE)
             if not peer.node:
                 self._identify(peer, said.get("scalefall-node") or message.domain)
                 joined = self.service.joined(peer.number, peer.node, said.get("scalefall-instance", "")[:64], now)
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -245,8 +245,11 @@
         quota.say(10)
         raw.ask(CDS)
         assert raw.next().resources      # resources are served by both
+        assert status(quota.call)[0] is grpc.StatusCode.UNAVAILABLE
         one.end()
         epoch = two.event("granting")["epoch"]
+        quota = Quota(channel)
+        quota.say(10)
         assert quota.next()[1] > epoch >= 1_000_000
 
 
--- /dev/null
+++ b/tests/edge/test_standins.py
@@ -0,0 +1,81 @@
+"""The stand-ins as processes: a proxy behind a link that is cut, a partner, control, and the audit of their logs."""
+import json
+import signal
+import subprocess
+import sys
+
+import pytest
+from edgehelp import control, site
+from test_program import LONG, ROOT, Process
+
+from scalefall.control import audit
+
+
+class Child(Process):
+    """Keeps every line that it said."""
+
+    def row(self, **fields):
+        """The next line with these fields."""
+        while True:
+            line = self.lines.get(timeout=LONG)
+            assert line is not None, self.seen[-5:]
+            self.seen.append(line)
+            row = json.loads(line)
+            if all(row.get(key) == value for key, value in fields.items()):
+                return row
+
+
+@pytest.fixture
+def children():
+    started = []
+
+    def start(*words):
+        started.append(Child("-u", "-m", *words))
+        return started[-1]
+    yield start
+    for each in started:
+        each.child.kill()
+
+
+def test_a_proxy_sends_under_grants_falls_back_while_it_is_cut_off_and_comes_back(tmp_path, children):
+    partner = children("scalefall.lab.partner", "--limit", "20")
+    site(tmp_path, partner.row(event="listening")["port"], limit="limit 20 per 1s;")
+    flags = ("--plain-text", "--log-level", "debug", "--report-every", "0.2", "--lease", "1")
+    with control(tmp_path, *flags) as process:
+        link = subprocess.Popen([sys.executable, "-u", "-m", "scalefall.lab.link", process.at], cwd=ROOT, text=True,
+                                stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        try:
+            proxy = children("scalefall.lab.proxy", "--control", f"127.0.0.1:{link.stdout.readline().strip()}",
+                             "--node", "p", "--routes", "7", "--load", "20")
+
+            def tell(word):
+                link.stdin.write(word + "\n")
+                link.stdin.flush()
+            proxy.row(event="ended", how="ok")
+            tell("silence")
+            proxy.row(event="ended", how="fallback")
+            tell("reset")
+            tell("heal")
+            proxy.row(event="ended", how="ok")
+            site(tmp_path, partner_port(partner), limit="limit 20 per 1s;", e0="draining")
+            process.child.send_signal(signal.SIGHUP)
+            process.line("configuration read again")
+            proxy.row(event="ended", how="refused")
+            assert proxy.end(signal.SIGTERM) == 0
+            assert process.end(signal.SIGTERM) == 0
+        finally:
+            link.kill()
+            link.communicate()
+        lines = []
+        for each in (process, proxy, partner):
+            while not each.lines.empty():
+                each.seen.append(each.lines.get() or "")
+            lines += each.seen
+    rows, _ = audit.read(lines)
+    found = {each.rule: each for each in audit.audit(rows)}
+    assert not [each.broken for each in found.values() if each.broken]
+    assert found["answer"].checked and found["grants"].checked and found["twice"].checked
+
+
+def partner_port(partner):
+    return next(json.loads(line)["port"] for line in partner.seen if '"listening"' in line)
