--- a/tests/edge/edgehelp.py
+++ b/tests/edge/edgehelp.py
@@ -20,11 +20,11 @@
 SITE = """
 sender {{ name t; listen 127.0.0.1:0 }}
 class fee-order {{ aim 3s; deadline 24s; repeat never }}
-class notice {{ aim 3s; deadline 24s; repeat keyed for 6s }}
-class status {{ aim 3s; deadline 28s; repeat freely }}
+class event-notice {{ aim 3s; deadline 24s; repeat keyed for 6s }}
+class status-update {{ aim 3s; deadline 28s; repeat freely }}
 kind one {{ per-call 1 }}
 pool p {{ kind one; {limit} {endpoints} }}
-route 7 {{ pool p; classes fee-order, notice, status }}
+route 7 {{ pool p; classes fee-order, event-notice, status-update }}
 """
 TTL = "xds.config.supports-resource-ttl"
 
--- a/tests/edge/test_standins.py
+++ b/tests/edge/test_standins.py
@@ -79,3 +79,17 @@
 
 def partner_port(partner):
     return next(json.loads(line)["port"] for line in partner.seen if '"listening"' in line)
+
+
+def test_without_control_messages_go_over_a_senders_own_front_and_reach_the_partner(tmp_path, children):
+    partner = children("scalefall.lab.partner", "--limit", "20")
+    site(tmp_path, partner.row(event="listening")["port"], limit="limit 20 per 1s;")
+    (tmp_path / "sender").mkdir()
+    sender = children("scalefall", "run", "--config", str(tmp_path), "--state", str(tmp_path / "sender"),
+                      "--listen", "127.0.0.1:0")
+    front = sender.line("ready: ").split()[-1]
+    proxy = children("scalefall.lab.proxy", "--control", "127.0.0.1:1", "--node", "p", "--routes", "7", "--load", "10",
+                     "--sender", front)
+    name = proxy.row(event="ended", how="fallback 202")["id"]
+    partner.row(event="effect", id=name)
+    assert proxy.end(signal.SIGTERM) == 0 and not [line for line in proxy.seen if '"sent"' in line]
