--- a/scalefall/control/edge/server.py
+++ b/scalefall/control/edge/server.py
@@ -99,6 +99,7 @@
         self._responses = wire.Responses()
         self._index = reports.Index(())
         self._timer: asyncio.TimerHandle | None = None
+        self._armed = 0             # when it comes
         self._kept: object = None
         self._beside: list[asyncio.Task] = []
         self.granting = False
@@ -228,11 +229,14 @@
     def _plan(self) -> None:
         if self._server is None:
             return
+        now = _now()
+        at = self.service.next_turn(now)
         if self._timer is not None:
+            if self._armed <= at:
+                return          # it comes early enough, and plans anew then
             self._timer.cancel()
-        now = _now()
-        wait = max(0, self.service.next_turn(now) - now)
-        self._timer = asyncio.get_running_loop().call_later(wait / 1e6, self._turn)
+        self._armed = at
+        self._timer = asyncio.get_running_loop().call_later((at - now) / 1e6, self._turn)
 
     def _turn(self) -> None:
         self._timer = None
