--- a/scalefall/control/grants.py
+++ b/scalefall/control/grants.py
@@ -18,8 +18,8 @@
   1. A grant raises what its holder may use only by room that is free: after it, the sum over all holders, live or not,
      is no more than the allowance of the moment.
   2. When an allowance falls, nothing is raised there until the sum is below it again, which takes delay + lease at
-     most. Smaller grants go out at once, and what was granted since the fall adds up to no more than the allowance,
-     holders that cannot be heard included: else these would be too much when the larger ones have run out.
+     most. Smaller grants go out at once, and what was granted since each fall of that time adds up to no more than the
+     allowance, holders that cannot be heard included: else it would be too much when the larger ones have run out.
   3. After a start nothing is granted for delay + lease, as an earlier service may have granted all of it.
   4. Every live holder that wants work has a grant in the end: where the allowance is too small to be split, holders
      take turns.
@@ -84,7 +84,7 @@
 @dataclass(slots=True)
 class _Destination:
     allowance: int = 0
-    fell: int = 0                   # the highest number given before the allowance last fell
+    falls: list[tuple[int, int]] = field(default_factory=list)  # highest number given before each late fall, and when
     shares: dict[str, _Share] = field(default_factory=dict)
     turns: int = 0                  # how often the turn has gone on
     turn_until: int = 0
@@ -133,7 +133,8 @@
         if place.allowance == amount:
             return False
         if amount < place.allowance:
-            place.fell = self._number
+            if not place.falls or place.falls[-1][0] != self._number:
+                place.falls.append((self._number, NEVER))
         place.allowance = amount
         self._touched.add(destination)
         return True
@@ -235,27 +236,31 @@
         targets, grants = self._targets(place, now), []
         holds(sum(targets.values()) <= place.allowance, "shares are no more than the allowance")
         before = place.in_use()
-        room = place.allowance - before
-        anew = place.allowance - sum(share.since(place.fell) for share in place.shares.values())
+        place.falls = [(fall, now if at == NEVER else at) for fall, at in place.falls
+                       if at == NEVER or at > now - self.lease - self.delay]
+        marks = [0, *(fall for fall, _ in place.falls)]
+        rooms = {mark: place.allowance - sum(share.since(mark) for share in place.shares.values()) for mark in marks}
+
+        def give(share: _Share, target: int) -> int:
+            """As much as no sum since a fall, nor that of all, goes over the allowance by."""
+            return min(target, *(share.since(mark) + max(0, room) for mark, room in rooms.items()))
+
+        def given(holder: str, share: _Share, amount: int) -> None:
+            for mark in marks:
+                rooms[mark] -= max(0, amount - share.since(mark))
+            grants.append(self._grant(number, holder, share, amount, now))
         for holder in [holder for holder in place.shares if holder in self._live]:
             share, target = place.shares[holder], targets.get(holder, 0)
-            if target < share.granted * (1 - CHANGED) or target < share.granted and room < 0:
-                had = share.since(place.fell)
-                amount = min(target, had + anew)
-                anew -= max(0, amount - had)
-                grants.append(self._grant(number, holder, share, amount, now))
+            if target < share.granted * (1 - CHANGED) or target < share.granted and rooms[0] < 0:
+                given(holder, share, give(share, target))
         for holder in sorted(targets, key=lambda name: (place.shares[name].in_use - targets[name], name)):
             share = place.shares[holder]
-            had = share.since(place.fell)
-            amount = min(targets[holder], share.in_use + max(0, room), had + anew)
+            amount = give(share, targets[holder])
             more = amount > share.granted * (1 + CHANGED)
             if not amount or not more and now < share.sent + self.lease // 2:
                 continue
-            room -= max(0, amount - share.in_use)
-            anew -= max(0, amount - had)
-            grants.append(self._grant(number, holder, share, amount, now))
+            given(holder, share, amount)
         holds(place.in_use() <= max(before, place.allowance), "a raise takes free room only")
-        holds(anew >= 0, "what was given since the allowance fell is no more than it")
         return grants
 
     def _grant(self, number: int, holder: str, share: _Share, amount: int, now: int) -> Grant:
