--- a/scalefall/control/bounds.py
+++ b/scalefall/control/bounds.py
@@ -15,16 +15,19 @@
 
     def take(self, now: int, cost: int = 1) -> int:
         """Takes so many; how many us to wait before the next is let through, 0 for at once."""
-        self._next = max(self._next, now - self._burst * self._gap) + self._gap * cost
+        self._next = self._used(now) + self._gap * cost
         return max(0, self._next - now)
 
     def refuse(self, now: int) -> bool:
         """Takes one if there is one; True if there is none."""
-        if max(self._next, now - self._burst * self._gap) + self._gap > now:
+        if self._used(now) + self._gap > now:
             return True
         self.take(now)
         return False
 
+    def _used(self, now: int) -> int:
+        return max(self._next, now - self._burst * self._gap)
+
 
 class Openings:
     """How often each client opens something. The clients seen longest ago are forgotten beyond `most`."""
@@ -41,6 +44,3 @@
                 self._buckets.popitem(last=False)
         self._buckets.move_to_end(client)
         return bucket.refuse(now)
-
-    def __len__(self) -> int:
-        return len(self._buckets)
--- a/scalefall/control/catalog.py
+++ b/scalefall/control/catalog.py
@@ -100,9 +100,6 @@
     def names(self, kind: str) -> Iterable[str]:
         return self._names[kind].keys()
 
-    def __len__(self) -> int:
-        return len(self._shared)
-
 
 def _consistent(checked: dict[Key, Resource], among: dict[Key, Resource]) -> None:
     missing = [(key, needed) for key, resource in checked.items() for needed in resource.needs if needed not in among]
--- a/scalefall/control/edge/keys.py
+++ b/scalefall/control/edge/keys.py
@@ -10,6 +10,7 @@
 import os
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import lru_cache
 
 import grpc
 from cryptography import x509
@@ -17,6 +18,7 @@
 from cryptography.hazmat.primitives.serialization import Encoding, PublicFormat, load_pem_private_key
 
 MOST_BYTES = 1_000_000
+MOST_CHECKED = 10_000       # certificates whose signature is remembered
 
 
 class Unusable(Exception):
@@ -90,22 +92,35 @@
 
     def trusts(self, certificate: bytes) -> bool:
         """Whether an authority in use now has signed it: one that was taken out ends its proxies' streams."""
-        try:
-            theirs = x509.load_pem_x509_certificate(certificate)
-        except ValueError:
-            return False
-        for authority in _certificates(self.pair.clients, self._paths.clients):
+        return _signed(certificate, self.pair.clients)
+
+
+def identity(certificate: bytes) -> tuple[frozenset[str], float]:
+    """The nodes that a client's certificate is for, and when it ends, as seconds of the wall clock."""
+    try:
+        theirs = x509.load_pem_x509_certificate(certificate)
+        names = theirs.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
+    except (ValueError, x509.ExtensionNotFound):
+        return frozenset(), 0.0
+    return (frozenset(names.get_values_for_type(x509.DNSName) +
+                      names.get_values_for_type(x509.UniformResourceIdentifier)),
+            theirs.not_valid_after_utc.timestamp())
+
+
+@lru_cache(maxsize=MOST_CHECKED)
+def _signed(certificate: bytes, authorities: bytes) -> bool:
+    """Asked again and again of every stream, and the same until the authorities change."""
+    try:
+        theirs = x509.load_pem_x509_certificate(certificate)
+        for authority in x509.load_pem_x509_certificates(authorities):
             try:
                 theirs.verify_directly_issued_by(authority)
                 return True
             except (ValueError, TypeError, InvalidSignature):
                 continue
-        return False
-
-
-def ends(certificate: bytes) -> float:
-    """When a client's certificate ends, as seconds of the wall clock."""
-    return x509.load_pem_x509_certificate(certificate).not_valid_after_utc.timestamp()
+    except ValueError:
+        pass
+    return False
 
 
 def _configuration(pair: Pair) -> grpc.ServerCertificateConfiguration:
--- a/scalefall/control/edge/reports.py
+++ b/scalefall/control/edge/reports.py
@@ -17,13 +17,13 @@
 
 from scalefall import interface as i
 from scalefall.control.edge import resources
-from scalefall.control.service import MOST_REPORTED
 from scalefall.net.farm import Entry
 
 PREFIX = "scalefall."
 ENDS = {"full": i.Outcome.FULL, "timeout": i.Outcome.TIMEOUT, "reset": i.Outcome.RESET,
         "connect_failed": i.Outcome.CONNECT_FAILED}
 FIGURES = ("x0", "x1")
+MOST_REPORTED = 1000        # calls of one endpoint and outcome in one report that the module is told one by one
 MOST_WAIT_MS = 3_600_000
 MOST_INTERVAL_US = 60_000_000
 Place = tuple[int, str, int]        # route, address, port
--- a/scalefall/control/edge/resources.py
+++ b/scalefall/control/edge/resources.py
@@ -35,6 +35,7 @@
 
 from scalefall import interface as i
 from scalefall.control.catalog import CDS, EDS, LDS, RDS, Key, Resource
+from scalefall.control.service import Rows
 from scalefall.net.config import RouteRules
 from scalefall.net.farm import Entry
 
@@ -56,15 +57,12 @@
     return int(number) if prefix == "route" and number.isascii() and number.isdigit() and len(number) < 10 else None
 
 
-def fixed(entries: Iterable[Entry], routes: dict[int, RouteRules], settings: i.Settings) -> list[Resource]:
+def fixed(rows: Rows, routes: dict[int, RouteRules], settings: i.Settings) -> list[Resource]:
     """Listeners, routes and clusters: what follows from the configuration alone."""
-    by_route: dict[int, list[Entry]] = {}
-    for entry in entries:
-        by_route.setdefault(entry.endpoint.destination, []).append(entry)
     made = []
     for number, rules in routes.items():
-        title, rows = name(number), by_route.get(number, [])
-        made += [_resource(CDS, title, _cluster(title, rows), needs=()),
+        title = name(number)
+        made += [_resource(CDS, title, _cluster(title, rows[number]), needs=()),
                  _resource(RDS, title, _routes(title, rules, settings), needs=((CDS, title),)),
                  _resource(LDS, title, _listener(title), needs=((RDS, title),))]
     return made
@@ -119,7 +117,7 @@
 def _cluster(title: str, rows: list[Entry]) -> cluster_pb2.Cluster:
     body = cluster_pb2.Cluster(
         name=title, type=cluster_pb2.Cluster.EDS, lb_policy=cluster_pb2.Cluster.ROUND_ROBIN,
-        connect_timeout=_duration(rows[0].dial_us if rows else 1_000_000),
+        connect_timeout=duration(rows[0].dial_us if rows else 1_000_000),
         eds_cluster_config=cluster_pb2.Cluster.EdsClusterConfig(eds_config=_ads()),
         lrs_server=config_source_pb2.ConfigSource(self=config_source_pb2.SelfConfigSource()))
     most = sum(row.endpoint.most_calls for row in rows)
@@ -166,10 +164,10 @@
     policy = route_components_pb2.RetryPolicy(
         retry_on=REPEATED if tries > 1 else NOT_SENT, num_retries=wrappers_pb2.UInt32Value(value=max(1, tries - 1)),
         retry_back_off=route_components_pb2.RetryPolicy.RetryBackOff(
-            base_interval=_duration(25_000), max_interval=_duration(100_000)))
+            base_interval=duration(25_000), max_interval=duration(100_000)))
     if tries > 1 and each_us:
-        policy.per_try_timeout.CopyFrom(_duration(each_us))
-    return route_components_pb2.RouteAction(cluster=title, timeout=_duration(within_us), retry_policy=policy)
+        policy.per_try_timeout.CopyFrom(duration(each_us))
+    return route_components_pb2.RouteAction(cluster=title, timeout=duration(within_us), retry_policy=policy)
 
 
 def _route(match: dict[str, str], headers: Iterable = (), **action: object) -> route_components_pb2.Route:
@@ -205,5 +203,7 @@
     return address_pb2.Address(socket_address=address_pb2.SocketAddress(address=host, port_value=port))
 
 
-def _duration(us: int) -> duration_pb2.Duration:
-    return duration_pb2.Duration(seconds=us // 1_000_000, nanos=us % 1_000_000 * 1000)
+def duration(us: int) -> duration_pb2.Duration:
+    made = duration_pb2.Duration()
+    made.FromMicroseconds(us)
+    return made
--- a/scalefall/control/edge/server.py
+++ b/scalefall/control/edge/server.py
@@ -15,7 +15,6 @@
 from dataclasses import dataclass, field
 
 import grpc
-from cryptography import x509
 from envoy.service.discovery.v3 import ads_pb2, discovery_pb2
 from envoy.service.load_stats.v3 import lrs_pb2
 from envoy.service.rate_limit_quota.v3 import rlqs_pb2
@@ -27,10 +26,10 @@
 from scalefall.control.edge import keys, reports, resources, state, wire
 from scalefall.control.grants import Grant
 from scalefall.control.members import Refused
-from scalefall.control.service import Builder, Fleet, Out, Service
+from scalefall.control.service import Builder, Out, Rows, Service
 from scalefall.control.streams import Close, Rejected, Response
 from scalefall.net.checks import log
-from scalefall.net.config import Config
+from scalefall.net.config import Config, RouteRules
 
 Code = grpc.StatusCode
 MOST_MESSAGE = 4_000_000        # bytes of one request: 20,000 names of 200 bytes
@@ -39,7 +38,6 @@
 FIRST_S = 10                    # a stream that has not said who it is by then
 MOST_NODE = 256
 ELSEWHERE = "another process grants here"
-TTL_FEATURE = "xds.config.supports-resource-ttl"        # as the protocol's specification names it
 SPEAK = (200, 100)              # requests of one stream: at once, and a second
 DEAR, CHEAP = 1_000, 20_000     # bytes that cost as much as a request; where it repeats the last one's names
 OPEN = (50, 10)                 # streams of one node likewise
@@ -73,8 +71,7 @@
     incremental: bool = False
     leased: bool = False                # it knows times to live
     node: str = ""
-    said: tuple[str, ...] = ()          # the names of its last request
-    repeats: bool = False               # the last one but one had the same
+    repeats: bool = False               # its last request had the names of the one before
     waiting: deque[bytes] = field(default_factory=deque)
     ready: asyncio.Event = field(default_factory=asyncio.Event)
     closing: tuple[Code, str] | None = None
@@ -112,8 +109,8 @@
         def endpoints(number: int, rows: list, allowed: list[i.Allowed], now: int) -> object:
             return resources.endpoints(number, rows, allowed, now, self._options.endpoint_lease_us)
 
-        def fixed(fleet: Fleet) -> list:
-            return resources.fixed(fleet.entries, fleet.routes, self._settings)
+        def fixed(rows: Rows, routes: dict[int, RouteRules]) -> list:
+            return resources.fixed(rows, routes, self._settings)
         service = Service(_now(), self._settings, self._seed, Builder(fixed, endpoints), self._options.lease_us,
                           self._options.delay_us, self._options.lease_us)
         service.ledger.stand_by()
@@ -157,7 +154,7 @@
     def configure(self, config: Config) -> None:
         """A fleet, at the start or read again: its changes are on their way when this returns. Inconsistent, and
         nothing changed, if it can't be."""
-        fleet = Fleet(tuple(config.fleet.entries), config.fleet.routes)
+        fleet = config.fleet
         out = self.service.configure(fleet, _now())
         self._index = reports.Index(fleet.entries)
         self._send(out)
@@ -214,7 +211,6 @@
         if not self.granting:
             return
         now, wall = _now(), _wall()
-        self.service.judge.look()
         kept = memory.keep(self.service.judge.allowed, self.service.module.known(), now, wall)
         if kept | {"wall": 0} == self._kept and not kept["doubts"] and not kept["waits"]:
             return
@@ -338,10 +334,9 @@
         if self._keys is not None:
             auth = context.auth_context()
             certificate = next(iter(auth.get("x509_pem_cert", ())), b"")
-            names = _node_names(certificate)
+            names, ends = keys.identity(certificate)
             if not names:
                 return Ended(Code.UNAUTHENTICATED, "the certificate names no node")
-            ends = keys.ends(certificate)
         peer = Peer(next(self._numbers), context, asyncio.current_task(), names, certificate, ends)
         self._peers[peer.number] = peer
         return peer
@@ -391,13 +386,12 @@
         async for message in self._messages(peer, kind):
             if not peer.node:
                 self._identify(peer, message.node.id)
-                peer.leased = TTL_FEATURE in message.node.client_features
+                peer.leased = wire.TTL_FEATURE in message.node.client_features
                 self.service.opened(peer.number, peer.node, peer.incremental, peer.leased)
             elif message.node.id:
                 self._identify(peer, message.node.id)
-            request = read(message)
-            peer.repeats, peer.said = request.names == peer.said, request.names
-            self._send(self.service.request(peer.number, request, _now()))
+            self._send(self.service.request(peer.number, read(message), _now()))
+            peer.repeats = self.service.repeats(peer.number)
             self._plan()
 
     async def _load(self, peer: Peer) -> None:
@@ -447,16 +441,6 @@
         service, {name: grpc.stream_stream_rpc_method_handler(serve) for name, serve in methods.items()})
 
 
-def _node_names(certificate: bytes) -> frozenset[str]:
-    try:
-        names = x509.load_pem_x509_certificate(certificate).extensions.get_extension_for_class(
-            x509.SubjectAlternativeName).value
-    except (ValueError, x509.ExtensionNotFound):
-        return frozenset()
-    return frozenset(names.get_values_for_type(x509.DNSName) +
-                     names.get_values_for_type(x509.UniformResourceIdentifier))
-
-
 def _now() -> int:
     return time.monotonic_ns() // 1000
 
--- a/scalefall/control/edge/wire.py
+++ b/scalefall/control/edge/wire.py
@@ -10,9 +10,10 @@
 from envoy.service.discovery.v3 import discovery_pb2
 from envoy.service.rate_limit_quota.v3 import rlqs_pb2
 from envoy.type.v3 import ratelimit_strategy_pb2, token_bucket_pb2
-from google.protobuf import any_pb2, duration_pb2, wrappers_pb2
+from google.protobuf import wrappers_pb2
 
 from scalefall.control.catalog import Resource
+from scalefall.control.edge.resources import duration
 from scalefall.control.grants import CALLS, Grant
 from scalefall.control.judge import MOST, UNLIMITED
 from scalefall.control.streams import Request, Response
@@ -20,6 +21,7 @@
 MOST_PARTS = 256            # serialized sets of resources that are kept for the next client
 FILL_US = 10_000            # the shortest time between fills of a token bucket
 IDENTIFIER = "scalefall"
+TTL_FEATURE = "xds.config.supports-resource-ttl"        # as the protocol's specification names it
 
 
 def request(message: discovery_pb2.DiscoveryRequest) -> Request:
@@ -112,7 +114,7 @@
     action = rlqs_pb2.RateLimitQuotaResponse.BucketAction(
         bucket_id=rlqs_pb2.BucketId(bucket=bucket),
         quota_assignment_action=rlqs_pb2.RateLimitQuotaResponse.BucketAction.QuotaAssignmentAction(
-            assignment_time_to_live=_duration(given.lease_us), rate_limit_strategy=_strategy(given.amount)))
+            assignment_time_to_live=duration(given.lease_us), rate_limit_strategy=_strategy(given.amount)))
     return rlqs_pb2.RateLimitQuotaResponse(bucket_action=[action])
 
 
@@ -133,7 +135,7 @@
     tokens = max(1, amount * FILL_US // (CALLS * 1_000_000))
     every = -(-tokens * CALLS * 1_000_000 // amount)
     return ratelimit_strategy_pb2.RateLimitStrategy(token_bucket=token_bucket_pb2.TokenBucket(
-        max_tokens=tokens, tokens_per_fill=wrappers_pb2.UInt32Value(value=tokens), fill_interval=_duration(every)))
+        max_tokens=tokens, tokens_per_fill=wrappers_pb2.UInt32Value(value=tokens), fill_interval=duration(every)))
 
 
 def amount_of(strategy: ratelimit_strategy_pb2.RateLimitStrategy) -> int:
@@ -146,16 +148,3 @@
 
 def _whole_number(text: str | None) -> int | None:
     return int(text) if text and text.isascii() and text.isdigit() and len(text) < 19 else None
-
-
-def _duration(us: int) -> duration_pb2.Duration:
-    return duration_pb2.Duration(seconds=us // 1_000_000, nanos=us % 1_000_000 * 1000)
-
-
-def unwrapped(packed: any_pb2.Any) -> tuple[any_pb2.Any, int, str]:
-    """A state-of-the-world resource's body, its time to live in us (0: none) and its name (if that is known)."""
-    if packed.Is(discovery_pb2.Resource.DESCRIPTOR):
-        wrapped = discovery_pb2.Resource()
-        packed.Unpack(wrapped)
-        return wrapped.resource, wrapped.ttl.ToMicroseconds(), wrapped.name
-    return packed, 0, ""
--- a/scalefall/control/grants.py
+++ b/scalefall/control/grants.py
@@ -69,7 +69,7 @@
 
     @property
     def in_use(self) -> int:
-        return max((out.amount for out in self.out), default=0)
+        return self.since(0)
 
     def since(self, number: int) -> int:
         """The most that it may use of grants above this number."""
@@ -132,9 +132,8 @@
         place = self._destinations.setdefault(destination, _Destination())
         if place.allowance == amount:
             return False
-        if amount < place.allowance:
-            if not place.falls or place.falls[-1][0] != self._number:
-                place.falls.append((self._number, NEVER))
+        if amount < place.allowance and (not place.falls or place.falls[-1][0] != self._number):
+            place.falls.append((self._number, NEVER))
         place.allowance = amount
         self._touched.add(destination)
         return True
--- a/scalefall/control/service.py
+++ b/scalefall/control/service.py
@@ -14,7 +14,7 @@
 
 import heapq
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from math import inf
 
 from scalefall import interface as i
@@ -23,7 +23,7 @@
 from scalefall.control.judge import Judge
 from scalefall.control.members import Change, Joined, Members, Refused, State
 from scalefall.control.streams import Action, Request, Stream
-from scalefall.net.config import RouteRules
+from scalefall.net.config import Fleet, RouteRules
 from scalefall.net.farm import Entry
 from scalefall.policy import Sender
 
@@ -32,21 +32,16 @@
 RESTS = 1_000_000           # between turns otherwise
 GRID = 25_000               # heartbeats are sent at multiples of it
 HEADROOM = 1.25             # a holder's demand by what it used
-MOST_REPORTED = 1000        # calls of one endpoint and outcome in one report that the module is told one by one
 
 Out = tuple[int, Action | Grant]        # to a stream
-
-
-@dataclass(slots=True, frozen=True)
-class Fleet:
-    entries: tuple[Entry, ...]
-    routes: dict[int, RouteRules]
+Rows = dict[int, list[Entry]]           # the endpoints of each route
 
 
 @dataclass(slots=True, frozen=True)
 class Builder:
-    """fixed: fleet to resources; endpoints: route, entries, the module's rows and now to one resource."""
-    fixed: Callable[[Fleet], list[Resource]]
+    """fixed: endpoints by route and the routes' rules to resources; endpoints: route, its entries, the module's rows
+    and now to one resource."""
+    fixed: Callable[[Rows, dict[int, RouteRules]], list[Resource]]
     endpoints: Callable[[int, list[Entry], list[i.Allowed], int], Resource]
 
 
@@ -68,13 +63,13 @@
         self.catalog = Catalog()
         self.members = Members(silence_us, lease_us + delay_us)
         self.told: list[Told] = []
-        self.fleet = Fleet((), {})
+        self._fleet = Fleet([], {})
         self._build = builder
         self._streams: dict[int, Stream] = {}
         self._beats: list[tuple[int, int]] = []     # when a stream's next heartbeat may be due
         self._planned: set[int] = set()             # streams that are there
         self._judge_at = now
-        self._rows: dict[int, list[Entry]] = {}     # by route
+        self._rows: Rows = {}
         self._events: list[i.Event] = []
         self._due = now
         self._has_news = False
@@ -83,15 +78,15 @@
 
     def configure(self, fleet: Fleet, now: int) -> list[Out]:
         """The fleet from now on, whole or (Inconsistent) not at all; what goes out at once."""
-        made = self._build.fixed(fleet)
-        rows: dict[int, list[Entry]] = {number: [] for number in fleet.routes}
+        rows: Rows = {number: [] for number in fleet.routes}
         for entry in fleet.entries:
             rows.setdefault(entry.endpoint.destination, []).append(entry)
-        was = {entry.endpoint.id: entry.endpoint for entry in self.fleet.entries}
+        made = self._build.fixed(rows, fleet.routes)
+        was = {entry.endpoint.id: entry.endpoint for entry in self._fleet.entries}
         new = {entry.endpoint.id: entry.endpoint for entry in fleet.entries}
         changes = [end for name, end in new.items() if was.get(name) != end]
-        changes += [_gone(end) for name, end in was.items() if name not in new]
-        places = {entry.endpoint.id: entry.address for entry in (*self.fleet.entries, *fleet.entries)}
+        changes += [replace(end, status=i.Status.GONE) for name, end in was.items() if name not in new]
+        places = {entry.endpoint.id: entry.address for entry in (*self._fleet.entries, *fleet.entries)}
         for end in changes:
             if _status(was.get(end.id)) != _status(end):
                 self._tell("endpoint", endpoint=end.id, address="{}:{}".format(*places[end.id]),
@@ -100,7 +95,7 @@
         allowed = self.judge.look()
         made += [self._build.endpoints(number, rows[number], allowed.get(number, []), now) for number in fleet.routes]
         changed = self.catalog.replace(made)
-        self.fleet, self._rows = fleet, rows
+        self._fleet, self._rows = fleet, rows
         self._news(now)
         self._judge_at = min(self._judge_at, now + SETTLE)
         return self._changed(changed)
@@ -111,6 +106,10 @@
         """leased: the client knows times to live."""
         self._streams[stream] = Stream(self.catalog, holder, incremental, leased)
 
+    def repeats(self, stream: int) -> bool:
+        """Whether the last request on it said the same names again, which costs next to nothing."""
+        return self._streams[stream].repeats
+
     def request(self, stream: int, request: Request, now: int) -> list[Out]:
         client = self._streams[stream]
         out = [(stream, action) for action in client.request(request)]
@@ -153,13 +152,6 @@
         self._news(now)
         return True
 
-    def gone_from(self, stream: int, route: int, now: int) -> None:
-        """A holder has no more use for a route."""
-        holder = self.members.holder(stream)
-        if holder is not None and route in self._rows:
-            self.ledger.want(holder, route, 0)
-            self._news(now)
-
     def reported(self, calls: Iterable[i.Reported], now: int) -> None:
         self._events += calls
         self._news(now)
@@ -216,7 +208,7 @@
             client = self._streams.get(stream)
             if client is not None:
                 out += [(stream, action) for action in client.beat(now)]
-                self._plan_beat(stream, max(client.next_beat(now), now + GRID))
+                self._plan_beat(stream, client.next_beat(now))
         return out
 
     def _changed(self, keys: set[Key]) -> list[Out]:
@@ -239,9 +231,6 @@
     def _tell(self, event: str, fine: bool = False, **fields: object) -> None:
         self.told.append(Told(event, fields, fine))
 
-    def __len__(self) -> int:
-        return len(self._streams)
-
 
 def _step(amount: float) -> int:
     """A demand in steps of an eighth, so that one that wavers is no news each time."""
@@ -251,9 +240,5 @@
     return -(-int(min(amount, 10**9)) // step) * step
 
 
-def _gone(end: i.Endpoint) -> i.Endpoint:
-    return i.Endpoint(end.id, end.zone, end.kind, end.destination, i.Status.GONE, end.weight, end.most_calls)
-
-
 def _status(end: i.Endpoint | None) -> str:
     return end.status.name.lower() if end is not None else "none"
--- a/scalefall/control/streams.py
+++ b/scalefall/control/streams.py
@@ -113,6 +113,7 @@
         self._watches: dict[str, Watch] = {}
         self._nonce = 0
         self.closed = False
+        self.repeats = False        # the last request said the names again that the one before it had
 
     # -- what comes
 
@@ -161,8 +162,9 @@
         return actions
 
     def next_beat(self, now: int) -> float:
-        return min((max(now, watch.beaten + watch.ttl // BEATS) for watch in self._watches.values() if watch.ttl),
-                   default=inf) if self._leased else inf
+        """inf while nothing has one, or an answer is waited for: then it is to be asked again with that."""
+        return min((max(now, watch.beaten + watch.ttl // BEATS) for watch in self._watches.values()
+                    if watch.ttl and not watch.out), default=inf) if self._leased else inf
 
     def has(self, key: Key) -> Resource | None:
         """What the client is known to have of a resource, as it said itself."""
@@ -215,8 +217,9 @@
         if self._incremental:
             self._more_or_less(watch, request, new)
             return
-        if request.names == watch.said and not new:
-            return                  # an acknowledgement, which says all names again
+        self.repeats = request.names == watch.said and not new
+        if self.repeats:
+            return                  # an acknowledgement
         watch.said = request.names
         asked = set(request.names) - {WILDCARD}
         wildcard = WILDCARD in request.names or (watch.type in (LDS, CDS) and not request.names and
--- a/scalefall/lab/proxy/__main__.py
+++ b/scalefall/lab/proxy/__main__.py
@@ -25,7 +25,6 @@
 from scalefall import interface as i
 from scalefall.control.catalog import EDS
 from scalefall.control.edge import reports, resources, wire
-from scalefall.control.edge.server import TTL_FEATURE
 from scalefall.lab.proxy.contract import ASK_US, SECOND, Contract, Fall, Refuse, Send, may_repeat
 from scalefall.lab.world import CLASSES
 
@@ -77,7 +76,7 @@
         names, first = [resources.name(route) for route in self._routes], set(self._routes)
         self._contract.opened(_now())
         await call.write(discovery_pb2.DeltaDiscoveryRequest(
-            node={"id": self._options.node, "client_features": [TTL_FEATURE]}, type_url=EDS,
+            node={"id": self._options.node, "client_features": [wire.TTL_FEATURE]}, type_url=EDS,
             resource_names_subscribe=names))
         async for response in call:
             for row in response.resources:
--- a/scalefall/lab/world.py
+++ b/scalefall/lab/world.py
@@ -19,11 +19,11 @@
 from scalefall.control.catalog import EDS, Resource
 from scalefall.control.grants import Grant
 from scalefall.control.members import Joined
-from scalefall.control.service import Builder, Fleet, Service
+from scalefall.control.service import Builder, Service
 from scalefall.control.streams import Request, Response
 from scalefall.lab.partner.model import Partner, Shape
 from scalefall.lab.proxy.contract import ASK_US, Contract, Fall, Refuse, Send, may_repeat
-from scalefall.net.config import RouteRules
+from scalefall.net.config import Fleet, RouteRules
 from scalefall.net.farm import Entry
 
 MS, SECOND = 1000, 1_000_000
@@ -153,8 +153,8 @@
 class _Control:
     def __init__(self, world: World, number: int, kept: dict | None) -> None:
         self._world, plan = world, world.plan
-        self.service = Service(world.now, settings(), 3, Builder(lambda fleet: [], self._endpoints), plan.lease_us,
-                               plan.delay_us, plan.lease_us)
+        builder = Builder(lambda rows, routes: [], self._endpoints)
+        self.service = Service(world.now, settings(), 3, builder, plan.lease_us, plan.delay_us, plan.lease_us)
         self.service.ledger.resume(number)
         self._planned = 0
         self.streams: dict[int, tuple[_Proxy, int]] = {}        # by stream: whose, and its link's generation
@@ -175,14 +175,13 @@
                         self._world.plan.ttl_us)
 
     def configure(self) -> None:
-        entries = tuple(Entry(i.Endpoint(name, "a", "one", ROUTE, status, 0.0), ("127.0.0.1", 1))
-                        for name, status in self._world.states.items())
+        entries = [Entry(i.Endpoint(name, "a", "one", ROUTE, status, 0.0), ("127.0.0.1", 1))
+                   for name, status in self._world.states.items()]
         rules = {ROUTE: RouteRules(frozenset(CLASSES), 6, 2 * SECOND)}
         self._send(self.service.configure(Fleet(entries, rules), self._world.now))
         self.plan()
 
     def keep(self) -> tuple[int, dict]:
-        self.service.judge.look()
         return self.service.ledger.number, memory.keep(self.service.judge.allowed, self.service.module.known(),
                                                        self._world.now, self._world.now)
 
--- a/tests/edge/edgehelp.py
+++ b/tests/edge/edgehelp.py
@@ -64,6 +64,15 @@
             process.end()
 
 
+def unwrapped(packed):
+    """A state-of-the-world resource's body, its time to live in us (0: none) and its name (if that is known)."""
+    if packed.Is(discovery_pb2.Resource.DESCRIPTOR):
+        wrapped = discovery_pb2.Resource()
+        packed.Unpack(wrapped)
+        return wrapped.resource, wrapped.ttl.ToMicroseconds(), wrapped.name
+    return packed, 0, ""
+
+
 class Raw:
     """One incremental or whole stream, message by message."""
 
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -8,7 +8,7 @@
 
 import grpc
 import pytest
-from edgehelp import Authority, Raw, Started, Stock, backends, control, site, status
+from edgehelp import Authority, Raw, Started, Stock, backends, control, site, status, unwrapped
 from envoy.config.endpoint.v3 import endpoint_pb2
 from envoy.service.discovery.v3 import discovery_pb2
 from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
@@ -34,7 +34,7 @@
     """Port to health of each endpoint in a response."""
     found = {}
     for packed in response.resources:
-        body = wire.unwrapped(packed)[0] if whole else packed.resource
+        body = unwrapped(packed)[0] if whole else packed.resource
         load = endpoint_pb2.ClusterLoadAssignment()
         assert body.Unpack(load)
         for zone in load.endpoints:
@@ -70,7 +70,7 @@
         assert health(first) == health(part, False) == {9001: 1, 9002: 1} and part.resources[0].ttl.nanos > 0
         whole.ack(first, "route-7")
         beat = whole.next()
-        body, ttl, name = wire.unwrapped(beat.resources[0])
+        body, ttl, name = unwrapped(beat.resources[0])
         assert (body.type_url, name) == ("", "route-7") and 0 < ttl < 1_000_000 and beat.nonce != first.nonce
         whole.ack(beat, "route-7")
         parts.ack(part)
@@ -79,7 +79,7 @@
         for stream, is_whole in ((whole, True), (parts, False)):
             while True:
                 response = stream.next()
-                if is_whole and wire.unwrapped(response.resources[0])[0].type_url or \
+                if is_whole and unwrapped(response.resources[0])[0].type_url or \
                         not is_whole and response.resources[0].HasField("resource"):
                     break
                 stream.ack(response, *["route-7"] if is_whole else [])
@@ -213,7 +213,7 @@
         while True:     # the partner is in doubt now: what knows no grants has all its calls dropped
             load = endpoint_pb2.ClusterLoadAssignment()
             response = raw.next()
-            body = wire.unwrapped(response.resources[0])[0]
+            body = unwrapped(response.resources[0])[0]
             if body.Unpack(load) and load.policy.drop_overloads:
                 assert load.policy.drop_overloads[0].category == "guarded"
                 break
@@ -228,7 +228,7 @@
         raw.ask(EDS, "route-7")
         while True:
             response, load = raw.next(), endpoint_pb2.ClusterLoadAssignment()
-            if wire.unwrapped(response.resources[0])[0].Unpack(load) and load.policy.drop_overloads:
+            if unwrapped(response.resources[0])[0].Unpack(load) and load.policy.drop_overloads:
                 break       # the guard has outlasted the process
             raw.ack(response, "route-7")
         three = Quota(channel, "three")
