One start on a configuration for run and control; no behaviour changes

Both commands read the configuration, printed its errors, ended and made what reads it again, in the same lines. run.py's configuration() does it for both. A wrapper around click's range and a bare log level are gone.

--- a/scalefall/cli/control.py
+++ b/scalefall/cli/control.py
@@ -2,19 +2,19 @@
 from __future__ import annotations
 
 import ipaddress
-import secrets
+import logging
 import signal
-from dataclasses import replace
 
 import click
 
-from scalefall.cli import logs, output, reader
+from scalefall.cli import logs, output
 from scalefall.cli.output import option
+from scalefall.cli.run import configuration
 from scalefall.cli.run import folder as state_folder
 from scalefall.control import audit
 from scalefall.lang.files import ROOT_FILE
 from scalefall.net.checks import log
-from scalefall.net.config import Config, ConfigError, read_address
+from scalefall.net.config import ConfigError, read_address
 
 MISSING = "the control service needs {}: pip install 'scalefall[tools,control]'"
 
@@ -28,10 +28,6 @@
         raise click.BadParameter(str(error)) from None
 
 
-def _seconds(least: float, most: float) -> click.ParamType:
-    return click.FloatRange(least, most)
-
-
 @click.group(invoke_without_command=True, epilog="""\b
 Examples:
   scalefall control --config site.scale --state /var/lib/scalefall-control --listen 10.0.0.5:18000 \\
@@ -50,13 +46,14 @@
 @option("--key", type=click.Path(), help="Its private key, PEM.")
 @option("--clients", type=click.Path(), help="The authorities of the proxies' certificates, PEM.")
 @option("--plain-text", is_flag=True, help="No certificates: whoever connects is believed. On loopback only.")
-@option("--lease", type=_seconds(0.5, 60), default=2.0, show_default=True,
+@option("--lease", type=click.FloatRange(0.5, 60), default=2.0, show_default=True,
         help="Seconds that a grant lasts. A fall of an allowance takes lease + delay at most.")
-@option("--delay", type=_seconds(0, 60), default=0.5, show_default=True,
+@option("--delay", type=click.FloatRange(0, 60), default=0.5, show_default=True,
         help="The longest that a message may be under way to a client that does not number its reports.")
-@option("--endpoint-lease", type=_seconds(0.3, 60), default=0.9, show_default=True,
+@option("--endpoint-lease", type=click.FloatRange(0.3, 60), default=0.9, show_default=True,
         help="Seconds that a proxy trusts its endpoints without a word from here: under 1 for the drain rule.")
-@option("--report-every", type=_seconds(0.1, 60), default=1.0, show_default=True, help="Seconds between load reports.")
+@option("--report-every", type=click.FloatRange(0.1, 60), default=1.0, show_default=True,
+        help="Seconds between load reports.")
 @option("--log-level", type=click.Choice(logs.LEVELS), default="info", show_default=True)
 @option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True,
         help="Lines for people, or one JSON object each.")
@@ -84,21 +81,11 @@
         if error.name.startswith("scalefall"):
             raise
         output.cannot_run(MISSING.format(error.name))
-    request = reader.Request(path, state, secrets.randbits(64), {}, None)
-    try:
-        start = reader.read(request)
-    except reader.Unusable as error:
-        click.echo(error.wrong.text, err=True, nl=False)
-        raise SystemExit(output.CANNOT_RUN if error.wrong.fatal else output.ERRORS) from None
-    except ConfigError as error:
-        output.cannot_run(str(error))
+    start, read_again = configuration(path, state, {})
     logs.set_up(log_level, log_format)
 
     def tell(line: str, good: bool) -> None:
-        log.log(20 if good else 40, "%s", line)
-
-    def read_again() -> Config:
-        return reader.read(replace(request, fixed=start.fixed)).config
+        log.log(logging.INFO if good else logging.ERROR, "%s", line)
 
     options = server.Options(listen, *(int(each * 1_000_000) for each in (lease, delay, endpoint_lease, report_every)))
     try:
--- a/scalefall/cli/run.py
+++ b/scalefall/cli/run.py
@@ -4,7 +4,9 @@
 import os
 import secrets
 import signal
+from collections.abc import Callable
 from dataclasses import replace
+from typing import Any
 
 import click
 
@@ -31,6 +33,24 @@
     return value
 
 
+def configuration(path: str, state: str, flags: dict[str, Any]) -> tuple[reader.Read, Callable[[], Config]]:
+    """The configuration that a process starts on, and what reads it again; where it has errors, they are printed and
+    the process ends."""
+    request = reader.Request(path, state, secrets.randbits(64), flags, None)
+    try:
+        start = reader.read(request)
+    except reader.Unusable as error:
+        click.echo(error.wrong.text, err=True, nl=False)
+        raise SystemExit(output.CANNOT_RUN if error.wrong.fatal else output.ERRORS) from None
+    except ConfigError as error:
+        output.cannot_run(str(error))
+
+    def read_again() -> Config:
+        """Called beside the serving; what it raises leaves everything as it was."""
+        return reader.read(replace(request, fixed=start.fixed)).config
+    return start, read_again
+
+
 @click.command(epilog="""\b
 Example:
   scalefall run --config site.scale --state /var/lib/scalefall --log-format json
@@ -52,22 +72,10 @@
     """Start a sender on a configuration, and serve until SIGTERM."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)    # one that comes before the sender is ready must not end it
     flags = {key: value for key, value in (("name", name), ("listen", listen), ("reports", reports)) if value}
-    request = reader.Request(path, state, secrets.randbits(64), flags, None)
-    try:
-        start = reader.read(request)
-    except reader.Unusable as error:
-        click.echo(error.wrong.text, err=True, nl=False)
-        raise SystemExit(output.CANNOT_RUN if error.wrong.fatal else output.ERRORS) from None
-    except ConfigError as error:
-        output.cannot_run(str(error))
+    start, read_again = configuration(path, state, flags)
     logs.set_up(log_level, log_format)
     for line in start.notes:
         log.warning("%s", line)
-
-    def read_again() -> Config:
-        """Called beside the sending; what it raises leaves everything as it was."""
-        return reader.read(replace(request, fixed=start.fixed)).config
-
     try:
         serve(start.config, read_again)
     except OSError as error:
