Endpoint states, known paces and a call's end in one place each; the world in virtual time runs the served states

Known paces were written and read as rows twice (paces.py, and memory.py less strictly): paces.put and get. The stand-in proxy wrote and read HTTP by itself beside net/http, and decided a message's end beside the world: contract.given_up.

--- a/scalefall/control/edge/resources.py
+++ b/scalefall/control/edge/resources.py
@@ -34,6 +34,7 @@
 from google.protobuf import any_pb2, duration_pb2, wrappers_pb2
 
 from scalefall import interface as i
+from scalefall.control import judge
 from scalefall.control.catalog import CDS, EDS, LDS, RDS, Key, Resource
 from scalefall.control.service import Rows
 from scalefall.net.config import RouteRules
@@ -44,7 +45,8 @@
 REPEATED = "connect-failure,refused-stream,reset,gateway-error,unavailable"     # the last one is gRPC's word
 WHOLE = 100                 # the weight of an endpoint that is in no doubt
 STEPS = (1, 2, 5, 10, 20, 50)       # weights of those in doubt, so that not every turn is a change
-RESTING, DRAINING = health_check_pb2.UNHEALTHY, health_check_pb2.DRAINING
+HEALTH = {judge.READY: health_check_pb2.HEALTHY, judge.DRAINING: health_check_pb2.DRAINING,
+          judge.RESTING: health_check_pb2.UNHEALTHY}
 
 
 def name(destination: int) -> str:
@@ -68,26 +70,19 @@
     return made
 
 
-def endpoints(number: int, rows: Iterable[Entry], allowed: list[i.Allowed], now: int, ttl_us: int) -> Resource:
+def endpoints(number: int, rows: list[Entry], allowed: list[i.Allowed], now: int, ttl_us: int) -> Resource:
     """The endpoints of a route as they are now; allowed are the module's rows for it."""
-    title, budgets = name(number), {}
-    for row in allowed:
-        budgets |= row.endpoints
-    blocked = _blocked(allowed, now)
+    title = name(number)
+    found, blocked = judge.states((entry.endpoint for entry in rows), allowed, now)
+    budgets = {named: budget for row in allowed for named, budget in row.endpoints.items()}
     fair = [row.rate / max(1, len(row.endpoints)) for row in allowed if row.rate < inf]
     places: dict[str, list[endpoint_components_pb2.LbEndpoint]] = {}
     for entry in rows:
-        if entry.endpoint.status is i.Status.GONE:
-            continue
-        budget = budgets.get(entry.endpoint.id)
-        if entry.endpoint.status is i.Status.DRAINING or budget is None:
-            health = DRAINING
-        else:
-            health = RESTING if budget <= 0 and not blocked else health_check_pb2.HEALTHY
-        host, port = entry.address
-        places.setdefault(entry.endpoint.zone, []).append(endpoint_components_pb2.LbEndpoint(
-            endpoint=endpoint_components_pb2.Endpoint(address=_address(host, port)), health_status=health,
-            load_balancing_weight=wrappers_pb2.UInt32Value(value=_weight(budget, fair))))
+        if entry.endpoint.id in found:
+            places.setdefault(entry.endpoint.zone, []).append(endpoint_components_pb2.LbEndpoint(
+                endpoint=endpoint_components_pb2.Endpoint(address=_address(*entry.address)),
+                health_status=HEALTH[found[entry.endpoint.id]],
+                load_balancing_weight=wrappers_pb2.UInt32Value(value=_weight(budgets.get(entry.endpoint.id), fair))))
     policy = endpoint_pb2.ClusterLoadAssignment.Policy()
     if blocked:
         policy.drop_overloads.add(category=blocked, drop_percentage=percent_pb2.FractionalPercent(
@@ -99,14 +94,6 @@
     return _resource(EDS, title, body, (), ttl_us)
 
 
-def _blocked(allowed: list[i.Allowed], now: int) -> str:
-    """Why nothing may go out on the route, if nothing may."""
-    if any(row.endpoints for row in allowed) and all(row.silent_until > now for row in allowed if row.endpoints):
-        return "told-wait"
-    served = [row for row in allowed if row.endpoints]
-    return "guarded" if served and all(row.rate <= 0 for row in served) else ""
-
-
 def _weight(budget: float | None, fair: list[float]) -> int:
     if budget is None or budget == inf:
         return WHOLE
--- a/scalefall/control/judge.py
+++ b/scalefall/control/judge.py
@@ -11,6 +11,7 @@
 """
 from __future__ import annotations
 
+from collections.abc import Iterable
 from math import inf
 
 from scalefall import interface as i
@@ -18,9 +19,30 @@
 from scalefall.policy import Sender
 
 UNLIMITED = 10**12          # thousandths of a call a second, where the module sets no pace
+READY, DRAINING, RESTING = "ready", "draining", "resting"       # what a proxy is told of an endpoint
 MOST = 10**8                # the same where it sets one, however high
 
 
+def states(endpoints: Iterable[i.Endpoint], allowed: list[i.Allowed], now: int) -> tuple[dict[str, str], str]:
+    """Each endpoint of a route that isn't gone, by id, as ready, draining, or resting under its guard; and why nothing
+    at all may go out on the route, if nothing may. allowed are the module's rows for it."""
+    budgets: dict[str, float] = {}
+    for row in allowed:
+        budgets |= row.endpoints
+    serving, blocked = [row for row in allowed if row.endpoints], ""
+    if serving and all(row.silent_until > now for row in serving):
+        blocked = "told-wait"
+    elif serving and all(row.rate <= 0 for row in serving):
+        blocked = "guarded"
+    found = {}
+    for end in endpoints:
+        if end.status is i.Status.DRAINING or end.status is i.Status.READY and end.id not in budgets:
+            found[end.id] = DRAINING
+        elif end.status is i.Status.READY:
+            found[end.id] = RESTING if budgets[end.id] <= 0 and not blocked else READY
+    return found, blocked
+
+
 class Judge:
     def __init__(self, module: Sender, ledger: Ledger) -> None:
         self._module, self._ledger = module, ledger
--- a/scalefall/control/memory.py
+++ b/scalefall/control/memory.py
@@ -11,9 +11,9 @@
 from typing import Any
 
 from scalefall import interface as i
+from scalefall.net import paces
 
 FORM = 1
-FRESH_US = 60_000_000           # paces that are older tell nothing of now
 MOST_WAIT_US = 3_600_000_000    # a wait that ends later than this is no wait but a clock that was set
 DOUBT_US = 600_000_000          # a partner in doubt longer ago than this is as one that is met for the first time
 
@@ -25,8 +25,8 @@
         doubts += [name for name, own in row.endpoints.items() if own < math.inf]   # its guard's, or its route's
         if row.silent_until > now and row.endpoints:
             waits[next(iter(row.endpoints))] = wall + row.silent_until - now
-    paces = [[row.destination, row.route, round(row.part, 3), round(row.limit, 3)] for row in known]
-    return {"form": FORM, "wall": wall, "doubts": sorted(doubts), "waits": waits, "paces": paces}
+    return {"form": FORM, "wall": wall, "doubts": sorted(doubts), "waits": waits,
+            "paces": [paces.put(row) for row in known]}
 
 
 def recall(kept: Any, now: int, wall: int) -> list[i.Event]:
@@ -35,19 +35,11 @@
         if kept["form"] != FORM:
             raise ValueError(f"form {kept['form']!r} is not known here")
         age = wall - kept["wall"]
-        paces = [i.Known(int(number), str(route), _figure(part), _figure(limit))
-                 for number, route, part, limit in kept["paces"]]
+        known: list[i.Event] = [paces.get(*row) for row in kept["paces"]]
         waits = [i.Reported(str(name), now, i.Outcome.NOT_SENT, int(until - wall))
                  for name, until in kept["waits"].items() if 0 < until - wall <= MOST_WAIT_US]
         doubts = [i.Reported(str(name), now, i.Outcome.CONNECT_FAILED) for name in kept["doubts"]]
     except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"missing or wrong value ({error!r})") from error
-    fresh = -MOST_WAIT_US < age < FRESH_US
-    return (paces if fresh else []) + waits + (doubts if age < DOUBT_US else [])
-
-
-def _figure(value: Any) -> float:
-    number = float(value)
-    if not 0 <= number < math.inf:
-        raise ValueError(f"{value!r} is no pace")
-    return number
+    fresh = -MOST_WAIT_US < age < paces.FRESH_US
+    return (known if fresh else []) + waits + (doubts if age < DOUBT_US else [])
--- a/scalefall/lab/proxy/__main__.py
+++ b/scalefall/lab/proxy/__main__.py
@@ -25,11 +25,14 @@
 from scalefall import interface as i
 from scalefall.control.catalog import EDS
 from scalefall.control.edge import reports, resources, wire
-from scalefall.lab.proxy.contract import ASK_US, SECOND, Contract, Fall, Refuse, Send, may_repeat
+from scalefall.lab.proxy.contract import ASK_US, SECOND, Contract, Fall, Refuse, Send, given_up, may_repeat
 from scalefall.lab.world import CLASSES
+from scalefall.net import http
 
 O = i.Outcome  # noqa: E741
+STATES = {health: word for word, health in resources.HEALTH.items()}
 CALL_S = 5
+READ = 65536
 AGAIN_S = 0.3
 OPTIONS = [("grpc.keepalive_time_ms", 10_000), ("grpc.keepalive_timeout_ms", 5_000),
            ("grpc.max_reconnect_backoff_ms", 1000), ("grpc.initial_reconnect_backoff_ms", 200),
@@ -95,8 +98,7 @@
         for zone in load.endpoints:
             for end in zone.lb_endpoints:
                 at = end.endpoint.address.socket_address
-                states[f"{at.address}:{at.port_value}"] = {
-                    resources.DRAINING: "draining", resources.RESTING: "resting"}.get(end.health_status, "ready")
+                states[f"{at.address}:{at.port_value}"] = STATES[end.health_status]
         self._contract.listed(route, states, bool(load.policy.drop_overloads), row.ttl.ToMicroseconds(), first)
 
     async def _quota(self, channel: grpc.aio.Channel) -> None:
@@ -184,10 +186,10 @@
                 outcome = await self._call(name, cls, route, chosen.endpoint)
                 if outcome is O.OK:
                     how = "ok"
-                elif may_repeat(cls, outcome, first, _now(), tries, 3):
+                elif may_repeat(cls, outcome, first, _now(), tries):
                     await asyncio.sleep(self._random.uniform(0.025, 0.1))
                 else:
-                    how = "refused" if outcome in (O.FULL, O.CONNECT_FAILED) else "failed"
+                    how = given_up(outcome)
         self._open -= 1
         self.say("ended", id=name, how=how)
 
@@ -203,7 +205,7 @@
             outcome = O.CONNECT_FAILED
         except asyncio.TimeoutError:
             outcome = O.TIMEOUT
-        except (OSError, ValueError, asyncio.IncompleteReadError):
+        except (OSError, ValueError):
             pass
         if wait:
             self._contract.told_wait(route, _now() + int(wait * SECOND))
@@ -217,20 +219,24 @@
             fields["Idempotency-Key"] = name
         try:
             return str((await asyncio.wait_for(_post(self._options.sender, f"/{cls.name}", fields), CALL_S))[0])
-        except (OSError, ValueError, asyncio.IncompleteReadError, asyncio.TimeoutError):
+        except (OSError, ValueError, asyncio.TimeoutError):
             return "failed"
 
 
 async def _post(place: str, path: str, fields: dict[str, str]) -> tuple[int, dict[str, str]]:
     host, _, port = place.rpartition(":")
-    reader, writer = await asyncio.open_connection(host, int(port))
+    stream, writer = await asyncio.open_connection(host, int(port))
     try:
-        rows = "".join(f"{key}: {value}\r\n" for key, value in fields.items())
-        writer.write(f"POST {path} HTTP/1.1\r\nHost: {place}\r\n{rows}Connection: close\r\n"
-                     f"Content-Length: 1\r\n\r\nx".encode())
-        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
-        answer = {key.strip().lower(): value.strip() for key, _, value in (line.partition(":") for line in head[1:])}
-        return int(head[0].split()[1]), answer
+        writer.write(http.request("POST", path, place, [*fields.items(), ("Connection", "close")], b"x"))
+        answer = http.AnswerReader()
+        while not answer.head_done:
+            data = await stream.read(READ)
+            if not data:
+                raise ConnectionResetError
+            answer.feed(data)
+        return answer.status, answer.fields
+    except http.Malformed as error:
+        raise ValueError(str(error)) from None
     finally:
         writer.close()
 
--- a/scalefall/lab/proxy/contract.py
+++ b/scalefall/lab/proxy/contract.py
@@ -21,6 +21,8 @@
 CALLS = 1000
 KEPT = 64               # reports whose times are remembered
 FLOOR = 0.1             # of the last grant, where at_end is floor
+ATTEMPTS = 3            # of one message
+NOT_RUN = (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT)
 ASK_US = 250_000        # between reports of use
 
 
@@ -149,12 +151,15 @@
         return Fall() if self._at_end == "fallback" else Refuse(SECOND)
 
 
-def may_repeat(cls: MessageClass, outcome: Outcome, first_us: int, now: int, tries: int, attempts: int) -> bool:
+def may_repeat(cls: MessageClass, outcome: Outcome, first_us: int, now: int, tries: int) -> bool:
     """Whether a message goes out again after a call that ended so. first_us: when its first call began."""
-    if outcome in (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT):
-        return tries < attempts         # it has not run
-    if cls.effect is Effect.SAFE:
-        return tries < attempts
-    if cls.effect is Effect.KEYED and not cls.key_scope_zone:
-        return tries < attempts and now < first_us + cls.key_ttl_us
-    return False
+    if tries >= ATTEMPTS:
+        return False
+    if outcome in NOT_RUN or cls.effect is Effect.SAFE:
+        return True
+    return cls.effect is Effect.KEYED and not cls.key_scope_zone and now < first_us + cls.key_ttl_us
+
+
+def given_up(outcome: Outcome) -> str:
+    """The final answer of a message whose last call ended so: it has not run and may come again, or no promise."""
+    return "refused" if outcome in NOT_RUN else "failed"
--- a/scalefall/lab/world.py
+++ b/scalefall/lab/world.py
@@ -18,11 +18,12 @@
 from scalefall.control import memory
 from scalefall.control.catalog import EDS, Resource
 from scalefall.control.grants import Grant
+from scalefall.control.judge import states
 from scalefall.control.members import Joined
 from scalefall.control.service import Builder, Service
 from scalefall.control.streams import Request, Response
 from scalefall.lab.partner.model import Partner, Shape
-from scalefall.lab.proxy.contract import ASK_US, Contract, Fall, Refuse, Send, may_repeat
+from scalefall.lab.proxy.contract import ASK_US, ATTEMPTS, Contract, Fall, Refuse, Send, given_up, may_repeat
 from scalefall.net.config import Fleet, RouteRules
 from scalefall.net.farm import Entry
 
@@ -76,7 +77,8 @@
         self.partner = Partner(plan.shape, seed)
         self.states = {f"e{n}": i.Status.READY for n in range(plan.endpoints)}
         self._queue: list[tuple[int, int, Callable[[], None]]] = []
-        self._count = 0
+        self._count = self.ids = 0
+        self._kept: tuple[int, dict | None] = (0, None)     # what the last control left
         self.control = _Control(self, 0, None)
         self.proxies = [_Proxy(self, n) for n in range(plan.proxies)]
         self.log("control", "ready", wait_heard_ms=(REPORT_US + plan.lease_us + plan.delay_us) // 1000 + 500 + 5000)
@@ -164,14 +166,8 @@
         self.plan()
 
     def _endpoints(self, number: int, rows: list[Entry], allowed: list[i.Allowed], now: int) -> Resource:
-        budgets = {}
-        for row in allowed:
-            budgets |= row.endpoints
-        states = {entry.endpoint.id: "ready" if budgets.get(entry.endpoint.id, 0) > 0 or
-                  entry.endpoint.id in budgets and not any(own > 0 for own in budgets.values()) else
-                  "resting" if entry.endpoint.id in budgets else "draining" for entry in rows}
-        silent = any(row.silent_until > now for row in allowed)
-        return Resource(EDS, f"route-{number}", f"{states}{silent}", (states, silent), frozenset(),
+        found, blocked = states((entry.endpoint for entry in rows), allowed, now)
+        return Resource(EDS, f"route-{number}", f"{found}{blocked}", (found, bool(blocked)), frozenset(),
                         self._world.plan.ttl_us)
 
     def configure(self) -> None:
@@ -347,7 +343,7 @@
 
     def _connect(self) -> None:
         world = self._world
-        world.ids = getattr(world, "ids", 0) + 2
+        world.ids += 2
         self._ads, self._quota, self._first = world.ids, world.ids + 1, True
         self.contract.opened(world.now)
         self._ask(Request(EDS, names=(f"route-{ROUTE}",)))
@@ -445,11 +441,11 @@
                   outcome=answer.outcome.value, wait_ms=answer.wait_us / 1000)
         if answer.outcome is i.Outcome.OK:
             self._end(name, "ok")
-        elif "eager" in world.plan.mistakes and tries < 3 or \
-                may_repeat(cls, answer.outcome, first, world.now, tries, 3):
+        elif "eager" in world.plan.mistakes and tries < ATTEMPTS or \
+                may_repeat(cls, answer.outcome, first, world.now, tries):
             world.after(world.random.uniform(25, 100) * MS, lambda: self._try(name, cls, tries, first))
         else:
-            self._end(name, "refused" if answer.outcome in (i.Outcome.FULL, i.Outcome.CONNECT_FAILED) else "failed")
+            self._end(name, given_up(answer.outcome))
 
     def _end(self, name: str, how: str) -> None:
         self.counts[how] += 1
--- a/scalefall/net/paces.py
+++ b/scalefall/net/paces.py
@@ -18,7 +18,7 @@
 def save(folder: str, rows: list[Known], wall: int) -> None:
     path, lines, size = os.path.join(folder, "paces"), [str(wall)], 64
     for row in rows:
-        lines.append(json.dumps([row.destination, row.route, round(row.part, 3), round(row.limit, 3)]))
+        lines.append(json.dumps(put(row)))
         size += len(lines[-1]) + 1
         if size > MOST_BYTES // 2 - 512:
             lines.pop()
@@ -37,7 +37,7 @@
             first, *lines = file.read(MOST_BYTES).splitlines()
         if not 0 <= wall - int(first) < FRESH_US:
             return []
-        return [_row(*json.loads(line)) for line in lines]
+        return [get(*json.loads(line)) for line in lines]
     except FileNotFoundError:
         return []
     except (OSError, ValueError, TypeError, RecursionError) as error:
@@ -45,7 +45,13 @@
         return []
 
 
-def _row(destination: int, route: str, part: float, limit: float) -> Known:
+def put(row: Known) -> list:
+    """As plain JSON."""
+    return [row.destination, row.route, round(row.part, 3), round(row.limit, 3)]
+
+
+def get(destination: int, route: str, part: float, limit: float) -> Known:
+    """The same back; ValueError or TypeError if it is none."""
     if not (isinstance(destination, int) and isinstance(route, str)
             and 0 <= float(part) < math.inf and 0 <= float(limit) < math.inf):
         raise ValueError("a row has a wrong value")
