--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -40,6 +40,15 @@
     (folder / "site.scale").write_text("\n".join(rows) + "\n")
 
 
+def started(folder, endpoints, *flags):
+    """A control process on a site of so many endpoints in a new folder; its log is its standard error."""
+    (folder / "state").mkdir()
+    site(folder, endpoints, False)
+    return subprocess.Popen([sys.executable, "-O", "-m", "scalefall", "control", "--config", str(folder), "--state",
+                             str(folder / "state"), "--plain-text", "--listen", "127.0.0.1:0", *flags],
+                            cwd=ROOT, stderr=subprocess.PIPE, text=True)
+
+
 class Stream:
     def __init__(self, channel, number, names, incremental):
         self.incremental, self.names = incremental, names
@@ -78,11 +87,7 @@
 async def measure(count, options):
     with tempfile.TemporaryDirectory() as name:
         folder = pathlib.Path(name)
-        (folder / "state").mkdir()
-        site(folder, options.endpoints, False)
-        child = subprocess.Popen([sys.executable, "-O", "-m", "scalefall", "control", "--config", name, "--state",
-                                  f"{name}/state", "--plain-text", "--listen", "127.0.0.1:0", "--log-format", "json"],
-                                 cwd=ROOT, stderr=subprocess.PIPE, text=True)
+        child = started(folder, options.endpoints, "--log-format", "json")
         lines = asyncio.Queue()
         loop = asyncio.get_running_loop()
 
--- a/benchmarks/control_bad_peers.py
+++ b/benchmarks/control_bad_peers.py
@@ -9,7 +9,6 @@
 import asyncio
 import contextlib
 import pathlib
-import subprocess
 import sys
 import tempfile
 import time
@@ -18,7 +17,7 @@
 from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
 
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
-from control import EDS, ROOT, Stream, site, used  # noqa: E402
+from control import EDS, Stream, started, used  # noqa: E402
 
 LEASE_S, MOST_MB = 0.9, 64
 LOCAL = [("grpc.use_local_subchannel_pool", 1)]
@@ -123,12 +122,7 @@
 
 async def play(seconds):
     with tempfile.TemporaryDirectory() as name:
-        folder = pathlib.Path(name)
-        (folder / "state").mkdir()
-        site(folder, 2000, False)
-        child = subprocess.Popen([sys.executable, "-O", "-m", "scalefall", "control", "--config", name, "--state",
-                                  f"{name}/state", "--plain-text", "--listen", "127.0.0.1:0"],
-                                 cwd=ROOT, stderr=subprocess.PIPE, text=True)
+        child = started(pathlib.Path(name), 2000)
         while "ready: control" not in (line := child.stderr.readline()):
             pass
         at, wrong = line.split()[-1], 0
--- a/tests/edge/edgehelp.py
+++ b/tests/edge/edgehelp.py
@@ -5,8 +5,10 @@
 import json
 import pathlib
 import queue
+import signal
 import subprocess
 import sys
+import threading
 from concurrent.futures import ThreadPoolExecutor
 
 import grpc
@@ -36,15 +38,24 @@
     (folder / "site.scale").write_text(SITE.format(endpoints=rows, limit=limit))
 
 
-class Started(Process):
-    def __init__(self, folder, *flags, state="state"):
-        (folder / state).mkdir(exist_ok=True)
-        super().__init__("-m", "scalefall", "control", "--config", str(folder), "--state", str(folder / state),
-                         "--listen", "127.0.0.1:0", "--log-format", "json", *flags)
+class Logged(Process):
+    """A process whose lines are JSON objects; said has every one of them."""
 
-    def ready(self):
-        self.at = json.loads(self.line("ready: control"))["listen"]
-        return self
+    def __init__(self, *command):
+        self.said, self._whole = [], threading.Event()
+        super().__init__(*command)
+
+    def _read(self):
+        for line in self.child.stdout:
+            self.said.append(line.rstrip("\n"))
+            self.lines.put(self.said[-1])
+        self.lines.put(None)
+        self._whole.set()
+
+    def end(self, number=signal.SIGKILL):
+        code = super().end(number)
+        assert self._whole.wait(LONG)       # its last lines have been read
+        return code
 
     def event(self, name, **fields):
         """The next line of an event with these fields."""
@@ -54,6 +65,17 @@
                 return row
 
 
+class Started(Logged):
+    def __init__(self, folder, *flags, state="state"):
+        (folder / state).mkdir(exist_ok=True)
+        super().__init__("-m", "scalefall", "control", "--config", str(folder), "--state", str(folder / state),
+                         "--listen", "127.0.0.1:0", "--log-format", "json", *flags)
+
+    def ready(self):
+        self.at = json.loads(self.line("ready: control"))["listen"]
+        return self
+
+
 @contextlib.contextmanager
 def control(folder, *flags, **more):
     process = Started(folder, *(flags or ("--plain-text",)), **more)
--- a/tests/edge/test_standins.py
+++ b/tests/edge/test_standins.py
@@ -1,36 +1,21 @@
 """The stand-ins as processes: a proxy behind a link that is cut, a partner, control, and the audit of their logs."""
-import json
 import signal
 import subprocess
 import sys
 
 import pytest
-from edgehelp import control, site
-from test_program import LONG, ROOT, Process
+from edgehelp import Logged, control, site
+from test_program import ROOT
 
 from scalefall.control import audit
 
 
-class Child(Process):
-    """Keeps every line that it said."""
-
-    def row(self, **fields):
-        """The next line with these fields."""
-        while True:
-            line = self.lines.get(timeout=LONG)
-            assert line is not None, self.seen[-5:]
-            self.seen.append(line)
-            row = json.loads(line)
-            if all(row.get(key) == value for key, value in fields.items()):
-                return row
-
-
 @pytest.fixture
 def children():
     started = []
 
     def start(*words):
-        started.append(Child("-u", "-m", *words))
+        started.append(Logged("-u", "-m", *words))
         return started[-1]
     yield start
     for each in started:
@@ -39,7 +24,8 @@
 
 def test_a_proxy_sends_under_grants_falls_back_while_it_is_cut_off_and_comes_back(tmp_path, children):
     partner = children("scalefall.lab.partner", "--limit", "20")
-    site(tmp_path, partner.row(event="listening")["port"], limit="limit 20 per 1s;")
+    port = partner.event("listening")["port"]
+    site(tmp_path, port, limit="limit 20 per 1s;")
     flags = ("--plain-text", "--log-level", "debug", "--report-every", "0.2", "--lease", "1")
     with control(tmp_path, *flags) as process:
         link = subprocess.Popen([sys.executable, "-u", "-m", "scalefall.lab.link", process.at], cwd=ROOT, text=True,
@@ -51,45 +37,36 @@
             def tell(word):
                 link.stdin.write(word + "\n")
                 link.stdin.flush()
-            proxy.row(event="ended", how="ok")
+            proxy.event("ended", how="ok")
             tell("silence")
-            proxy.row(event="ended", how="fallback")
+            proxy.event("ended", how="fallback")
             tell("reset")
             tell("heal")
-            proxy.row(event="ended", how="ok")
-            site(tmp_path, partner_port(partner), limit="limit 20 per 1s;", e0="draining")
+            proxy.event("ended", how="ok")
+            site(tmp_path, port, limit="limit 20 per 1s;", e0="draining")
             process.child.send_signal(signal.SIGHUP)
             process.line("configuration read again")
-            proxy.row(event="ended", how="refused")
+            proxy.event("ended", how="refused")
             assert proxy.end(signal.SIGTERM) == 0
             assert process.end(signal.SIGTERM) == 0
         finally:
             link.kill()
             link.communicate()
-        lines = []
-        for each in (process, proxy, partner):
-            while not each.lines.empty():
-                each.seen.append(each.lines.get() or "")
-            lines += each.seen
-    rows, _ = audit.read(lines)
+    rows, _ = audit.read([*process.said, *proxy.said, *partner.said])
     found = {each.rule: each for each in audit.audit(rows)}
     assert not [each.broken for each in found.values() if each.broken]
     assert found["answer"].checked and found["grants"].checked and found["twice"].checked
 
 
-def partner_port(partner):
-    return next(json.loads(line)["port"] for line in partner.seen if '"listening"' in line)
-
-
 def test_without_control_messages_go_over_a_senders_own_front_and_reach_the_partner(tmp_path, children):
     partner = children("scalefall.lab.partner", "--limit", "20")
-    site(tmp_path, partner.row(event="listening")["port"], limit="limit 20 per 1s;")
+    site(tmp_path, partner.event("listening")["port"], limit="limit 20 per 1s;")
     (tmp_path / "sender").mkdir()
     sender = children("scalefall", "run", "--config", str(tmp_path), "--state", str(tmp_path / "sender"),
                       "--listen", "127.0.0.1:0")
     front = sender.line("ready: ").split()[-1]
     proxy = children("scalefall.lab.proxy", "--control", "127.0.0.1:1", "--node", "p", "--routes", "7", "--load", "10",
                      "--sender", front)
-    name = proxy.row(event="ended", how="fallback 202")["id"]
-    partner.row(event="effect", id=name)
-    assert proxy.end(signal.SIGTERM) == 0 and not [line for line in proxy.seen if '"sent"' in line]
+    name = proxy.event("ended", how="fallback 202")["id"]
+    partner.event("effect", id=name)
+    assert proxy.end(signal.SIGTERM) == 0 and not [line for line in proxy.said if '"sent"' in line]
