--- a/scalefall/interface.py
+++ b/scalefall/interface.py
@@ -23,6 +23,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
+    CROWDED = "crowded"         # the endpoint is up, and turned the connection away, as it holds as many as it takes
 
 
 class Status(Enum):
@@ -93,6 +94,7 @@
     turn_gap_us: int
     tick_us: int
     attempts: dict[int, int] = field(default_factory=dict)     # by destination, where not max_attempts
+    answers_report: bool = False    # every answer to a call tells the fields of a report
 
 
 @dataclass(slots=True)
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -34,7 +34,7 @@
 MOST_ENDED = 4096
 OWN_SOCKETS = 24                # descriptors that are neither a user agent's nor an endpoint's
 MOST_CALL = 64 * 1024           # the protocol's limit for any body, so for a call with several messages too
-NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT)
+NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT, i.Outcome.CROWDED)
 
 
 class Host:
@@ -269,7 +269,7 @@
     def _listed(self, event: i.Listed) -> None:
         """News of the farm; connections to what wants nothing new are of no use any more."""
         for name in self._farm.left_at:
-            self._passes.close_idle(self._farm.entries[name])
+            self._passes.left(self._farm.entries[name])
         self._gather(event)
 
     def _bound(self, endpoint: i.Endpoint) -> int | str:
@@ -280,9 +280,10 @@
         each goes alone from now on."""
         if unreadable and event.id in self._open:
             self._open[event.id].alone = True
-        debug("outcome %s/%d at %s: %s after %d ms, wait %d ms", event.id, event.attempt, event.endpoint,
-              event.outcome.value, event.latency_us // MS, event.wait_us // MS, id=event.id, attempt=event.attempt,
-              endpoint=event.endpoint, outcome=event.outcome.value, latency_us=event.latency_us)
+        debug("outcome %s/%d at %s: %s after %d ms, wait %d ms, told %s", event.id, event.attempt, event.endpoint,
+              event.outcome.value, event.latency_us // MS, event.wait_us // MS, event.report, id=event.id,
+              attempt=event.attempt, endpoint=event.endpoint, outcome=event.outcome.value,
+              latency_us=event.latency_us, told=event.report)
         if event.wait_us and event.endpoint in self._farm.entries:
             bound = self._bound(self._farm.entries[event.endpoint].endpoint)
             self._waits[bound] = max(self._waits.get(bound, 0), self._scheduler.now() + event.wait_us)
--- a/scalefall/net/passes.py
+++ b/scalefall/net/passes.py
@@ -19,6 +19,7 @@
 from scalefall.net import http, streams
 from scalefall.net.checks import holds, log
 from scalefall.net.farm import Entry
+from scalefall.net.keeping import Keeping
 from scalefall.net.scheduler import READ, TIME_UP, Scheduler, Task
 
 MS = 1000
@@ -63,6 +64,7 @@
     begun: int
     task: Task | None = None
     sock: socket.socket | None = None
+    fresh: bool = False         # its connection is new
     idled: bool = False         # its connection had been idle for AGED_US or more
     written: bool = False       # the call's last byte is on its way
     over: bool = False
@@ -89,6 +91,7 @@
         self._out: dict[tuple[str, int], ProxyPass] = {}
         self._idle: dict[Kept, None] = {}           # all idle ones, the longest idle first
         self._busy = 0
+        self._keeping = Keeping(settings.siblings)
         self._lost = 0.0            # share, of late, of calls on idle connections that were reset with no answer
 
     @property
@@ -119,6 +122,11 @@
         for kept in list(self._pools.get(_place(entry), ())):
             self._discard(kept)
 
+    def left(self, entry: Entry) -> None:
+        """The endpoint wants nothing new any more, or has gone."""
+        self.close_idle(entry)
+        self._keeping.forget(_place(entry))
+
     def close(self) -> None:
         for kept in list(self._idle):
             self._discard(kept)
@@ -143,7 +151,7 @@
             self._discard(next(iter(self._idle)))       # the longest idle one makes room
         if self._busy > self._most:
             raise OSError("no socket left")
-        one.idled = False
+        one.idled, one.fresh = False, True
         one.sock = streams.dial(self._scheduler, one.entry.address,
                                 min(until, self._scheduler.now() + (one.entry.dial_us or self._set.dial_timeout_us)))
 
@@ -158,6 +166,7 @@
     def _watch_over(self, kept: Kept) -> None:
         """Close an idle connection in time, and at once when its endpoint does or sends what nobody asked for."""
         span = max(kept.idle_close // 2, kept.idle_close - IDLE_MARGIN_US)
+        span = min(span, REST_US + self._keeping.span(kept.place, kept.idle_close))
         if kept in self._idle:
             why = self._scheduler.pause(self._scheduler.now() + span, kept.sock, READ)
             if why is TIME_UP or kept in self._idle:
@@ -230,6 +239,9 @@
             until = min(until, begun + (DELIVERED_US if told else ANSWER_US))
         self._learn(one, False)
         results = self._read(one, reader)
+        if one.fresh:
+            crowded = isinstance(results, Result) and results.outcome is i.Outcome.CROWDED
+            (self._keeping.turned_away if crowded else self._keeping.taken)(_place(one.entry))
         if reader.keep and not reader.rest and results is not None:
             self._keep(one)
         results = results or Result(i.Outcome.ERROR, read_wait(reader.fields))
@@ -297,8 +309,12 @@
         if status == 200:
             return Result(i.Outcome.OK if len(one.loads) == 1 else i.Outcome.ERROR, wait, len(one.loads) == 1)
         if status == 429 or status == 503:
-            never = "x-egress-full" in reader.fields
-            return Result(i.Outcome.NOT_SENT if never else i.Outcome.FULL, wait)
+            if "x-egress-full" in reader.fields:
+                return Result(i.Outcome.NOT_SENT, wait)
+            # What turns a call away knows its load and tells it; what turns a connection away does not get so far.
+            crowded = (status == 503 and one.fresh and reader.head_done and not wait
+                       and self._set.answers_report and "x-load" not in reader.fields)
+            return Result(i.Outcome.CROWDED if crowded else i.Outcome.FULL, wait)
         if status == 504 or status == 410:
             return Result(i.Outcome.NOT_SENT, wait, status == 410)
         if status != 500:
--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -745,7 +745,7 @@
             self.capped[server.entry.id] = self.now + CAPPED_US
         # Above its limit a partner tells the rest of a span or less; that is no sign of an outage.
         above = outcome is Outcome.FULL and 0 < event.wait_us <= self.set.fall_us and route.limit > 0
-        if outcome not in (Outcome.OK, Outcome.NOT_SENT) and not above:
+        if outcome not in (Outcome.OK, Outcome.NOT_SENT, Outcome.CROWDED) and not above:
             self._failed(call, event.wait_us)
 
     def _told_limit(self, route: Route, limit: float, left: float) -> None:
@@ -833,7 +833,7 @@
                 message.ran_at = call.sent
                 if message.cls.key_scope_zone:
                     message.ran_zone = call.server.entry.zone
-        if outcome in MAY_HAVE_RUN or outcome is Outcome.CONNECT_FAILED:
+        if outcome in MAY_HAVE_RUN or outcome in (Outcome.CONNECT_FAILED, Outcome.CROWDED):
             message.not_before = self.now + int(RETRY_US * message.attempts * self.random.uniform(0.5, 1.5))
         if self._late_at(message) <= self.now or self._spent(message):    # its key's time may be up by now
             self._give_up(message)
--- a/scalefall/settings.py
+++ b/scalefall/settings.py
@@ -98,4 +98,4 @@
         answer_slack_us=rules.time("answerSlack"), cold_from=rules.number("coldFrom"), cold_us=rules.time("cold"),
         drain_grace_us=rules.time("drainGrace"), fall_us=rules.time("fall"),
         fall_multiple=rules.number("fallMultiple"), turn_gap_us=us(rules.table.get("turnGap")),
-        tick_us=top.time("tick"))
+        tick_us=top.time("tick"), answers_report=report.table.get("how") == "answers")
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -511,6 +511,21 @@
     assert d.of(i.Close) == []
 
 
+def test_a_connection_turned_away_by_a_full_table_slows_nothing_and_holds_nothing():
+    """At size most refusals are of this kind: as refusals of calls they held each sender to one call in 8 s."""
+    d = Drive(siblings=40)
+    d.list(("e", 1))
+    serve(d, "e")
+    for n in range(3):
+        assert d.arrive(f"away{n}") == [f"away{n}"]
+        d.result(f"away{n}", "e", O.CROWDED)
+        d.tick(S)               # sent again after a pause, and served
+        d.result(f"away{n}", "e")
+    assert d.arrive("next") == ["next"] and not d.of(i.Log)
+    d.result("next", "e", O.CROWDED, after=0)
+    assert d.of(i.Send) == [] and d.tick(10 * MS) == []     # not at once: others go first
+
+
 def test_a_failed_connect_of_an_endpoint_that_has_not_served_lately_closes_nothing():
     d = Drive()
     d.list(("e", 1))
--- /dev/null
+++ b/tests/test_keeping.py
@@ -0,0 +1,31 @@
+"""How long idle connections are kept at endpoints that take few."""
+from scalefall.net.keeping import Keeping
+
+S = 1_000_000
+
+
+def test_each_of_many_senders_keeps_an_idle_connection_for_its_part_of_the_time():
+    assert Keeping(1).span("e", 10 * S) == 10 * S
+    assert Keeping(40).span("e", 10 * S) == S // 4
+
+
+def test_the_span_halves_with_each_connection_turned_away_and_comes_back_with_those_let_in():
+    keeping = Keeping(2)
+    for _ in range(3):
+        keeping.turned_away("e")
+    assert keeping.span("e", 8 * S) == S // 2 and keeping.span("f", 8 * S) == 4 * S
+    spans = []
+    while keeping.span("e", 8 * S) < 4 * S:
+        keeping.taken("e")
+        spans.append(keeping.span("e", 8 * S))
+    assert spans == sorted(spans) and 5 < len(spans) < 20
+    keeping.taken("e")
+    assert keeping.span("e", 8 * S) == 4 * S        # and never beyond its part
+
+
+def test_what_was_learnt_of_an_endpoint_goes_with_it():
+    keeping = Keeping(2)
+    keeping.turned_away("e")
+    keeping.forget("e")
+    keeping.forget("never met")
+    assert keeping.span("e", 8 * S) == 4 * S
--- a/tests/test_passes.py
+++ b/tests/test_passes.py
@@ -249,6 +249,51 @@
     world.play(play)
 
 
+CROWDED = [([], 503, True, O.CROWDED), ([LOAD], 503, True, O.FULL), ([], 429, True, O.FULL), ([], 503, False, O.FULL),
+           ([("Retry-After", "1.25")], 503, True, O.FULL), ([("X-Egress-Full", "1")], 503, True, O.NOT_SENT)]
+
+
+@pytest.mark.parametrize("fields, status, reports, outcome", CROWDED)
+def test_a_new_connection_refused_with_no_report_met_a_full_table(world, fields, status, reports, outcome):
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(answers_report=reports), peer.address)
+        calls.begin("m")
+        sock = peer.accept()
+        peer.read(sock)
+        sock.send(http.answer(status, fields, b""))
+        assert calls.outcome("m").outcome is outcome
+        if outcome is O.CROWDED:    # on a connection that was let in before it is the call that is refused
+            calls.begin("n")
+            world.sleep(50 * MS)
+            sock = peer.accept()
+            peer.read(sock)
+            sock.send(http.answer(200, [LOAD], b""))
+            assert calls.outcome("n").outcome is O.OK
+            world.sleep(30 * MS)
+            calls.begin("o")
+            peer.read(sock)
+            sock.send(http.answer(503, [], b""))
+            assert calls.outcome("o").outcome is O.FULL
+    world.play(play)
+
+
+@pytest.mark.parametrize("senders, span", [(1, 5 * S), (40, 125 * MS)])
+def test_an_idle_connection_is_kept_for_one_senders_part_of_the_time(world, senders, span):
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(siblings=senders, idle_close_us=5 * S), peer.address)
+        calls.begin("m")
+        sock = peer.accept()
+        peer.read(sock)
+        sock.send(http.answer(200, [LOAD], b""))
+        calls.outcome("m")
+        answered = world.now()
+        assert closed(world, sock)
+        assert span * 0.8 <= world.now() - answered <= span + 40 * MS
+    world.play(play)
+
+
 def test_room_is_made_by_closing_the_connection_that_has_been_idle_longest(world):
     def play():
         peers = [Peer(world) for _ in range(3)]
