--- a/scalefall/net/notices.py
+++ b/scalefall/net/notices.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from scalefall.net import http, streams
-from scalefall.net.checks import log
+from scalefall.net.checks import debug, log
 from scalefall.net.scheduler import Scheduler, Task
 
 TRY_US = 1_000_000              # one POST may take so long
@@ -70,7 +70,9 @@
         most = MOST_LINES
         while self._due:
             names = list(self._due)[:most]
+            begun = self._scheduler.now()
             status = self._post(b"".join(self._due[name] for name in names))
+            debug("notices: %s after %d ms: %d", " ".join(names), (self._scheduler.now() - begun) // 1000, status)
             if status == 204:
                 for name in names:
                     del self._due[name]
--- /dev/null
+++ b/tests/test_deploy.py
@@ -0,0 +1,25 @@
+"""What the deploy file's build leaves behind for its run."""
+import pathlib
+import shutil
+import subprocess
+import sys
+import tomllib
+from importlib.util import cache_from_source
+
+ROOT = pathlib.Path(__file__).parent.parent
+
+
+def test_the_build_compiles_what_the_run_loads(tmp_path):
+    """Run may write nothing (-B), so what is not compiled by then is compiled anew by each start of each sender."""
+    deploy = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())
+    assert " -O -B " in deploy["run"]
+    for name in deploy["policy"] + deploy["node"]:
+        (tmp_path / name).parent.mkdir(parents=True, exist_ok=True)
+        (shutil.copytree if (ROOT / name).is_dir() else shutil.copy)(ROOT / name, tmp_path / name)
+    shutil.rmtree(tmp_path / "scalefall/net/__pycache__", ignore_errors=True)
+    compiling = deploy["build"].rsplit(" && ", 1)[1].replace(".venv/bin/python", sys.executable)
+    subprocess.run(compiling, shell=True, cwd=tmp_path, check=True)
+    sources = list(tmp_path.rglob("*.py"))
+    assert len(sources) > 10
+    for source in sources:
+        assert pathlib.Path(cache_from_source(str(source), optimization=1)).is_file(), source
