--- a/scalefall/net/passes.py
+++ b/scalefall/net/passes.py
@@ -157,6 +157,10 @@
 
     def _keep(self, one: ProxyPass) -> None:
         idle_close = one.entry.idle_us or self._set.idle_close_us
+        if not self._keeping.span(_place(one.entry), idle_close):
+            one.sock.close()
+            one.sock = None
+            return
         kept = Kept(one.sock, _place(one.entry), self._scheduler.now() + REST_US, idle_close)
         self._pools.setdefault(kept.place, deque()).append(kept)
         self._idle[kept] = None
@@ -208,6 +212,7 @@
 
     def _call(self, one: ProxyPass, reader: http.AnswerReader) -> None:
         until = max(load.until for load in one.loads)
+        self._keeping.begun(_place(one.entry), self._scheduler.now())
         self._connect(one, until)
         if one.over:
             self._drop(one)
