--- a/scalefall/interface.py
+++ b/scalefall/interface.py
@@ -26,6 +26,9 @@
     CROWDED = "crowded"         # the endpoint is up, and turned the connection away, as it holds as many as it takes
 
 
+NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.CROWDED))
+
+
 class Status(Enum):
     """What the directory says of an endpoint; nothing about its health."""
     GONE = 0
--- a/scalefall/lab/proxy/contract.py
+++ b/scalefall/lab/proxy/contract.py
@@ -15,14 +15,13 @@
 from collections import OrderedDict
 from dataclasses import dataclass, field
 
-from scalefall.interface import Effect, MessageClass, Outcome
+from scalefall.interface import NEVER_RAN, Effect, MessageClass, Outcome
 
 SECOND = 1_000_000
 CALLS = 1000
 KEPT = 64               # reports whose times are remembered
 FLOOR = 0.1             # of the last grant, where at_end is floor
 ATTEMPTS = 3            # of one message
-NOT_RUN = (Outcome.CONNECT_FAILED, Outcome.FULL, Outcome.NOT_SENT)
 ASK_US = 250_000        # between reports of use
 
 
@@ -155,11 +154,11 @@
     """Whether a message goes out again after a call that ended so. first_us: when its first call began."""
     if tries >= ATTEMPTS:
         return False
-    if outcome in NOT_RUN or cls.effect is Effect.SAFE:
+    if outcome in NEVER_RAN or cls.effect is Effect.SAFE:
         return True
     return cls.effect is Effect.KEYED and not cls.key_scope_zone and now < first_us + cls.key_ttl_us
 
 
 def given_up(outcome: Outcome) -> str:
     """The final answer of a message whose last call ended so: it has not run and may come again, or no promise."""
-    return "refused" if outcome in NOT_RUN else "failed"
+    return "refused" if outcome in NEVER_RAN else "failed"
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -34,7 +34,6 @@
 MOST_ENDED = 4096
 OWN_SOCKETS = 24                # descriptors that are neither a user agent's nor an endpoint's
 MOST_CALL = 64 * 1024           # the protocol's limit for any body, so for a call with several messages too
-NEVER_RAN = (i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT, i.Outcome.CROWDED)
 
 
 class Host:
@@ -291,7 +290,7 @@
             self._journal.over(event.id)
             self._end(event.id)
         else:
-            self._journal.outcome(event.id, event.outcome not in NEVER_RAN)
+            self._journal.outcome(event.id, event.outcome not in i.NEVER_RAN)
             event.finished = event.id not in self._open
         self._gather(event)
 
--- a/scalefall/net/keeping.py
+++ b/scalefall/net/keeping.py
@@ -28,7 +28,7 @@
         """Microseconds for which an idle connection is kept there; the endpoint closes it after idle_close."""
         span = idle_close / self._senders * self._shares.get(place, 1.0)
         _, gap = self._gaps.get(place, (0, 0.0))
-        return int(span) if SURE * gap <= span else 0
+        return int(span) if self._senders == 1 or SURE * gap <= span else 0     # alone it is in nobody's way
 
     def turned_away(self, place: object) -> None:
         self._shares[place] = LESS * self._shares.get(place, 1.0)
--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -741,8 +741,6 @@
         elif outcome is Outcome.FULL and call.sent >= route.cut_at:
             self._slow_down(route, 0.5)
             route.tokens, route.cut_at = self.random.uniform(-0.5, 0.5), self.now
-        elif outcome is Outcome.CROWDED:        # it never came as far as the limit
-            route.tokens += route.rate < inf
         elif outcome is Outcome.CONNECT_FAILED and server.guard.last_ok >= max(0, self.now - CAPPED_US):
             self.capped[server.entry.id] = self.now + CAPPED_US
         # Above its limit a partner tells the rest of a span or less; that is no sign of an outage.
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -29,3 +29,15 @@
     keeping.forget("e")
     keeping.forget("never met")
     assert keeping.span("e", 8 * S) == 4 * S
+
+
+def test_no_connection_is_kept_that_calls_too_rare_would_not_meet():
+    """40 senders with 160 calls/s between them: a quarter of all calls met a table full of connections kept in vain."""
+    keeping = Keeping(40)
+    for n in range(10):
+        keeping.begun("rare", n * S // 4)
+        keeping.begun("busy", n * S // 10)
+    assert keeping.span("rare", 10 * S) == 0 and keeping.span("busy", 10 * S) == S // 4
+    for n in range(10):
+        keeping.begun("rare", 3 * S + n * S // 20)
+    assert keeping.span("rare", 10 * S) == S // 4       # and kept again once its calls are many
--- a/tests/test_passes.py
+++ b/tests/test_passes.py
@@ -374,7 +374,7 @@
     def start(self):
         self.world, self.number = World(), 0
         self.peer = Peer(self.world)
-        self.calls = Calls(self.world, settings(idle_close_us=5 * S), self.peer.address)
+        self.calls = Calls(self.world, settings(idle_close_us=5 * S, siblings=1), self.peer.address)
         self.idle, self.out, self.known = [], {}, 0
 
     def step(self, function):
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -15,7 +15,6 @@
 from scalefall import interface as i
 from scalefall.policy import Sender
 
-NEVER_RAN = {i.Outcome.FULL, i.Outcome.CONNECT_FAILED, i.Outcome.NOT_SENT}
 RESTS = {i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED}
 ENDPOINTS = [("a", 1, "one", "a"), ("b", 1, "one", "b"), ("c", 2, "many", "a"), ("d", 2, "many", "a"),
              ("r", 3, "route", "a"), ("s", 3, "route", "b")]
@@ -43,7 +42,7 @@
             self.open.pop(e.id, None)
         elif isinstance(e, i.Attempted):
             sent, _ = self.out.pop((e.id, e.attempt))
-            if e.outcome not in NEVER_RAN:
+            if e.outcome not in i.NEVER_RAN:
                 self.ran.setdefault(e.id, (sent, e.endpoint))
             if e.finished:
                 self.open.pop(e.id, None)
