--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -583,7 +583,7 @@
         for guard in (route.guard, server.guard):
             if guard.doubts and 0 <= guard.warm_from <= self.now - self.set.cold_us:
                 guard.doubts, guard.warm_from, route.tokens = 0, -1, 0.0
-                route.rate = min(route.rate, max(FIRST_RATE, guard.part))    # no burst of the backlog
+                route.rate = min(route.rate, max(FIRST_RATE, route.guard.part, guard.part))    # no burst
         return route.guard if route.guard.doubts else server.guard
 
     def _tokens(self, route: Route) -> float:
