--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -13,8 +13,8 @@
     return d
 
 
-def listed(d, limit, most=0, status=READY, name="e"):
-    d.turn(i.Listed(i.ListKind.CHANGES, [i.Endpoint(name, "a", "one", 1, status, limit, most)]))
+def listed(d, limit, most=0, status=READY, name="e", kind="one"):
+    d.turn(i.Listed(i.ListKind.CHANGES, [i.Endpoint(name, "a", kind, 1, status, limit, most)]))
 
 
 def sends_in(d, span, more=200, each=50 * MS):
@@ -90,7 +90,7 @@
 def told_calls(senders, left, kind="one"):
     """Calls begun at a partner with a limit of one a second a sender in 20 s, while every answer tells what is left."""
     d = Drive(siblings=senders, slots=100, max_held=1000)
-    d.turn(i.Listed(i.ListKind.CHANGES, [i.Endpoint("e", "a", kind, 1, READY, 1.0)]))
+    listed(d, 1.0, kind=kind)
     first = d.arrive("first")[0]
     d.result(first, "e", report={"x0": 0.0, "x1": float(senders)}, after=MS)
     d.arrive(*(f"m{n}" for n in range(100)))
