Take indented lists, and watch from the start where lists are pushed

Host.start subscribed only to fill an empty list; else the module asks, and it does so only where settings say "ask". And Farm._follow cut the stream at line ends and parsed each line, so that an indented list, which the renewed page allows, was "Expecting property name" at its first line, broke the watch, and did so again at each new one: such a sender kept the list it was born with.

Where lists are pushed the farm watches from its start, opens anew by itself, and tells the old list only once discovery has said what of it holds, or after 2 s.

--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -1,15 +1,13 @@
 """The farm: discovery's list of endpoints, kept up by a watch. What it learns goes to the host as Listed events."""
 from __future__ import annotations
 
-import json
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Any
 
 from scalefall import interface as i
 from scalefall.net import http, streams
 from scalefall.net.checks import log
+from scalefall.net.rolls import Entry, Objects, Roll, read_roll
 from scalefall.net.scheduler import Scheduler, Task
 
 SECOND = 1_000_000
@@ -19,61 +17,42 @@
 SILENT_US = 3 * SECOND          # a watch with no line for this long is broken: told counts from 6 s on
 MOVING_US, MOVING_STEP_US = 3 * SECOND, SECOND // 10    # after a move it is asked again at once for so long
 FORGET_US = 60 * SECOND         # longer than any message may take: no pass is out to an endpoint gone for so long
-MOST_LINE = 1024 * 1024
-STATES = {"in_service": i.Status.READY, "terminating": i.Status.DRAINING, "terminated": i.Status.GONE}
-
-
-@dataclass(slots=True, frozen=True)
-class Entry:
-    """One endpoint as the list has it: what the module is told, and where to dial."""
-    endpoint: i.Endpoint
-    address: tuple[str, int]
-    host: str = ""          # what it is called in a request's Host; else its id
-    dial_us: int = 0        # how long a dial to it may take, and when it closes an idle connection; 0: as the
-    idle_us: int = 0        # settings say
-
-
-@dataclass(slots=True, frozen=True)
-class Roll:
-    """The list, or what of it has changed, at a version."""
-    seq: int
-    whole: bool
-    entries: list[Entry]
-
-
-def read_roll(table: Any) -> Roll:
-    """Discovery's object as a Roll; a ValueError names what is wrong."""
-    try:
-        seq, whole = table["seq"], table.get("whole", False)
-        entries = [_read_entry(row) for row in table["hosts"]]
-        if isinstance(seq, bool) or not isinstance(seq, int):
-            raise ValueError(f"seq must be a whole number, not {seq!r}")
-    except (TypeError, KeyError, AttributeError) as error:
-        raise ValueError(f"list of endpoints: missing or wrong value ({error!r})") from error
-    return Roll(seq, bool(whole), entries)
-
-
-def _read_entry(row: Any) -> Entry:
-    host, port = row["dial"].rsplit(":", 1)
-    if not isinstance(row["host"], str) or not isinstance(row["block"], int) or row["health"] not in STATES:
-        raise ValueError(f"list of endpoints: {row['host']!r} has a wrong value")
-    return Entry(i.Endpoint(row["host"], str(row["site"]), str(row["class"]), row["block"], STATES[row["health"]],
-                            float(row.get("share") or 0)), (host, int(port)))
+MOST_LIST = 1024 * 1024         # bytes of one object of the list, where the settings' memory allows no more
+AGAIN_US, MOST_AGAIN_US = SECOND // 20, SECOND // 2     # where lists are pushed: pause until a watch is opened anew
+UNHEARD_US = 2 * SECOND         # and so long after a start the old list is taken as it is, if nothing has been heard
 
 
 class Farm:
     def __init__(self, scheduler: Scheduler, discovery: tuple[str, int] | None, known: Roll,
-                 tell: Callable[[i.Listed], None]) -> None:
+                 tell: Callable[[i.Listed], None], pushed: bool = False, most: int = MOST_LIST) -> None:
+        """Where lists are pushed, what discovery has counts as told whether or not a watch is open: so one is open all
+        the time, and what was known before is told only when discovery has said what of it still holds."""
         self._scheduler, self._discovery, self._tell = scheduler, discovery, tell
+        self._pushed, self._most, self._heard = pushed, max(most, MOST_LIST), not pushed
         self.entries: dict[str, Entry] = {}
         self.left_at: dict[str, int] = {}       # when we were told that an endpoint drains or is gone
         self._gone: dict[str, int] = {}         # when we were told that it is gone, in this order
         self._owners: dict[tuple[str, int], str] = {}   # the endpoint in service that was told last at an address
         self.seq, self._watching = known.seq, False
+        self.unread, self._said = 0, ()         # entries that could not be read
         self._task: Task | None = None
         self._moved_at = -MOVING_US
         self._keep(known)
 
+    def start(self) -> None:
+        if self._pushed:
+            self._scheduler.call_at(self._scheduler.now() + UNHEARD_US, self._introduce)
+        else:
+            self._tell(self.known())
+        if self._pushed or not self.entries:
+            self.subscribe()    # nothing can go out before the list comes: not after the others' turns
+
+    def _introduce(self) -> None:
+        """Once, where lists are pushed: what was known before goes to the module, ahead of what is new."""
+        if not self._heard:
+            self._heard = True
+            self._tell(self.known())
+
     def known(self) -> i.Listed:
         """The list as this sender had it last; it may be old."""
         return i.Listed(i.ListKind.CACHED, [entry.endpoint for entry in self.entries.values()])
@@ -107,7 +86,7 @@
     def _keep(self, roll: Roll) -> None:
         now = self._scheduler.now()
         if roll.whole:
-            for gone in self.entries.keys() - {entry.endpoint.id for entry in roll.entries}:
+            for gone in self.entries.keys() - {entry.endpoint.id for entry in roll.entries} - set(roll.unread):
                 self.left_at.setdefault(gone, now)      # what is not in the whole list is gone
                 self._gone.setdefault(gone, now)
         for entry in roll.entries:
@@ -134,16 +113,22 @@
                 del self._owners[address]
 
     def _watch(self) -> None:
-        why, moved = "", True
-        while moved:
-            at = self._discovery
+        pause = AGAIN_US
+        while True:
+            at, begun = self._discovery, self._scheduler.now()
             why = self._watch_at(at)
-            moved = at != self._discovery
-            if not moved and self._scheduler.now() < self._moved_at + MOVING_US:
-                moved = True        # it may come up there a moment later than we were told
-                self._scheduler.sleep(MOVING_STEP_US)
+            now = self._scheduler.now()
+            if at != self._discovery:
+                continue
+            if now < self._moved_at + MOVING_US:
+                self._scheduler.sleep(MOVING_STEP_US)   # it may come up there a moment later than we were told
+                continue
+            log.info("watch on the farm broken: %s", why)
+            if not self._pushed:
+                break
+            pause = AGAIN_US if now - begun > SILENT_US else min(2 * pause, MOST_AGAIN_US)
+            self._scheduler.sleep(pause)
         self._watching = False
-        log.info("watch on the farm broken: %s", why)
         self._tell(i.Listed(i.ListKind.FAILED))
 
     def _watch_at(self, address: tuple[str, int]) -> str:
@@ -162,7 +147,7 @@
     def _follow(self, sock: socket.socket, address: tuple[str, int]) -> None:
         streams.send(self._scheduler, sock, http.request(
             "GET", f"/v1/servers?stream=1&index={self.seq}", "discovery", []), self._scheduler.now() + DIAL_US)
-        reader, text, until = http.AnswerReader(MOST_LINE), b"", self._scheduler.now() + FIRST_US
+        reader, objects, until = http.AnswerReader(self._most), Objects(self._most), self._scheduler.now() + FIRST_US
         while not reader.complete:
             if address != self._discovery:      # moved while this task was not paused, so nothing woke it
                 raise OSError("discovery has moved")
@@ -174,18 +159,29 @@
                 continue
             if reader.status != 200:
                 raise OSError(f"discovery answered {reader.status}")
-            *lines, text = (text + reader.take()).split(b"\n")
-            if len(text) > MOST_LINE:
-                raise ValueError("a line of the list is too long")
-            for line in lines:
+            data = reader.take()
+            if data:
                 until = self._scheduler.now() + SILENT_US
-                if line.strip():
-                    self._learn(read_roll(json.loads(line)))
+            for table in objects.feed(data):
+                self._learn(read_roll(table, strict=False))
+            if b"\n" in data:
+                self._introduce()       # a beat: nothing has changed
 
     def _learn(self, roll: Roll) -> None:
+        if roll.unread:
+            self._unread(roll)
+        self._introduce()
         if not roll.whole and roll.seq <= self.seq:
             return      # what we have already
         log.info("farm: version %d, %s %d", roll.seq, "all" if roll.whole else "changed", len(roll.entries))
         self._keep(roll)
         kind = i.ListKind.WHOLE if roll.whole else i.ListKind.CHANGES
         self._tell(i.Listed(kind, [entry.endpoint for entry in roll.entries]))
+
+    def _unread(self, roll: Roll) -> None:
+        """Entries that cannot be read: each costs itself, once in the log, and what was known of it stays."""
+        self.unread += len(roll.unread)
+        if roll.unread != self._said:
+            self._said = roll.unread
+            log.warning("farm: %d entries of version %d cannot be read and stay as they were, the first %r",
+                        len(roll.unread), roll.seq, roll.unread[0])
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -33,6 +33,7 @@
 ENDED_US = 30 * SECOND          # a repeat of an id that is over comes within this, or not at all
 MOST_ENDED = 4096
 OWN_SOCKETS = 24                # descriptors that are neither a user agent's nor an endpoint's
+LIST_PART = 16                  # of the memory, that one object of discovery's list may take
 MOST_CALL = 64 * 1024           # the protocol's limit for any body, so for a call with several messages too
 
 
@@ -42,6 +43,7 @@
         self._module = Sender(config.settings, config.seed)
         self._events: list[i.Event] = []
         self._planned, self._closing_at = False, 0
+        self._paces: list[i.Known] = []     # what the process before knew, until the list is there
         self.address = config.listen
         self._open: dict[str, Transaction] = {}     # offered or taken on, and not over for the module
         self._ended: dict[str, tuple[int, int]] = {}    # ids lately taken on and over: when, and what they stood for
@@ -51,7 +53,8 @@
         self._rules, self._reloading, self._reload_again = None, False, False
         reports = config.discovery or config.reports
         if config.fleet is None:
-            self._farm = Farm(scheduler, config.discovery, config.known, self._listed)
+            self._farm = Farm(scheduler, config.discovery, config.known, self._listed, not config.settings.ask,
+                              config.memory_bytes // LIST_PART)
         else:
             self._farm = Roster(scheduler, config.known, self._listed, config.settings.drain_grace_us)
             self._follow(config.fleet)
@@ -63,11 +66,8 @@
         self.front = Front(scheduler, config.settings.classes, agents, self.offer, self.withdraw)
 
     def start(self) -> None:
-        self._gather(self._farm.known())
-        if not self._farm.entries:
-            self._farm.subscribe()      # nothing can go out before the list comes: not after the others' turns
-        for known in paces.load(self._config.state, self._scheduler.wall()):
-            self._gather(known)
+        self._paces = paces.load(self._config.state, self._scheduler.wall())
+        self._farm.start()
         self._restore()
         self._turn()
         self.address = self.front.listen(self._config.listen)
@@ -272,6 +272,9 @@
         for name in self._farm.left_at:
             self._passes.left(self._farm.entries[name])
         self._gather(event)
+        for known in self._paces:       # of destinations that the first list has named
+            self._gather(known)
+        self._paces = []
 
     def _bound(self, endpoint: i.Endpoint) -> int | str:
         return endpoint.id if self._set.apart.get(endpoint.kind) else endpoint.destination
--- a/scalefall/net/roster.py
+++ b/scalefall/net/roster.py
@@ -19,6 +19,9 @@
         self._grace = grace_us
         self._leaving: dict[str, int] = {}      # endpoints that drain as they are no more in the list: since which one
 
+    def start(self) -> None:
+        self._tell(self.known())
+
     def known(self) -> i.Listed:
         """The list is the file's, so it is no old one."""
         return i.Listed(i.ListKind.WHOLE, [entry.endpoint for entry in self.entries.values()])
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -14,9 +14,9 @@
 K = i.ListKind
 
 
-def watched(world):
+def watched(world, **more):
     peer, told = Peer(world), []
-    farm = Farm(world, peer.address, read_roll(roll(41, listed("e", HERE))), told.append)
+    farm = Farm(world, peer.address, read_roll(roll(41, listed("e", HERE))), told.append, **more)
     return peer, farm, told
 
 
@@ -68,6 +68,78 @@
     world.play(play)
 
 
+def indented(table):
+    data = json.dumps(table, indent=2).encode() + b"\n"
+    return b"".join(b"%x\r\n%s\r\n" % (len(line), line) for line in data.splitlines(True))
+
+
+def test_a_list_may_come_indented_and_one_bad_entry_costs_itself(caplog):
+    """Cut at each line's end, an indented list was no object at all: the watch broke at it, again and again."""
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world)
+        farm.subscribe()
+        sock = peer.accept()
+        peer.read(sock)
+        for seq in (50, 51):
+            data = STREAM * (seq == 50) + indented(roll(seq, listed("f", HERE), {"host": "e"})) + chunk(None)
+            for at in range(0, len(data), 50):
+                sock.send(data[at:at + 50])
+                world.sleep(MS)
+        world.until(lambda: farm.seq == 51)
+        assert [(t.kind, [e.id for e in t.endpoints]) for t in told] == [(K.WHOLE, ["f"])] * 2
+        assert set(farm.entries) == {"e", "f"} and not farm.left_at     # what could not be read stays as it was
+        assert peer.accepted == 1 and farm.unread == 2
+        assert sum("cannot be read" in line for line in caplog.messages) == 1
+    world.play(play)
+
+
+def test_where_lists_are_pushed_a_watch_is_opened_at_the_start_and_anew_whenever_it_breaks():
+    """What discovery has counts as told from the first moment: nothing goes out on the old list before that is heard.
+    Without a watch of its own accord a sender went on with the list it was born with for good."""
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world, pushed=True)
+        farm.start()
+        sock = peer.accept()
+        assert peer.read(sock).target.endswith("index=41")
+        sock.send(STREAM)
+        world.sleep(100 * MS)
+        assert told == []
+        sock.send(chunk(roll(42, listed("f", HERE), whole=False)))
+        world.until(lambda: len(told) == 2)
+        assert [(t.kind, [e.id for e in t.endpoints]) for t in told] == [(K.CACHED, ["e"]), (K.CHANGES, ["f"])]
+        for times in range(8):      # closed, or silent for so long that it is broken
+            began = world.now()
+            if times % 2:
+                sock.close()
+            sock = peer.accept()
+            assert world.now() - began < (S if times % 2 else 4 * S)
+            peer.read(sock)
+            sock.send(STREAM + chunk(None))
+        assert len(told) == 2       # no failure that the module should answer with a pause of its own
+    world.play(play)
+
+
+def test_where_lists_are_pushed_silence_at_the_start_ends_the_wait():
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world, pushed=True)
+        farm.start()
+        began = world.now()
+        world.until(lambda: told)
+        assert [t.kind for t in told] == [K.CACHED] and world.now() - began < 3 * S
+        sock = peer.accept()
+        peer.read(sock)
+        sock.send(STREAM + chunk(None))
+        world.sleep(S)
+        assert len(told) == 1
+    world.play(play)
+
+
 def test_beats_keep_a_watch():
     world = World()
 
