Tell notices beside one that has no answer, and count a request's time from when it may have come

The review of what a message taken on depends on found two ends that hold by luck alone:

- A notice (net/notices.py, _deliver and _post).
One POST at a time had 1 s, and the pause after a failure grew to 1 s.
On a kept connection that had died unseen, or in a cut that ended just after a try had begun, the notice of a message whose time was up came 1 to 2 s late; it is lost after 0.3 s.
Ruled out as enough: the try on a new connection after a reset, which silence never brings.
- The deadline (net/front.py, read_transaction).
The time left counts from the client's send, but was added to the moment the first byte was read.
A request may lie unread for as long as its client waits, 400 ms, while a turn is on: its end, on time by our clock, came up to 400 ms late.

And the time is taken as shorter by what the request may be seen to have waited (the scheduler knows since when nothing had come), at least by a twentieth, at most by 400 ms.

--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -26,6 +26,8 @@
 MOST_LINGER = 256 * 1024        # and so much of it
 BACKLOG, ACCEPTS = 512, 32      # in the listener's queue; accepted in a row before others have their turn
 LINES, LINES_US = 10, 10 * SECOND   # rejected requests that are logged one by one, in each such span
+UNREAD_US = 400_000             # a request may lie unread for as long as its client waits for the answer, while its
+UNREAD_PART = 20                # time runs: so much is kept back, or this part, or what it may be seen to have waited
 UNITS = {"m": 1000, "u": 1}
 DEADLINE = re.compile(r"(\d{1,12})(?:\.(\d{1,6})\d*)?([mu])\Z")
 ROUTE = re.compile(r"(?:^|[,;\s])dest=(\d{1,9})(?:[,;\s]|\Z)")
@@ -53,13 +55,16 @@
     task: Task | None = None
     state: State = State.YOUNG      # until its task has had a look
     served: int = 0                 # messages handed in
+    quiet_at: int = 0               # what is read next had not come before this
 
     def turn(self, state: State, now: int) -> None:
         self.state, self.since = state, now
 
 
-def read_transaction(reader: http.RequestReader, classes: dict[str, MessageClass], began: int) -> Transaction:
-    """The request as a transaction; Malformed says what it lacks, and with which status."""
+def read_transaction(reader: http.RequestReader, classes: dict[str, MessageClass], began: int,
+                     unread: int = 0) -> Transaction:
+    """The request as a transaction; Malformed says what it lacks, and with which status. Its first byte was read at
+    began and may have come so much earlier as unread says, in microseconds."""
     path = re.sub(r"\Ahttp://[^/?]*", "", reader.target).partition("?")[0]
     name = unquote(path).split("/")[1] if path.startswith("/") else ""
     cls = classes.get(name)
@@ -78,8 +83,9 @@
         raise http.Malformed(400, "X-Deadline is missing or not a time")
     if len(route) != 1:
         raise http.Malformed(400, "X-Route-To does not name one dest")
-    left = int(float(f"{deadline[1]}.{deadline[2] or 0}") * UNITS[deadline[3]])
-    return Transaction(ident, name, int(route[0]), began + min(left, cls.deadline_us), key, bytes(reader.body))
+    left = min(int(float(f"{deadline[1]}.{deadline[2] or 0}") * UNITS[deadline[3]]), cls.deadline_us)
+    left -= min(UNREAD_US, max(unread, left // UNREAD_PART))
+    return Transaction(ident, name, int(route[0]), began + left, key, bytes(reader.body))
 
 
 def write_verdict(verdict: Verdict, keep: bool) -> bytes:
@@ -105,6 +111,7 @@
         self._listener: socket.socket | None = None
         self.closing = False
         self._lines, self._unsaid, self._lines_until = 0, 0, 0
+        self._quiet_at = 0          # what waits in the listener's queue had not come before this
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -137,9 +144,12 @@
         return any(agent.state in (State.YOUNG, State.READING, State.ASKING) for agent in self._agents)
 
     def _accept(self) -> None:
+        behind = False
         while self._listener is not None:
             if self._scheduler.pause(None, self._listener, READ) is not READY or self._listener is None:
                 continue
+            self._quiet_at = self._quiet_at if behind else self._scheduler.quiet_at
+            behind = True
             try:
                 for _ in range(ACCEPTS):
                     if len(self._agents) >= self._most and not self._make_room():
@@ -151,7 +161,7 @@
                     if len(self._agents) >= self._most:
                         self._make_room()       # one place is free for whoever comes next
             except BlockingIOError:
-                pass
+                behind = False
             except OSError as error:
                 log.warning("cannot accept: %s", error)
                 self._scheduler.sleep(SECOND // 10)
@@ -159,7 +169,7 @@
     def _welcome(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        agent = UserAgent(sock, http.RequestReader(), self._scheduler.now())
+        agent = UserAgent(sock, http.RequestReader(), self._scheduler.now(), quiet_at=self._quiet_at)
         self._agents[agent] = None
         agent.task = self._scheduler.spawn(self._serve, agent)
 
@@ -222,7 +232,7 @@
             ready = 503 if self.closing else 200
             self._answer(agent, http.answer(ready if reader.method in ("GET", "HEAD") else 405, [], keep=keep))
         else:
-            transaction = read_transaction(reader, self._classes, began)
+            transaction = read_transaction(reader, self._classes, began, began - agent.quiet_at)
             agent.served += 1
             self._hand_in(agent, transaction)
             keep = reader.keep and not self.closing and not self._crowded
@@ -232,6 +242,7 @@
                 self._withdraw(transaction)
                 raise
         agent.turn(State.IDLE, self._scheduler.now())
+        agent.quiet_at = agent.since
         return keep
 
     @staticmethod
@@ -250,6 +261,7 @@
             agent.turn(State.SILENT, began)
             until = began + REQUEST_US
         while not reader.complete:
+            looks, asked_at = self._scheduler.looks, self._scheduler.now()
             try:
                 data = streams.receive(self._scheduler, agent.sock, until)
             except streams.TimeUp:
@@ -260,6 +272,8 @@
                 return began
             if not reader.begun:
                 began = self._scheduler.now()
+                if looks != self._scheduler.looks:      # nothing was there at first
+                    agent.quiet_at = max(asked_at, self._scheduler.quiet_at)
                 until = min(until, began + REQUEST_US) if agent.state is State.SILENT else began + REQUEST_US
                 agent.turn(State.READING, began)
             reader.feed(data)
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -312,7 +312,7 @@
             return
         after_ms = -(-after // MS)
         self._journal.ended(name, RETURNED, after_ms)
-        self._notices.returned(name, after_ms)
+        self._notices.returned(name, after_ms, transaction.due)
 
     def _at_most(self, transaction: Transaction, after: int) -> int:
         rules = self._rules and self._rules.get(transaction.destination)
@@ -331,7 +331,7 @@
             transaction.decide(Failed())
             return
         self._journal.ended(name, FAILED, 0)
-        self._notices.failed(name)
+        self._notices.failed(name, transaction.due)
 
     # -- the start and the end
 
@@ -340,10 +340,10 @@
         restored = 0
         for owed in list(self._journal.owed.values()):
             if owed.end == RETURNED:
-                self._notices.returned(owed.id, owed.after_ms)
+                self._notices.returned(owed.id, owed.after_ms, owed.due_wall - self._wall)
                 continue
             if owed.end == FAILED:
-                self._notices.failed(owed.id)
+                self._notices.failed(owed.id, owed.due_wall - self._wall)
                 continue
             restored += 1
             if owed.out:    # it was out when the process died: it may have run
--- a/scalefall/net/scheduler.py
+++ b/scalefall/net/scheduler.py
@@ -18,6 +18,7 @@
 
 READ, WRITE = select.POLLIN, select.POLLOUT
 THREAD_DONE = 255               # a byte to the waker that is no signal's number
+LOOK_US = 1000                  # a look that took less found what it found at once: it had come since the look before
 MOST_IDLE_TIMERS = 256          # that were called off and still have a place in the order
 READY, TIME_UP = "ready", "time up"     # why a pause ended, where nobody woke it with a value
 
@@ -51,6 +52,8 @@
         self._ready: deque[tuple[Task, Any]] = deque()
         self._timers: list[tuple[int, int, Timer]] = []
         self._order, self._running, self._idle_timers = count(), False, 0
+        self.looks = 0              # how often the sockets have been looked at
+        self.quiet_at = self._polled_at = 0     # what is found ready now had not come before this; the last look
         self._woken, self._waker = socket.socketpair()
         self._woken.setblocking(False)
         self._waker.setblocking(False)
@@ -164,6 +167,7 @@
     def run(self) -> None:
         """Run until stop(). May be called again."""
         self._loop, self._running = getcurrent(), True
+        self._polled_at = self._polled_at or self.now()
         while self._running:
             self._run_ready()
             if self._running:
@@ -185,7 +189,11 @@
         while self._timers and self._timers[0][2].function is None:
             heapq.heappop(self._timers)
             self._idle_timers -= 1
-        for fd, _ in self._polled(self._timers[0][0] if self._timers else None):
+        asked, self.looks = self.now(), self.looks + 1
+        found = self._polled(self._timers[0][0] if self._timers else None)
+        last, self._polled_at = self._polled_at, self.now()
+        self.quiet_at = last if self._polled_at - asked < LOOK_US else self._polled_at
+        for fd, _ in found:
             if fd == self._woken.fileno():
                 self._take_signals()
             elif holds(fd in self._waits, "a polled socket has its task"):
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -220,6 +220,71 @@
     world.play(play)
 
 
+def test_a_kept_connection_that_has_died_unseen_and_a_cut_cost_a_notice_no_more_than_a_step():
+    """One POST at a time had a second each, with pauses up to a second between: a message whose time was up during a
+    cut, or whose notice met a connection that had died, was told up to two seconds late. Seen at its end."""
+    world = World()
+
+    def told(peer, sock):
+        peer.read(sock)
+        sock.send(http.answer(204, []))
+
+    def play():
+        peer, done = Peer(world), []
+        notices = Notices(world, peer.address, done.append)
+        notices.failed("a")
+        kept = peer.accept()
+        told(peer, kept)
+        world.until(lambda: done == ["a"])
+        began = world.now()
+        notices.failed("b")
+        peer.read(kept)             # and no answer
+        told(peer, peer.accept())
+        world.until(lambda: done == ["a", "b"])
+        assert world.now() - began < 200 * MS
+        reset(kept)
+        notices.failed("c")
+        end, silent = world.now() + 6 * S, []
+        while world.now() < end:
+            silent.append(peer.accept())
+        told(peer, peer.accept())
+        world.until(lambda: "c" in done)
+        assert world.now() - end < 400 * MS and len(silent) < 60
+        world.until(lambda: not notices._tries)     # those that were silent end, and nothing goes on
+        world.sleep(S)
+        accepted = peer.accepted
+        world.sleep(5 * S)
+        assert peer.accepted == accepted and notices.idle
+    world.play(play)
+
+
+def test_of_many_notices_the_most_urgent_go_first_and_those_that_are_late_already_last():
+    world = World()
+
+    def play():
+        peer, done = Peer(world), []
+        notices = Notices(world, peer.address, done.append)
+        now = world.now()
+        for n in range(300):
+            notices.returned(f"n{n}", 5, now + (300 - n) * S)
+        notices.failed("late", now - S)
+        sock, told = peer.accept(), []
+        while "late" not in done:
+            told.append([json.loads(line)["id"] for line in bytes(peer.read(sock).body).splitlines()])
+            sock.send(http.answer(204, []))
+            world.sleep(MS)
+        assert sum(told, []) == [f"n{299 - n}" for n in range(300)] + ["late"] and len(told) == 4
+        for n in range(300):        # as many as a body may hold, whatever their ids
+            notices.failed(f"{n:0>199}", now)
+        size = 0
+        while not notices.idle:
+            size = max(size, len(peer.read(sock).body))
+            sock.send(http.answer(204, []))
+            world.sleep(MS)
+        assert size < 64 * 1024
+    world.play(play)
+
+
 def test_when_discovery_moves_the_watch_and_the_notices_move_and_nothing_is_lost():
     """SIGHUP ended the process; the old address takes no connection any more and closes its own a moment later."""
     world = World()
