Ask for the list within the time for asking, and open a silent watch anew within 2 s

After a watch broke by silence, 3 s after its last line, the module's pause was drawn from up to 10 s more.

The farm opens a silent watch again by itself, within 2 s, spread at random; a watch that is open tells the module so, with or without news, so that the next failure counts as the first.

--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -1,6 +1,7 @@
 """The farm: discovery's list of endpoints, kept up by a watch. What it learns goes to the host as Listed events."""
 from __future__ import annotations
 
+import random
 import socket
 from collections.abc import Callable
 
@@ -16,19 +17,24 @@
 BEAT_US = 2 * SECOND            # discovery sends a line at least so often
 SILENT_US = 3 * SECOND          # a watch with no line for this long is broken: told counts from 6 s on
 MOVING_US, MOVING_STEP_US = 3 * SECOND, SECOND // 10    # after a move it is asked again at once for so long
-FORGET_US = 60 * SECOND         # longer than any message may take: no pass is out to an endpoint gone for so long
+FORGET_US = 60 * SECOND         # an endpoint gone for so long is forgotten, or for as long as any message may take
 MOST_LIST = 1024 * 1024         # bytes of one object of the list, where the settings' memory allows no more
+ANEW_US = 2 * SECOND            # what a silent watch misses counts as told 6 s on: within this it is opened anew
 AGAIN_US, MOST_AGAIN_US = SECOND // 20, SECOND // 2     # where lists are pushed: pause until a watch is opened anew
 UNHEARD_US = 2 * SECOND         # and so long after a start the old list is taken as it is, if nothing has been heard
 
 
 class Farm:
     def __init__(self, scheduler: Scheduler, discovery: tuple[str, int] | None, known: Roll,
-                 tell: Callable[[i.Listed], None], pushed: bool = False, most: int = MOST_LIST) -> None:
+                 tell: Callable[[i.Listed], None], pushed: bool = False, most: int = MOST_LIST, seed: int = 0,
+                 forget_us: int = FORGET_US) -> None:
         """Where lists are pushed, what discovery has counts as told whether or not a watch is open: so one is open all
         the time, and what was known before is told only when discovery has said what of it still holds."""
         self._scheduler, self._discovery, self._tell = scheduler, discovery, tell
-        self._pushed, self._most, self._heard = pushed, max(most, MOST_LIST), not pushed
+        self._pushed, self._most, self._introduced = pushed, max(most, MOST_LIST), not pushed
+        self._forget_us, self._random = max(forget_us, FORGET_US), random.Random(seed)
+        self._heard_at, self._silent = -1, False        # when a watch last said anything; it broke by saying nothing
+        self._failed = False                            # the module was told so last
         self.entries: dict[str, Entry] = {}
         self.left_at: dict[str, int] = {}       # when we were told that an endpoint drains or is gone
         self._gone: dict[str, int] = {}         # when we were told that it is gone, in this order
@@ -49,8 +55,8 @@
 
     def _introduce(self) -> None:
         """Once, where lists are pushed: what was known before goes to the module, ahead of what is new."""
-        if not self._heard:
-            self._heard = True
+        if not self._introduced:
+            self._introduced = True
             self._tell(self.known())
 
     def known(self) -> i.Listed:
@@ -105,7 +111,7 @@
 
     def _forget(self, now: int) -> None:
         """Ids and addresses are ever new: what went so long ago that nothing is out there is forgotten."""
-        while self._gone and next(iter(self._gone.values())) < now - FORGET_US:
+        while self._gone and next(iter(self._gone.values())) < now - self._forget_us:
             name = next(iter(self._gone))
             address = self.entries.pop(name).address
             del self._gone[name], self.left_at[name]
@@ -124,16 +130,19 @@
                 self._scheduler.sleep(MOVING_STEP_US)   # it may come up there a moment later than we were told
                 continue
             log.info("watch on the farm broken: %s", why)
-            if not self._pushed:
+            if self._pushed:
+                pause = AGAIN_US if self._heard_at >= begun else min(2 * pause, MOST_AGAIN_US)
+                self._scheduler.sleep(int(pause * (0.5 + self._random.random())))
+            elif self._silent:
+                self._scheduler.sleep(int(ANEW_US * self._random.random()))     # not all senders in one moment
+            else:
                 break
-            pause = AGAIN_US if now - begun > SILENT_US else min(2 * pause, MOST_AGAIN_US)
-            self._scheduler.sleep(pause)
-        self._watching = False
+        self._watching, self._failed = False, True
         self._tell(i.Listed(i.ListKind.FAILED))
 
     def _watch_at(self, address: tuple[str, int]) -> str:
         """Follow the watch there to its end; says why it ended."""
-        sock = None
+        sock, self._silent = None, False
         try:
             sock = streams.dial(self._scheduler, address, self._scheduler.now() + DIAL_US)
             self._follow(sock, address)
@@ -145,13 +154,18 @@
         return "ended"
 
     def _follow(self, sock: socket.socket, address: tuple[str, int]) -> None:
+        begun = self._scheduler.now()
         streams.send(self._scheduler, sock, http.request(
             "GET", f"/v1/servers?stream=1&index={self.seq}", "discovery", []), self._scheduler.now() + DIAL_US)
         reader, objects, until = http.AnswerReader(self._most), Objects(self._most), self._scheduler.now() + FIRST_US
         while not reader.complete:
             if address != self._discovery:      # moved while this task was not paused, so nothing woke it
                 raise OSError("discovery has moved")
-            data = streams.receive(self._scheduler, sock, until)
+            try:
+                data = streams.receive(self._scheduler, sock, until)
+            except streams.TimeUp:
+                self._silent = self._heard_at >= begun
+                raise
             if not data:
                 raise OSError("discovery closed it")
             reader.feed(data)
@@ -160,12 +174,17 @@
             if reader.status != 200:
                 raise OSError(f"discovery answered {reader.status}")
             data = reader.take()
+            tables = objects.feed(data)
+            for table in tables:
+                self._learn(read_roll(table, strict=False))
+            if tables or data and data.isspace():
+                self._introduce()
+                if self._failed:        # an ask that was heard, whether or not anything is new
+                    self._failed = False
+                    self._tell(i.Listed(i.ListKind.CHANGES, []))
+                self._heard_at = self._scheduler.now()
             if data:
                 until = self._scheduler.now() + SILENT_US
-            for table in objects.feed(data):
-                self._learn(read_roll(table, strict=False))
-            if b"\n" in data:
-                self._introduce()       # a beat: nothing has changed
 
     def _learn(self, roll: Roll) -> None:
         if roll.unread:
@@ -175,6 +194,7 @@
             return      # what we have already
         log.info("farm: version %d, %s %d", roll.seq, "all" if roll.whole else "changed", len(roll.entries))
         self._keep(roll)
+        self._failed = False
         kind = i.ListKind.WHOLE if roll.whole else i.ListKind.CHANGES
         self._tell(i.Listed(kind, [entry.endpoint for entry in roll.entries]))
 
--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -47,6 +47,7 @@
 UNKNOWN_SHARE = 4           # before there are figures, a call is given this part of its class's deadline
 RETRY_US = SECOND // 5      # first pause before a message goes out again after a failure
 ASKED_US = SECOND // 5      # a sender's part of the directory's time, which fails what waits too long
+ASK_IN = (0.9, 3.6)         # times the time for asking: it is four times as long after a call that failed
 KNOWN_US = 60 * SECOND      # so long after a start what the process before knew counts
 FORGET_US = 60 * SECOND     # a destination with no endpoint for so long is forgotten, with its pace
 CAPPED_US = 2 * SECOND      # an endpoint that served so lately and turns a connection away has too many
@@ -290,12 +291,13 @@
     # -- knowing the fleet
 
     def _listed(self, event: Listed) -> None:
-        if event.kind is ListKind.FAILED:
-            self.ask_fails = min(self.ask_fails + 1, 4)
-            pause = min(self.set.ask_within_us, ASKED_US * self.set.siblings << self.ask_fails)
+        self.ask_fails = min(self.ask_fails + 1, 4) if event.kind is ListKind.FAILED else 0
+        if event.kind is ListKind.FAILED or (self.set.ask and event.kind is ListKind.CACHED):
+            most = self.set.ask_within_us * ASK_IN[self.ask_fails > 1]
+            pause = min(most, ASKED_US * self.set.siblings << self.ask_fails)
             self.actions.append(SetTimer(TIMER_ASK, int(pause * self.random.random())))
+        if event.kind is ListKind.FAILED:
             return
-        self.ask_fails = 0
         if event.kind is not ListKind.CHANGES:
             for server in self.servers.values():
                 server.ready, server.gone = False, True
@@ -318,8 +320,6 @@
         for number, destination in list(self.destinations.items()):
             if destination.left < self.now - FORGET_US and not self._needed(number):
                 del self.destinations[number]
-        if self.set.ask and event.kind is ListKind.CACHED:
-            self.actions.append(SetTimer(TIMER_ASK, int(ASKED_US * self.set.siblings * self.random.random())))
 
     def _known(self, event: Known) -> None:
         """A partner that is down at a restart would otherwise come back to a part of almost nothing."""
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -95,6 +95,36 @@
     world.play(play)
 
 
+def test_a_watch_that_falls_silent_is_opened_anew_before_what_it_misses_counts_as_told():
+    """6 s after its last word at the latest; the module's pause after a failure may be 9 s."""
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world)
+        farm.subscribe()
+        for _ in range(5):
+            sock = peer.accept()
+            peer.read(sock)
+            sock.send(STREAM + chunk(None))
+            heard = world.now()
+            again = peer.accept()
+            assert world.now() - heard < 5500 * MS and K.FAILED not in [t.kind for t in told]
+            told.clear()
+            again.close()       # an ask that fails is the module's to repeat
+            world.until(lambda: told)
+            assert [t.kind for t in told] == [K.FAILED]
+            farm.subscribe()
+            sock = peer.accept()
+            sock.send(STREAM + chunk(None))
+            world.until(lambda: len(told) == 2)
+            assert (told[1].kind, told[1].endpoints) == (K.CHANGES, [])     # heard again, nothing new
+            sock.close()
+            world.until(lambda: len(told) == 3)
+            told.clear()
+            farm.subscribe()
+    world.play(play)
+
+
 def test_where_lists_are_pushed_a_watch_is_opened_at_the_start_and_anew_whenever_it_breaks():
     """What discovery has counts as told from the first moment: nothing goes out on the old list before that is heard.
     Without a watch of its own accord a sender went on with the list it was born with for good."""
