Size by need what holds one entry for each server or sender; end what the module does not

- The saved paces held 16 KiB, some 500 rows, whatever the folder's limit; the others started from nothing after a restart.
- Farm.serves walked the list for each message; it is counted by destination.
A list is taken in turns, 32 KiB at a time.
A pass that would need more than fits does not begin; names end at 255.
- Endpoints that went were forgotten after 60 s, also where messages may take longer: now twice the longest deadline.
- More slots than sockets made a call fail as the endpoint's fault; the module is told the smaller number.
- peers and settings.siblings that disagree were not looked at: one line at the start, and the larger number.

And what a message taken on depends on: its end hung on the module's book alone. A turn that failed while a restored message was in it, or while its outcome was, could leave it open for good. The host now fails what is open 50 ms past its time, with a notice; an endpoint that the list has not ends an attempt as not sent instead of losing the turn.

--- /dev/null
+++ b/benchmarks/size.py
@@ -0,0 +1,110 @@
+"""What a long list costs a sender: its longest turn, processor time at rest and memory, against a list of 20.
+
+    .venv/bin/python -O benchmarks/size.py [NUMBER ...]
+
+For each number of endpoints (and as many senders) a process of its own plays discovery in a thread and a sender in the
+loop: it starts, takes the list whole and indented, takes changes to each tenth entry, and rests until
+what it knows of paces has been written twice.
+Turns are counted in processor time of the loop's thread. Figures are printed beside their ratio to the first number's.
+"""
+from __future__ import annotations
+
+import json
+import resource
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT), str(ROOT / "tests")]
+
+
+def entries(number: int, health: str = "in_service", step: int = 1) -> list[dict]:
+    return [{"host": f"s-{n:08x}", "dial": f"127.1.{n // 250}.{1 + n % 250}:9", "site": "a", "class": "one", "block": n,
+             "health": health, "share": 1.0, "born_ms": 0} for n in range(0, number, step)]
+
+
+def discovery(listener: socket.socket, number: int) -> None:
+    """A watch: the list whole and indented, changes to each tenth entry, then beats."""
+    sock, _ = listener.accept()
+    sock.recv(4096)
+    sock.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    whole = json.dumps({"seq": 2, "whole": True, "hosts": entries(number)}, indent=4)
+    some = json.dumps({"seq": 3, "whole": False, "hosts": entries(number, "terminating", 10)})
+    for text in (whole, some, *[""] * 60):
+        data = text.encode() + b"\n"
+        sock.sendall(b"%x\r\n%s\r\n" % (len(data), data))
+        time.sleep(1)
+
+
+def measure(number: int) -> None:
+    from helpers import settings
+
+    from scalefall.net.config import Config
+    from scalefall.net.host import PACE_US, Host
+    from scalefall.net.rolls import read_roll
+    from scalefall.net.scheduler import Scheduler
+
+    class Timed(Scheduler):
+        longest, spent = 0, 0
+
+        def _run_ready(self):
+            begun = time.thread_time_ns()
+            super()._run_ready()
+            self.count(begun)
+
+        def call_at(self, at, function, *args):
+            def timed(*args):
+                begun = time.thread_time_ns()
+                function(*args)
+                self.count(begun)
+            return super().call_at(at, timed, *args)
+
+        def count(self, begun):
+            took = time.thread_time_ns() - begun
+            self.longest, self.spent = max(self.longest, took), self.spent + took
+
+    listener = socket.create_server(("127.0.0.1", 0))
+    threading.Thread(target=discovery, args=(listener, number), daemon=True).start()
+    with tempfile.TemporaryDirectory() as folder:
+        known = read_roll({"seq": 1, "whole": True, "hosts": entries(20)})
+        config = Config("n0", ("127.0.0.1", 0), listener.getsockname(), folder, 7, 512, 3_000_000, 64_000_000,
+                        settings(ask=False, siblings=number), known)
+        scheduler, figures, span = Timed(), {}, 2_000_000 + 2 * number * PACE_US
+        host = Host(scheduler, config)
+        scheduler.spawn(host.start)
+
+        def listen():
+            figures["list"], scheduler.longest, scheduler.spent = scheduler.longest, 0, 0
+            scheduler.call_at(scheduler.now() + span, rested)
+
+        def rested():
+            figures["rest"], figures["share"] = scheduler.longest, scheduler.spent / span / 1000
+            scheduler.stop()
+        scheduler.call_at(scheduler.now() + 1_900_000, listen)
+        scheduler.run()
+        assert len(host._farm.entries) == number, "the list was not taken whole"
+    memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    print(json.dumps([figures["list"] / 1e6, figures["rest"] / 1e6, 100 * figures["share"], memory]))
+
+
+def main(numbers: list[int]) -> None:
+    print("endpoints   longest turn, list (ms)   at rest (ms)   processor at rest (%)   memory (MB)")
+    first = None
+    for number in numbers:
+        done = subprocess.run([sys.executable, "-O", __file__, "--one", str(number)], capture_output=True, text=True,
+                              check=True)
+        row = json.loads(done.stdout)
+        first = first or row
+        print(f"{number:9}", *(f"{value:9.2f} (x{value / base:6.1f})" for value, base in zip(row, first)))
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] == ["--one"]:
+        measure(int(sys.argv[2]))
+    else:
+        main([int(number) for number in sys.argv[1:]] or [20, 200, 1024, 4096])
--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -4,7 +4,7 @@
 import json
 import os
 from collections.abc import Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from scalefall.interface import Settings
@@ -48,6 +48,7 @@
     reports: Address | None = None  # where notices go if there is no discovery; None: to the log
     fleet: Fleet | None = None
     left: tuple[str, ...] = ()      # read again: what differs from the running sender and takes a restart
+    doubts: tuple[str, ...] = ()    # what can be used though its parts disagree, and how it is taken
 
 
 def read_address(value: Any, name: str) -> Address:
@@ -77,6 +78,7 @@
     if not os.path.isdir(state):
         raise ConfigError(f"RELAY_STATE must name a folder, not {state!r}")
     try:
+        settings, doubts = _settled(read_settings(table.get("settings")), table.get("peers"))
         return Config(
             name=environ.get("RELAY_NAME") or str(table.get("name", "")), state=state,
             listen=read_address(environ.get("RELAY_LISTEN") or table.get("listen"), "listen"),
@@ -85,12 +87,27 @@
             seed=_seed(table.get("seed", "0")), sockets=int(_limit(limits, "sockets", 1024, 64)),
             disk_bytes=int(_limit(limits, "disk_mb", 3, 0.1) * 1_000_000),
             memory_bytes=int(_limit(limits, "memory_mb", 192, 16) * 1_000_000),
-            settings=read_settings(table.get("settings")),
+            settings=settings, doubts=doubts,
             known=read_roll(table.get("known") or {"seq": 0, "whole": True, "hosts": []}))
     except (ValueError, TypeError, KeyError, OverflowError) as error:
         raise ConfigError(str(error) or type(error).__name__) from error
 
 
+def _settled(settings: Settings, peers: Any) -> tuple[Settings, tuple[str, ...]]:
+    """The number of senders is what limits, connections and asks are shared by: where the list of peers says another
+    one, the larger is taken, as a part that is too small harms nobody."""
+    doubts, number = [], settings.siblings
+    if peers is not None and not (isinstance(peers, list) and all(isinstance(peer, str) for peer in peers)):
+        doubts.append("peers is no list of addresses and is left aside")
+    elif peers and len(peers) != number:
+        number = max(number, len(peers))
+        doubts.append(f"settings.siblings is {settings.siblings}, but peers names {len(peers)}: {number} senders it is")
+    if settings.index >= settings.siblings:
+        number = max(number, settings.index + 1)
+        doubts.append(f"settings.index is {settings.index}, of {settings.siblings} senders: {number} senders it is")
+    return replace(settings, siblings=number), tuple(doubts)
+
+
 def _limit(limits: dict[str, Any], key: str, default: float, least: float) -> float:
     value = limits.get(key, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < float("inf"):
--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -3,6 +3,7 @@
 
 import random
 import socket
+from collections import Counter
 from collections.abc import Callable
 
 from scalefall import interface as i
@@ -21,6 +22,7 @@
 MOST_LIST = 1024 * 1024         # bytes of one object of the list, where the settings' memory allows no more
 ANEW_US = 2 * SECOND            # what a silent watch misses counts as told 6 s on: within this it is opened anew
 AGAIN_US, MOST_AGAIN_US = SECOND // 20, SECOND // 2     # where lists are pushed: pause until a watch is opened anew
+PIECE, MANY = 32 * 1024, 100    # bytes and entries of a list after which the others have their turn
 UNHEARD_US = 2 * SECOND         # and so long after a start the old list is taken as it is, if nothing has been heard
 
 
@@ -36,6 +38,7 @@
         self._heard_at, self._silent = -1, False        # when a watch last said anything; it broke by saying nothing
         self._failed = False                            # the module was told so last
         self.entries: dict[str, Entry] = {}
+        self._served: Counter[int] = Counter()  # entries by destination
         self.left_at: dict[str, int] = {}       # when we were told that an endpoint drains or is gone
         self._gone: dict[str, int] = {}         # when we were told that it is gone, in this order
         self._owners: dict[tuple[str, int], str] = {}   # the endpoint in service that was told last at an address
@@ -65,7 +68,7 @@
 
     def serves(self, destination: int) -> bool:
         """Whether the list names, or has lately named, an endpoint of the destination; an empty one tells nothing."""
-        return not self.entries or any(entry.endpoint.destination == destination for entry in self.entries.values())
+        return not self.entries or destination in self._served
 
     def replaced(self, entry: Entry) -> bool:
         """Whether a call meant for this endpoint, which has left, would reach another one at its address."""
@@ -97,7 +100,7 @@
                 self._gone.setdefault(gone, now)
         for entry in roll.entries:
             name = entry.endpoint.id
-            self.entries[name] = entry
+            self._put(name, entry)
             if entry.endpoint.status is i.Status.READY:
                 self.left_at.pop(name, None)
                 self._owners[entry.address] = name
@@ -109,11 +112,22 @@
         self.seq = roll.seq
         self._forget(now)
 
+    def _put(self, name: str, entry: Entry | None) -> None:
+        old = self.entries.pop(name, None)
+        if old is not None:
+            self._served[old.endpoint.destination] -= 1
+            if not self._served[old.endpoint.destination]:
+                del self._served[old.endpoint.destination]
+        if entry is not None:
+            self.entries[name] = entry
+            self._served[entry.endpoint.destination] += 1
+
     def _forget(self, now: int) -> None:
         """Ids and addresses are ever new: what went so long ago that nothing is out there is forgotten."""
         while self._gone and next(iter(self._gone.values())) < now - self._forget_us:
             name = next(iter(self._gone))
-            address = self.entries.pop(name).address
+            address = self.entries[name].address
+            self._put(name, None)
             del self._gone[name], self.left_at[name]
             if self._owners.get(address) == name:
                 del self._owners[address]
@@ -176,7 +190,12 @@
             data = reader.take()
             tables = objects.feed(data)
             for table in tables:
-                self._learn(read_roll(table, strict=False))
+                if len(data) >= PIECE:
+                    self._scheduler.sleep(0)    # a long list takes its turns
+                roll = read_roll(table, strict=False)
+                if len(roll.entries) >= MANY:
+                    self._scheduler.sleep(0)
+                self._learn(roll)
             if tables or data and data.isspace():
                 self._introduce()
                 if self._failed:        # an ask that was heard, whether or not anything is new
@@ -185,6 +204,8 @@
                 self._heard_at = self._scheduler.now()
             if data:
                 until = self._scheduler.now() + SILENT_US
+            if len(data) >= PIECE:
+                self._scheduler.sleep(0)
 
     def _learn(self, roll: Roll) -> None:
         if roll.unread:
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -2,8 +2,10 @@
 from __future__ import annotations
 
 import gc
+import heapq
 import signal
 from collections.abc import Callable
+from dataclasses import replace
 from math import inf
 
 from scalefall import interface as i
@@ -16,7 +18,7 @@
 from scalefall.net.notices import LoggedNotices, Notices
 from scalefall.net.passes import Load, Passes, batch_size
 from scalefall.net.roster import Roster
-from scalefall.net.scheduler import Scheduler
+from scalefall.net.scheduler import Scheduler, Timer
 from scalefall.net.transaction import Conflict, Failed, NotCarried, Taken, Transaction, UnavailableAnswer
 from scalefall.policy import Sender
 
@@ -29,9 +31,11 @@
 CLOSED_US = 3000 * MS           # no pass is to be out any more
 END_US = 3200 * MS              # and the process ends, well before SIGKILL at 3.7 s
 REPORT_US = 10 * SECOND
-PACES_US = SECOND               # what the module knows of paces is kept for the next process so often
+PACES_US, PACE_US = SECOND, SECOND // 200   # what the module knows of paces is kept for the next process so often,
+                                # and no more than 200 of them a second
 ENDED_US = 30 * SECOND          # a repeat of an id that is over comes within this, or not at all
-MOST_ENDED = 4096
+ENDED_BYTES = 4096              # of the memory, for each id that may be remembered so long: 192 MB hold 46,875
+OVERDUE_US = 50 * MS            # a message that the module has not ended so long after its time is ended for it
 OWN_SOCKETS = 24                # descriptors that are neither a user agent's nor an endpoint's
 LIST_PART = 16                  # of the memory, that one object of discovery's list may take
 MOST_CALL = 64 * 1024           # the protocol's limit for any body, so for a call with several messages too
@@ -39,45 +43,55 @@
 
 class Host:
     def __init__(self, scheduler: Scheduler, config: Config) -> None:
-        self._scheduler, self._config, self._set = scheduler, config, config.settings
-        self._module = Sender(config.settings, config.seed)
+        share = (config.sockets - OWN_SOCKETS) // 2
+        settings = replace(config.settings, slots=min(config.settings.slots, share))
+        self._scheduler, self._config, self._set = scheduler, config, settings
+        self._module = Sender(settings, config.seed)
         self._events: list[i.Event] = []
         self._planned, self._closing_at = False, 0
         self._paces: list[i.Known] = []     # what the process before knew, until the list is there
         self.address = config.listen
         self._open: dict[str, Transaction] = {}     # offered or taken on, and not over for the module
         self._ended: dict[str, tuple[int, int]] = {}    # ids lately taken on and over: when, and what they stood for
+        self._due: list[tuple[int, str]] = []       # when a message taken on has to be over, the first in front
+        self._due_timer: Timer | None = None
         self._waits: dict[int | str, int] = {}      # until when, by destination or route apart
         self._wall = scheduler.wall() - scheduler.now()     # to add for wall time
-        self._journal = Journal(config.state, config.disk_bytes - paces.MOST_BYTES)
+        self._paces_room = paces.room(config.disk_bytes)
+        self._journal = Journal(config.state, config.disk_bytes - self._paces_room)
         self._rules, self._reloading, self._reload_again = None, False, False
         reports = config.discovery or config.reports
         if config.fleet is None:
-            self._farm = Farm(scheduler, config.discovery, config.known, self._listed, not config.settings.ask,
-                              config.memory_bytes // LIST_PART)
+            longest = max((cls.deadline_us for cls in settings.classes.values()), default=0)
+            self._farm = Farm(scheduler, config.discovery, config.known, self._listed, not settings.ask,
+                              config.memory_bytes // LIST_PART, config.seed, 2 * longest)
         else:
-            self._farm = Roster(scheduler, config.known, self._listed, config.settings.drain_grace_us)
+            self._farm = Roster(scheduler, config.known, self._listed, settings.drain_grace_us)
             self._follow(config.fleet)
         self._notices = Notices(scheduler, reports, self._journal.over) if reports else \
             LoggedNotices(self._journal.over)
-        share = (config.sockets - OWN_SOCKETS) // 2
-        self._passes = Passes(scheduler, config.settings, share, self._settled, self._may_begin)
+        self._passes = Passes(scheduler, settings, share, self._settled, self._may_begin)
         agents = min(share, config.memory_bytes // 4 // (http.MOST_HEAD + http.MOST_BODY))
-        self.front = Front(scheduler, config.settings.classes, agents, self.offer, self.withdraw)
+        self.front = Front(scheduler, settings.classes, agents, self.offer, self.withdraw)
 
     def start(self) -> None:
-        self._paces = paces.load(self._config.state, self._scheduler.wall())
+        for doubt in self._config.doubts:
+            log.warning("configuration: %s", doubt)
+        self._paces = paces.load(self._config.state, self._paces_room, self._scheduler.wall())
         self._farm.start()
         self._restore()
         self._turn()
         self.address = self.front.listen(self._config.listen)
         log.info("ready: %s at %s:%d", self._config.name, *self.address)
         self._scheduler.call_at(self._scheduler.now() + REPORT_US, self._report)
-        self._scheduler.call_at(self._scheduler.now() + PACES_US, self._remember)
+        self._scheduler.spawn(self._remember)
 
     def _remember(self) -> None:
-        paces.save(self._config.state, self._module.known(), self._scheduler.wall())
-        self._scheduler.call_at(self._scheduler.now() + PACES_US, self._remember)
+        while not self._closing_at:
+            rows = self._module.known()
+            paces.save(self._config.state, self._paces_room, rows, self._scheduler.wall(),
+                       lambda: self._scheduler.sleep(0))
+            self._scheduler.sleep(max(PACES_US, len(rows) * PACE_US))
 
     def _report(self) -> None:
         checks.report()
@@ -130,7 +144,8 @@
         if transaction is not None and transaction.verdict == Taken():
             now = self._scheduler.now()
             self._ended[name] = now, transaction.stands_for()
-            while len(self._ended) > MOST_ENDED or next(iter(self._ended.values()))[0] < now - ENDED_US:
+            most = self._config.memory_bytes // ENDED_BYTES
+            while len(self._ended) > most or next(iter(self._ended.values()))[0] < now - ENDED_US:
                 del self._ended[next(iter(self._ended))]
         return transaction
 
@@ -199,7 +214,10 @@
             if name in self._open:
                 self._take_on(self._open[name])
         for endpoint, calls in sends.items():
-            entry = self._farm.entries[endpoint]
+            entry = self._farm.entries.get(endpoint)
+            if not holds(entry is not None, "the module sends to endpoints that the list has"):
+                self._unsent(endpoint, calls)
+                continue
             most = self._set.per_call.get(entry.endpoint.kind, 1)
             while calls:
                 number = self._fitting(calls[:most])
@@ -228,6 +246,42 @@
                                           transaction.due + self._wall, transaction.key, transaction.body)):
             transaction.decide(UnavailableAnswer(FULL_US, True))
             self.withdraw(transaction)
+        else:
+            self._owe(transaction)
+
+    def _owe(self, transaction: Transaction) -> None:
+        """Its end does not hang on the module alone."""
+        heapq.heappush(self._due, (transaction.due, transaction.id))
+        self._look_at(transaction.due)
+
+    def _look_at(self, due: int) -> None:
+        if self._due_timer is None or due + OVERDUE_US < self._due_timer.at:
+            if self._due_timer is not None:
+                self._due_timer.cancel()
+            self._due_timer = self._scheduler.call_at(due + OVERDUE_US, self._overdue)
+
+    def _overdue(self) -> None:
+        """What is open past its time has failed, whatever became of it in the module."""
+        now, late, self._due_timer = self._scheduler.now(), [], None
+        while self._due and (self._due[0][0] + OVERDUE_US <= now or self._due[0][1] not in self._open):
+            transaction = self._open.get(heapq.heappop(self._due)[1])
+            if transaction is not None and transaction.due + OVERDUE_US <= now:
+                late.append(transaction.id)
+                self._fail(transaction.id)
+                self._gather(i.Dropped(transaction.id))
+        if self._due:
+            self._look_at(self._due[0][0])
+        if late:
+            log.error("open past their time, and failed: %s", " ".join(late))
+        holds(not late, "the module ends every message in its time")
+
+    def _unsent(self, endpoint: str, calls: list[i.Send]) -> None:
+        for send in calls:
+            transaction = self._open.get(send.id)
+            attempt = transaction.attempts if transaction else 0
+            if transaction:
+                transaction.attempts += 1
+            self._gather(i.Attempted(send.id, attempt, endpoint, i.Outcome.NOT_SENT, 0))
 
     def _begin(self, entry: Entry, calls: list[i.Send]) -> None:
         now, loads, ids = self._scheduler.now(), [], []
@@ -350,6 +404,7 @@
                 self._journal.outcome(owed.id, True)
             self._open[owed.id] = Transaction(owed.id, owed.class_name, owed.destination, owed.due_wall - self._wall,
                                               owed.key, owed.body, owed.attempts, Taken())
+            self._owe(self._open[owed.id])
             self._gather(i.Message(owed.id, owed.destination, owed.class_name, owed.due_wall - self._wall, None, None,
                                    owed.attempts, owed.ran_wall - self._wall if owed.ran_wall else None, owed.ran_zone))
         if self._journal.owed:
@@ -416,7 +471,7 @@
         self._scheduler.sleep(20 * MS)
         log.info("ended: %d left to the journal, %d passes out", len(self._open), self._passes.out)
         checks.report()
-        paces.save(self._config.state, self._module.known(), self._scheduler.wall())
+        paces.save(self._config.state, self._paces_room, self._module.known(), self._scheduler.wall())
         self._scheduler.stop()
 
     def _may_end(self, since: int) -> bool:
--- a/scalefall/net/journal.py
+++ b/scalefall/net/journal.py
@@ -40,6 +40,7 @@
     end: int = 0                # FAILED or RETURNED: a notice is owed
     after_ms: int = 0
     size: int = field(default=0, repr=False)
+    zones: int = field(default=ZONES, repr=False)   # of it, the room for zones
 
 
 def _text(*values: str | None) -> bytes:
@@ -104,14 +105,29 @@
         return True
 
     def pass_begun(self, ids: list[str], wall: int, zone: str) -> bool:
-        """False if it can't be written: then the pass must not begin."""
+        """False if it can't be written, or a copy would no longer fit: then the pass must not begin."""
         ids = [name for name in ids if name in self.owed]
+        wider = sum(max(0, self._zones(zone) - self.owed[name].zones) for name in ids)
+        if wider and not self._fits(self._live, wider):
+            return False
         if not self._append(b"P" + struct.pack("<qH", wall, len(ids)) + _text(zone, *ids)):
             return False
         for name in ids:
             self._begin(self.owed[name], wall, zone)
         return True
 
+    @staticmethod
+    def _zones(zone: str) -> int:
+        """A copy may have to name it twice: as that of the first pass that may have run, and of the one out."""
+        return 2 * len(zone.encode())
+
+    def _widen(self, owed: Owed, zone: str) -> None:
+        more = self._zones(zone) - owed.zones
+        if more > 0:
+            owed.zones += more
+            owed.size += more
+            self._live += more
+
     def outcome(self, name: str, may_have_run: bool) -> None:
         """How the pass that is out ended; a delivery is told by over()."""
         if name in self.owed:
@@ -135,8 +151,8 @@
 
     # -- what the records do to what is owed
 
-    @staticmethod
-    def _begin(owed: Owed, wall: int, zone: str) -> None:
+    def _begin(self, owed: Owed, wall: int, zone: str) -> None:
+        self._widen(owed, zone)
         owed.attempts += 1
         owed.out, owed.out_wall, owed.out_zone = True, wall, zone
 
--- a/scalefall/net/paces.py
+++ b/scalefall/net/paces.py
@@ -7,20 +7,35 @@
 import json
 import math
 import os
+from collections.abc import Callable
 
 from scalefall.interface import Known
 from scalefall.net.checks import log
 
-MOST_BYTES = 32 * 1024          # of the folder's limit, for the file and the copy that takes its place
+LEAST_BYTES, PART = 32 * 1024, 16   # of the folder's limit, for the file and the copy that takes its place
+MOST_BYTES = 4 * 1024 * 1024
+ROW = 64                        # bytes that a row takes at most, but for long names
+BLOCK = 512                     # files are counted in whole blocks of this size
+SLICE = 128                     # rows written in one turn
 FRESH_US = 60_000_000           # what is older tells nothing of now
 
 
-def save(folder: str, rows: list[Known], wall: int) -> None:
+def room(disk_bytes: int) -> int:
+    """Bytes of the folder that are kept for this: 3 MB have some 2,500 rows."""
+    return min(max(LEAST_BYTES, disk_bytes // PART), MOST_BYTES, disk_bytes // 3)
+
+
+def save(folder: str, most: int, rows: list[Known], wall: int, rest: Callable[[], object] = lambda: None) -> None:
+    """As many rows as half of most bytes hold, those that tell most first; rest() lets others have their turn."""
     path, lines, size = os.path.join(folder, "paces"), [str(wall)], 64
-    for row in rows:
-        lines.append(json.dumps(put(row)))
+    if len(rows) * ROW > most // 2:
+        rows = sorted(rows, key=lambda row: -row.part)
+    for number, row in enumerate(rows, 1):
+        lines.append(f"[{row.destination},{json.dumps(row.route)},{row.part:.3f},{row.limit:.3f}]")
+        if number % SLICE == 0:
+            rest()
         size += len(lines[-1]) + 1
-        if size > MOST_BYTES // 2 - 512:
+        if size > most // 2 - BLOCK:
             lines.pop()
             break
     try:
@@ -31,10 +46,10 @@
         log.error("paces: cannot write (%s)", error)
 
 
-def load(folder: str, wall: int) -> list[Known]:
+def load(folder: str, most: int, wall: int) -> list[Known]:
     try:
         with open(os.path.join(folder, "paces"), encoding="ascii") as file:
-            first, *lines = file.read(MOST_BYTES).splitlines()
+            first, *lines = file.read(most).splitlines()
         if not 0 <= wall - int(first) < FRESH_US:
             return []
         return [get(*json.loads(line)) for line in lines]
--- a/scalefall/net/rolls.py
+++ b/scalefall/net/rolls.py
@@ -8,9 +8,12 @@
 
 from scalefall import interface as i
 
+MOST_NAME = 255                 # characters of an id, a zone, a kind: they go into the journal with each call
 MOST_DEPTH = 32                 # objects within one another; a list has two
 STATES = {"in_service": i.Status.READY, "terminating": i.Status.DRAINING, "terminated": i.Status.GONE}
-TOKEN = re.compile(rb'"(?:[^"\\]+|\\.)*+"|[{}"]', re.DOTALL)    # a lone quotation mark: a text that has not all come
+TEXT = rb'"(?:[^"\\]++|\\.)*+"'
+FLAT = rb'\{(?:[^{}"]++|' + TEXT + rb')*+\}'  # an object with none in it, as an entry is: one step
+TOKEN = re.compile(FLAT + b"|" + TEXT + rb'|[{}"]', re.DOTALL)  # a lone quotation mark: a text that has not all come
 SPACE = b" \t\r\n"
 
 
@@ -50,21 +53,21 @@
             if text == b'"':
                 break
             self._scanned = token.end()
-            if text == b"{":
+            if text.startswith(b"{"):
                 if not self._depth:
                     begin = self._between(begin, token.start())
-                self._depth += 1
+                self._depth += text == b"{"
                 if self._depth > MOST_DEPTH:
                     raise ValueError("a list nests too deep")
             elif text == b"}":
                 self._depth -= 1
-                if self._depth < 0:
-                    raise ValueError("no list")
-                if self._depth == 0:
-                    found.append(json.loads(self._text[begin:self._scanned]))
-                    begin = self._scanned
             elif not self._depth:
                 raise ValueError("no list")
+            if self._depth < 0:
+                raise ValueError("no list")
+            if not self._depth:
+                found.append(json.loads(self._text[begin:self._scanned]))
+                begin = self._scanned
         if not self._depth:
             begin = self._between(begin, len(self._text))
             self._scanned = len(self._text)
@@ -106,6 +109,8 @@
 
 def _read_entry(row: Any) -> Entry:
     host, port = row["dial"].rsplit(":", 1)
+    if max(len(row["host"]), len(host), len(str(row["site"])), len(str(row["class"]))) > MOST_NAME:
+        raise ValueError(f"list of endpoints: a name of {row['host'][:20]!r} is too long")
     if not isinstance(row["host"], str) or not isinstance(row["block"], int) or row["health"] not in STATES:
         raise ValueError(f"list of endpoints: {row['host']!r} has a wrong value")
     return Entry(i.Endpoint(row["host"], str(row["site"]), str(row["class"]), row["block"], STATES[row["health"]],
--- a/scalefall/net/roster.py
+++ b/scalefall/net/roster.py
@@ -30,7 +30,7 @@
         """There is nothing to watch: a new list comes with replace()."""
 
     def serves(self, destination: int) -> bool:
-        return any(entry.endpoint.destination == destination for entry in self.entries.values())
+        return destination in self._served
 
     def replace(self, entries: list[Entry]) -> tuple[int, int, int]:
         """The list from now on, in one step; how many endpoints are new, gone and changed."""
--- a/tests/nethelp.py
+++ b/tests/nethelp.py
@@ -63,9 +63,9 @@
 class Peer:
     """A listening socket of the other side."""
 
-    def __init__(self, world):
+    def __init__(self, world, host="127.0.0.1"):
         self.world, self.accepted = world, 0
-        self.listener = socket.create_server(("127.0.0.1", 0), backlog=64)
+        self.listener = socket.create_server((host, 0), backlog=64)
         self.listener.setblocking(False)
         self.address = self.listener.getsockname()
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -8,7 +8,7 @@
 
 from scalefall import interface as i
 from scalefall.net import host as module
-from scalefall.net import http
+from scalefall.net import http, streams
 from scalefall.net.config import Config
 from scalefall.net.farm import read_roll
 from scalefall.net.host import Host
@@ -17,29 +17,34 @@
 class Firm:
     """One sender, one endpoint for destination 7, the platform, and a folder that outlives the sender."""
 
-    def __init__(self, folder, kind="one", disk=3_000_000, **changes):
-        self.world, self.folder, self.disk, self.changes = World(), folder, disk, changes
-        self.endpoint, self.platform = Peer(self.world), Peer(self.world)
+    def __init__(self, folder, kind="one", disk=3_000_000, host="127.0.0.1", **changes):
+        self.world, self.folder, self.disk, self.changes = World(), folder, disk, {"ask": True} | changes
+        self.endpoint, self.platform = Peer(self.world, host), Peer(self.world)
         self.known = read_roll(roll(1, listed("e", self.endpoint.address, kind=kind)))
         self.watch, self.posts = None, []
         self.start()
 
     def start(self):
         config = Config("n0", ("127.0.0.1", 0), self.platform.address, str(self.folder), 7, 256, self.disk,
-                        32_000_000, settings(ask=True, **self.changes), self.known)
+                        32_000_000, settings(**self.changes), self.known)
         self.host = Host(self.world, config)
         self.host.start()
 
     def watched(self):
         """The platform's side of the watch; what is posted meanwhile waits for notices()."""
-        while True:
-            sock = self.platform.accept()
-            request = self.platform.read(sock)
-            if request.method == "GET":
-                self.watch = sock
-                sock.send(STREAM + chunk(None))
-                return
-            self.posts.append((sock, request))
+        while not self.platform_met():
+            pass
+
+    def platform_met(self):
+        """The next one who comes there; whether it was a watch."""
+        sock = self.platform.accept()
+        request = self.platform.read(sock)
+        if request.method == "GET":
+            self.watch = sock
+            sock.send(STREAM + chunk(None))
+            return True
+        self.posts.append((sock, request))
+        return False
 
     def die(self):
         """SIGKILL: nothing of the process is left but the folder."""
@@ -51,6 +56,9 @@
         self.world._waits.clear()
         self.world._timers.clear()
 
+    def send(self, sock, data):
+        streams.send(self.world, sock, data, self.world.now() + S)
+
     def hand_in(self, name, cls="safe", deadline="8000m", key=None, body=b"body", sock=None, dest=7):
         sock = sock or socket.create_connection(self.host.address)
         sock.setblocking(False)
@@ -70,9 +78,8 @@
         return sock, self.endpoint.read(sock)
 
     def notices(self):
-        if not self.posts:
-            sock = self.platform.accept()
-            self.posts.append((sock, self.platform.read(sock)))
+        while not self.posts:
+            self.platform_met()
         sock, request = self.posts.pop(0)
         sock.send(http.answer(204, []))
         return [json.loads(line) for line in request.body.splitlines()]
@@ -286,7 +293,7 @@
 
 def test_a_module_that_fails_in_a_turn_refuses_what_came_and_the_rest_carries_on(firm, monkeypatch):
     counted, handle = [], firm.host._module.handle
-    monkeypatch.setattr(module, "holds", lambda condition, name: counted.append(name))
+    monkeypatch.setattr(module, "holds", lambda condition, name: bool(condition) or counted.append(name))
 
     def fails(now, events):
         if any(isinstance(event, i.Message) for event in events):
@@ -302,6 +309,27 @@
     play(firm, steps)
 
 
+@pytest.mark.parametrize("restart", [False, True])
+def test_what_the_module_never_ends_has_its_notice_all_the_same(firm, monkeypatch, restart):
+    """Its end hung on the module's own book alone: lost from it, a message taken on stayed open for good."""
+    counted = []
+    monkeypatch.setattr(module, "holds", lambda condition, name: bool(condition) or counted.append(name))
+
+    def steps():
+        firm.taken("m")
+        sock, _ = firm.call()
+        began = firm.world.now()
+        monkeypatch.setattr(module.Sender, "handle", lambda self, now, events: [])
+        if restart:
+            firm.die()
+            firm.start()
+        assert firm.notices() == [{"id": "m", "state": "failed"}]
+        assert 7 * S < firm.world.now() - began < 8 * S
+        assert counted == ["the module ends every message in its time"]
+        sock.close()
+    play(firm, steps)
+
+
 def test_a_planned_end_answers_finishes_and_leaves_the_rest_to_the_next(firm):
     """Begin nothing that may not finish: what arrives late is taken on, and delivered after the start."""
     def steps():
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -167,17 +167,40 @@
     assert (tmp_path / "journal").read_bytes() == whole
 
 
+def test_long_names_of_zones_have_their_room_before_a_pass_begins(tmp_path):
+    """128 bytes were kept for both; with longer ones the copy that takes the file's place went over the limit."""
+    book, most = j.Journal(tmp_path, 100_000), 100_000
+    taken = [f"m{n}" for n in range(100) if book.take_on(owed(f"m{n}", b"x" * 50))]
+    begun = [name for name in taken for _ in range(3) if book.pass_begun([name], 1, "z" * 250)]
+    assert taken and begun and len(begun) < 3 * len(taken)      # what would not fit does not begin
+    for name in begun:
+        book.outcome(name, True)
+        book.pass_begun([name], 2, "y" * 250)
+        assert used(tmp_path) <= most
+    assert book._compact() and used(tmp_path) <= most
+    book.close()
+    assert plain(j.Journal(tmp_path, most).owed) == plain(book.owed)
+
+
 def test_paces_are_kept_for_the_next_process_while_they_are_fresh_and_within_their_room(tmp_path, caplog):
     """A restart in an outage forgot what its partners had taken, and gave them almost nothing once they were back."""
     rows = [Known(7, "", 12.5, 40.0), Known(8, "e-1", 0.25, 0.0)]
-    assert paces.load(tmp_path, 0) == []
-    paces.save(tmp_path, rows, 10**15)
-    assert paces.load(tmp_path, 10**15 + 10**6) == rows and caplog.text == ""
-    assert paces.load(tmp_path, 10**15 + paces.FRESH_US) == paces.load(tmp_path, 10**15 - 1) == []
-    paces.save(tmp_path, rows * 5000, 10**15)
-    assert (tmp_path / "paces").stat().st_size <= paces.MOST_BYTES // 2 and len(paces.load(tmp_path, 10**15)) > 100
+    room = paces.room(3_000_000)
+    assert paces.load(tmp_path, room, 0) == []
+    paces.save(tmp_path, room, rows, 10**15)
+    assert paces.load(tmp_path, room, 10**15 + 10**6) == rows and caplog.text == ""
+    assert paces.load(tmp_path, room, 10**15 + paces.FRESH_US) == paces.load(tmp_path, room, 10**15 - 1) == []
+    many = [Known(n, f"s-{n:08x}", 0.125 + n, 0.0) for n in range(1024)]
+    paces.save(tmp_path, room, many, 10**15)
+    assert paces.load(tmp_path, room, 10**15) == many
+    for disk in (100_000, 3_000_000):
+        room = paces.room(disk)
+        paces.save(tmp_path, room, many * 5, 10**15)
+        assert (tmp_path / "paces").stat().st_size <= room // 2
+        kept = paces.load(tmp_path, room, 10**15)
+        assert len(kept) > disk // 1200 and kept[0] == many[-1]      # those with the largest part
     for torn in (b"", b"x\n", b"1000000000000000\n[7, \"\", NaN, 1]\n", b"1000000000000000\n[7]\n", b"\xff",
                  b"1000000000000000\n{}\n", b"1000000000000000\n[7, \"\"", b"1000000000000000\n" + b"[" * 9000):
         (tmp_path / "paces").write_bytes(torn)
-        assert paces.load(tmp_path, 10**15) == []
+        assert paces.load(tmp_path, room, 10**15) == []
     assert "paces: cannot be read" in caplog.text
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,6 +12,8 @@
 
 import pytest
 
+from scalefall.net.config import read_config
+
 ROOT = pathlib.Path(__file__).parent.parent
 EXAMPLE = json.loads((ROOT / "example" / "config.json").read_text())
 LONG = 60       # seconds after which a test gives up; nothing is timed
@@ -179,6 +181,21 @@
     assert done.returncode == 2 and says in done.stderr and len(done.stderr.splitlines()) == 1
 
 
+@pytest.mark.parametrize("changes, peers, senders, says", [
+    ({}, ["127.0.0.1:1"] * 2, 2, "2 senders"), ({"siblings": 5}, ["127.0.0.1:1"] * 3, 5, "5 senders"),
+    ({"siblings": 2}, ["127.0.0.1:1"] * 1024, 1024, "1024 senders"),
+    ({"siblings": 2, "index": 6}, None, 7, "7 senders"),
+    ({"siblings": 3}, "all", 3, "left aside"), ({"siblings": 3}, [1, 2], 3, "left aside"),
+    ({"siblings": 3}, ["127.0.0.1:1"] * 3, 3, None), ({"siblings": 3}, [], 3, None)])
+def test_where_peers_and_the_number_of_senders_disagree_the_smaller_part_is_taken_and_said(tmp_path, changes, peers,
+                                                                                           senders, says):
+    table = EXAMPLE | {"peers": peers, "settings": EXAMPLE["settings"] | changes}
+    (tmp_path / "config.json").write_text(json.dumps(table, indent=4))
+    config = read_config({"RELAY_CONFIG": str(tmp_path / "config.json"), "RELAY_STATE": str(tmp_path)})
+    assert config.settings.siblings == senders
+    assert says in config.doubts[0] if says else not config.doubts
+
+
 @pytest.mark.parametrize("variable", ["RELAY_CONFIG", "RELAY_STATE"])
 def test_a_missing_variable_is_named(tmp_path, variable):
     environ = os.environ | {"RELAY_CONFIG": str(ROOT / "example" / "config.json"), "RELAY_STATE": str(tmp_path)}
--- /dev/null
+++ b/tests/test_size.py
@@ -0,0 +1,72 @@
+"""Lists at size: 1,024 endpoints and as many senders are taken whole, as asked for, as pushed, and as indented."""
+import json
+
+import pytest
+from nethelp import S, listed, roll
+from test_host import Firm
+
+from scalefall.net import paces
+from scalefall.net.farm import read_roll
+
+SIZE = 1024
+
+
+def address(firm, n):
+    """All of these lead to the one endpoint that the test plays."""
+    return f"127.1.{n // 250}.{1 + n % 250}", firm.endpoint.address[1]
+
+
+def entry(firm, n, **more):
+    return listed(f"s-{n:08x}", address(firm, n), block=n, **more)
+
+
+@pytest.mark.parametrize("indent", [None, 4])
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_list_of_1024_is_taken_whole_and_every_message_goes_where_it_belongs(tmp_path, indent, pushed):
+    firm = Firm(tmp_path, siblings=SIZE, host="0.0.0.0", ask=not pushed)
+
+    def tell(table):
+        data = json.dumps(table, indent=indent).encode() + b"\n"
+        for at in range(0, len(data), 50_000):
+            firm.send(firm.watch, b"%x\r\n%s\r\n" % (len(data[at:at + 50_000]), data[at:at + 50_000]))
+
+    def play():
+        firm.watched()
+        tell(roll(2, *(entry(firm, n) for n in range(SIZE))))
+        farm = firm.host._farm
+        firm.world.until(lambda: farm.seq == 2)
+        assert sum(e.endpoint.id.startswith("s-") for e in farm.entries.values()) == SIZE and farm.unread == 0
+        for n in (0, 511, SIZE - 1):
+            firm.taken(f"m{n}", dest=n)
+            sock, call = firm.call()
+            assert (sock.getsockname(), call.fields["x-request-id"]) == (address(firm, n), f"m{n}")
+            sock.close()
+        tell(roll(3, *(entry(firm, n, health="terminating") for n in range(SIZE) if n % 2), whole=False))
+        firm.world.until(lambda: farm.seq == 3)
+        assert len(farm.left_at) == SIZE // 2 + 1       # and the one that the whole list no longer names
+        firm.taken("odd", "even", dest=7)
+        firm.taken("free", dest=8)
+        _, call = firm.call()
+        assert call.fields["x-request-id"] == "free"
+        for n in range(0, SIZE, 2):
+            assert farm.serves(n)
+        tell(roll(4, *(entry(firm, n) for n in range(3))))
+        firm.world.until(lambda: farm.seq == 4)
+        assert len(farm.left_at) == SIZE - 2
+    firm.world.play(play)
+
+
+def test_what_is_known_of_1024_partners_outlasts_the_process(tmp_path):
+    firm = Firm(tmp_path, siblings=SIZE, host="0.0.0.0")
+    firm.known = read_roll(roll(2, *(entry(firm, n, kind="route") for n in range(SIZE))))
+
+    def play():
+        firm.watched()
+        firm.die()
+        firm.start()
+        firm.watched()
+        firm.world.sleep(3 * S)
+        firm.die()
+        kept = paces.load(firm.folder, paces.room(firm.disk), firm.world.wall())
+        assert {(row.destination, row.route) for row in kept} == {(n, f"s-{n:08x}") for n in range(SIZE)}
+    firm.world.play(play)
