--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -330,6 +330,28 @@
     play(firm, steps)
 
 
+def test_a_send_to_an_endpoint_that_no_list_has_costs_that_attempt_and_not_the_turn(firm, monkeypatch):
+    counted, handle, outcomes = [], firm.host._module.handle, []
+    monkeypatch.setattr(module, "holds", lambda condition, name: bool(condition) or counted.append(name))
+
+    def strays(now, events):
+        outcomes.extend(event for event in events if isinstance(event, i.Attempted))
+        actions = handle(now, events)
+        if any(isinstance(event, i.Message) for event in events):
+            actions.insert(0, i.Send("m", "ghost", S))
+        return actions
+    monkeypatch.setattr(firm.host._module, "handle", strays)
+
+    def steps():
+        firm.taken("m")
+        _, call = firm.call()
+        assert call.fields["x-request-id"] == "m"
+        firm.world.until(lambda: outcomes)
+        assert (outcomes[0].endpoint, outcomes[0].outcome) == ("ghost", i.Outcome.NOT_SENT)
+        assert counted == ["the module sends to endpoints that the list has"]
+    play(firm, steps)
+
+
 def test_a_planned_end_answers_finishes_and_leaves_the_rest_to_the_next(firm):
     """Begin nothing that may not finish: what arrives late is taken on, and delivered after the start."""
     def steps():
