Tell the module of an entry that could not be read as it was, not as gone

Read over: of a whole list the farm kept such an entry (net/farm.py, _keep), but told the module only those that were read, and what a whole list lacks is gone for the module. The test of bad entries now asserts what is told, and fails without this.

--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -217,7 +217,8 @@
         self._keep(roll)
         self._failed = False
         kind = i.ListKind.WHOLE if roll.whole else i.ListKind.CHANGES
-        self._tell(i.Listed(kind, [entry.endpoint for entry in roll.entries]))
+        stays = [name for name in roll.unread if roll.whole and name in self.entries]
+        self._tell(i.Listed(kind, [entry.endpoint for entry in [*roll.entries, *map(self.entries.get, stays)]]))
 
     def _unread(self, roll: Roll) -> None:
         """Entries that cannot be read: each costs itself, once in the log, and what was known of it stays."""
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -88,7 +88,7 @@
                 sock.send(data[at:at + 50])
                 world.sleep(MS)
         world.until(lambda: farm.seq == 51)
-        assert [(t.kind, [e.id for e in t.endpoints]) for t in told] == [(K.WHOLE, ["f"])] * 2
+        assert [(t.kind, [e.id for e in t.endpoints]) for t in told] == [(K.WHOLE, ["f", "e"])] * 2
         assert set(farm.entries) == {"e", "f"} and not farm.left_at     # what could not be read stays as it was
         assert peer.accepted == 1 and farm.unread == 2
         assert sum("cannot be read" in line for line in caplog.messages) == 1
