An address for operators: maintenance of endpoints, and the drain

An endpoint that is out drains in the farm whatever the list says, so the module needs no new word, and its names stand in a file of the lasting folder before the yes.

Not built yet: a ramp for what comes back cold, retuning of settings, the inherited socket and the hand-over.

--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -48,6 +48,7 @@
     reports: Address | None = None  # where notices go if there is no discovery; None: to the log
     fleet: Fleet | None = None
     left: tuple[str, ...] = ()      # read again: what differs from the running sender and takes a restart
+    admin: Address | None = None    # where the operators call; None: nowhere
     doubts: tuple[str, ...] = ()    # what can be used though its parts disagree, and how it is taken
 
 
@@ -87,12 +88,16 @@
             seed=_seed(table.get("seed", "0")), sockets=int(_limit(limits, "sockets", 1024, 64)),
             disk_bytes=int(_limit(limits, "disk_mb", 3, 0.1) * 1_000_000),
             memory_bytes=int(_limit(limits, "memory_mb", 192, 16) * 1_000_000),
-            settings=settings, doubts=doubts,
+            settings=settings, doubts=doubts, admin=_admin(environ.get("RELAY_ADMIN") or table.get("admin")),
             known=read_roll(table.get("known") or {"seq": 0, "whole": True, "hosts": []}))
     except (ValueError, TypeError, KeyError, OverflowError) as error:
         raise ConfigError(str(error) or type(error).__name__) from error
 
 
+def _admin(value: Any) -> Address | None:
+    return read_address(value, "admin") if value else None
+
+
 def _settled(settings: Settings, peers: Any) -> tuple[Settings, tuple[str, ...]]:
     """The number of senders is what limits, connections and asks are shared by: where the list of peers says another
     one, the larger is taken, as a part that is too small harms nobody."""
--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -5,6 +5,7 @@
 import socket
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 
 from scalefall import interface as i
 from scalefall.net import http, streams
@@ -40,6 +41,8 @@
         self.entries: dict[str, Entry] = {}
         self._served: Counter[int] = Counter()  # entries by destination
         self.left_at: dict[str, int] = {}       # when we were told that an endpoint drains or is gone
+        self._out: set[str] = set()             # taken out by the operators: they drain, whatever the list says
+        self._listed: dict[str, Entry] = {}     # what it says of these
         self._gone: dict[str, int] = {}         # when we were told that it is gone, in this order
         self._owners: dict[tuple[str, int], str] = {}   # the endpoint in service that was told last at an address
         self.seq, self._watching = known.seq, False
@@ -70,6 +73,31 @@
         """Whether the list names, or has lately named, an endpoint of the destination; an empty one tells nothing."""
         return not self.entries or destination in self._served
 
+    def names(self, name: str) -> bool:
+        """Whether the list has the endpoint, and has not told that it is gone."""
+        return name in self.entries and name not in self._gone
+
+    def take_out(self, names: set[str]) -> None:
+        """These endpoints drain from now on, also where the list names them only later."""
+        self._out |= names
+        self._again(names)
+
+    def put_back(self, name: str) -> None:
+        """The list holds for it again."""
+        self._out.discard(name)
+        self._again({name})
+
+    def _again(self, names: set[str]) -> None:
+        known = sorted(name for name in names if self.names(name))
+        if known:
+            self._keep(Roll(self.seq, False, [self._listed.pop(name, None) or self.entries[name] for name in known]))
+            if self._introduced:
+                self._tell(i.Listed(i.ListKind.CHANGES, self._endpoints(known)))
+
+    def _endpoints(self, names: list[str]) -> list[i.Endpoint]:
+        """As the module is told of them: as they are kept."""
+        return [self.entries[name].endpoint for name in names]
+
     def replaced(self, entry: Entry) -> bool:
         """Whether a call meant for this endpoint, which has left, would reach another one at its address."""
         name = entry.endpoint.id
@@ -96,10 +124,16 @@
         now = self._scheduler.now()
         if roll.whole:
             for gone in self.entries.keys() - {entry.endpoint.id for entry in roll.entries} - set(roll.unread):
+                self._listed.pop(gone, None)
                 self.left_at.setdefault(gone, now)      # what is not in the whole list is gone
                 self._gone.setdefault(gone, now)
         for entry in roll.entries:
             name = entry.endpoint.id
+            if name in self._out and entry.endpoint.status is i.Status.READY:
+                self._listed[name] = entry
+                entry = replace(entry, endpoint=replace(entry.endpoint, status=i.Status.DRAINING))
+            else:
+                self._listed.pop(name, None)
             self._put(name, entry)
             if entry.endpoint.status is i.Status.READY:
                 self.left_at.pop(name, None)
@@ -128,6 +162,7 @@
             name = next(iter(self._gone))
             address = self.entries[name].address
             self._put(name, None)
+            self._listed.pop(name, None)
             del self._gone[name], self.left_at[name]
             if self._owners.get(address) == name:
                 del self._owners[address]
@@ -218,7 +253,7 @@
         self._failed = False
         kind = i.ListKind.WHOLE if roll.whole else i.ListKind.CHANGES
         stays = [name for name in roll.unread if roll.whole and name in self.entries]
-        self._tell(i.Listed(kind, [entry.endpoint for entry in [*roll.entries, *map(self.entries.get, stays)]]))
+        self._tell(i.Listed(kind, self._endpoints([*(entry.endpoint.id for entry in roll.entries), *stays])))
 
     def _unread(self, roll: Roll) -> None:
         """Entries that cannot be read: each costs itself, once in the log, and what was known of it stays."""
--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -109,7 +109,7 @@
         self._offer, self._withdraw = offer, withdraw
         self._agents: dict[UserAgent, None] = {}
         self._listener: socket.socket | None = None
-        self.closing = False
+        self.closing = self.draining = False
         self._lines, self._unsaid, self._lines_until = 0, 0, 0
         self._quiet_at = 0          # what waits in the listener's queue had not come before this
 
@@ -130,6 +130,15 @@
     def close_idle(self) -> None:
         """The process ends soon: answer on, but each connection no further than its present request."""
         self.closing = True
+        self._drop_idle()
+
+    def drain(self, on: bool) -> None:
+        """The same while the operators empty the sender, until they say that it may be used again."""
+        self.draining = on
+        if on:
+            self._drop_idle()
+
+    def _drop_idle(self) -> None:
         for agent in [agent for agent in self._agents if agent.state is State.IDLE]:
             self._drop(agent)
 
@@ -139,6 +148,10 @@
             self._scheduler.wake(self._accepting, None)
             listener.close()
 
+    @property
+    def leaving(self) -> bool:
+        return self.closing or self.draining
+
     @property
     def answering(self) -> bool:
         return any(agent.state in (State.YOUNG, State.READING, State.ASKING) for agent in self._agents)
@@ -227,15 +240,15 @@
             return False
         agent.turn(State.ASKING, self._scheduler.now())
         self._alone(reader)
-        keep = reader.keep and not self.closing and not self._crowded
+        keep = reader.keep and not self.leaving and not self._crowded
         if reader.target.partition("?")[0] == "/healthz":
-            ready = 503 if self.closing else 200
+            ready = 503 if self.leaving else 200
             self._answer(agent, http.answer(ready if reader.method in ("GET", "HEAD") else 405, [], keep=keep))
         else:
             transaction = read_transaction(reader, self._classes, began, began - agent.quiet_at)
             agent.served += 1
             self._hand_in(agent, transaction)
-            keep = reader.keep and not self.closing and not self._crowded
+            keep = reader.keep and not self.leaving and not self._crowded
             try:
                 self._answer(agent, write_verdict(transaction.verdict, keep))
             except OSError:
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -16,6 +16,7 @@
 from scalefall.net.front import Front
 from scalefall.net.journal import FAILED, RETURNED, Journal, Owed
 from scalefall.net.notices import LoggedNotices, Notices
+from scalefall.net.operators import Duty, Operators, OutFile
 from scalefall.net.passes import Load, Passes, batch_size
 from scalefall.net.roster import Roster
 from scalefall.net.scheduler import Scheduler, Timer
@@ -50,7 +51,7 @@
         self._events: list[i.Event] = []
         self._planned, self._closing_at = False, 0
         self._paces: list[i.Known] = []     # what the process before knew, until the list is there
-        self.address = config.listen
+        self.address, self.admin = config.listen, config.admin
         self._open: dict[str, Transaction] = {}     # offered or taken on, and not over for the module
         self._ended: dict[str, tuple[int, int]] = {}    # ids lately taken on and over: when, and what they stood for
         self._due: list[tuple[int, str]] = []       # when a message taken on has to be over, the first in front
@@ -58,7 +59,10 @@
         self._waits: dict[int | str, int] = {}      # until when, by destination or route apart
         self._wall = scheduler.wall() - scheduler.now()     # to add for wall time
         self._paces_room = paces.room(config.disk_bytes)
-        self._journal = Journal(config.state, config.disk_bytes - self._paces_room)
+        self._out = OutFile(config.state, config.disk_bytes) if config.admin else None
+        self._duty = Duty(self._out.load() if self._out else set())
+        beside = self._paces_room + (self._out.room if self._out else 0)
+        self._journal = Journal(config.state, config.disk_bytes - beside)
         self._rules, self._reloading, self._reload_again = None, False, False
         reports = config.discovery or config.reports
         if config.fleet is None:
@@ -73,16 +77,20 @@
         self._passes = Passes(scheduler, settings, share, self._settled, self._may_begin)
         agents = min(share, config.memory_bytes // 4 // (http.MOST_HEAD + http.MOST_BODY))
         self.front = Front(scheduler, settings.classes, agents, self.offer, self.withdraw)
+        self._operators = Operators(scheduler, self._operated) if config.admin else None
 
     def start(self) -> None:
         for doubt in self._config.doubts:
             log.warning("configuration: %s", doubt)
         self._paces = paces.load(self._config.state, self._paces_room, self._scheduler.wall())
+        self._farm.take_out(self._duty.out)
         self._farm.start()
         self._restore()
         self._turn()
         self.address = self.front.listen(self._config.listen)
         log.info("ready: %s at %s:%d", self._config.name, *self.address)
+        if self._operators is not None:
+            self.admin = self._operators.listen(self._config.admin)
         self._scheduler.call_at(self._scheduler.now() + REPORT_US, self._report)
         self._scheduler.spawn(self._remember)
 
@@ -99,6 +107,26 @@
         self._waits = {bound: until for bound, until in self._waits.items() if until > now}
         self._scheduler.call_at(now + REPORT_US, self._report)
 
+    # -- for operators
+
+    def _operated(self, method: str, target: str) -> int:
+        """Carry out a call, and only then say yes."""
+        status, what = self._duty.call(method, target, not self._closing_at, self._farm.names)
+        verb, _, name = what.partition(" ")
+        match verb:
+            case "out" | "back":
+                wanted = self._duty.out | {name} if verb == "out" else self._duty.out - {name}
+                if wanted != self._duty.out and not self._out.save(wanted):
+                    return 507
+                if verb == "out":
+                    self._farm.take_out({name})
+                elif name in self._duty.out:
+                    self._farm.put_back(name)
+            case "drain" | "resume":
+                self.front.drain(verb == "drain")
+        self._duty.done(what)
+        return status
+
     # -- for fronts
 
     def offer(self, transaction: Transaction) -> None:
@@ -468,6 +496,8 @@
         while not self._may_end(self._scheduler.now() - self._closing_at):
             self._scheduler.sleep(20 * MS)
         self.front.stop_listening()
+        if self._operators is not None:
+            self._operators.close()
         self._scheduler.sleep(20 * MS)
         log.info("ended: %d left to the journal, %d passes out", len(self._open), self._passes.out)
         checks.report()
--- a/scalefall/net/http.py
+++ b/scalefall/net/http.py
@@ -16,7 +16,7 @@
            405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
            417: "Expectation Failed", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
            500: "Internal Server Error", 501: "Not Implemented", 503: "Service Unavailable",
-           505: "HTTP Version Not Supported"}
+           505: "HTTP Version Not Supported", 507: "Insufficient Storage"}
 
 
 class Malformed(Exception):
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -17,16 +17,16 @@
 class Firm:
     """One sender, one endpoint for destination 7, the platform, and a folder that outlives the sender."""
 
-    def __init__(self, folder, kind="one", disk=3_000_000, host="127.0.0.1", **changes):
+    def __init__(self, folder, kind="one", disk=3_000_000, host="127.0.0.1", admin=None, **changes):
         self.world, self.folder, self.disk, self.changes = World(), folder, disk, {"ask": True} | changes
         self.endpoint, self.platform = Peer(self.world, host), Peer(self.world)
         self.known = read_roll(roll(1, listed("e", self.endpoint.address, kind=kind)))
-        self.watch, self.posts = None, []
+        self.watch, self.posts, self.admin = None, [], admin
         self.start()
 
     def start(self):
         config = Config("n0", ("127.0.0.1", 0), self.platform.address, str(self.folder), 7, 256, self.disk,
-                        32_000_000, settings(**self.changes), self.known)
+                        32_000_000, settings(**self.changes), self.known, admin=self.admin)
         self.host = Host(self.world, config)
         self.host.start()
 
@@ -50,6 +50,8 @@
         """SIGKILL: nothing of the process is left but the folder."""
         self.host._journal.close()
         self.host.front.stop_listening()
+        if self.admin:
+            self.host._operators.close()
         self.world._ready.clear()
         for task in list(self.world._waits.values()):
             self.world._poll.unregister(task.fd)
--- /dev/null
+++ b/tests/test_operators.py
@@ -0,0 +1,157 @@
+"""The operators' address: maintenance of endpoints, the drain, and callers that keep it busy."""
+import socket
+
+import pytest
+from nethelp import MS, S, chunk, closed, listed, read, roll
+from test_host import Firm
+
+from scalefall.net import http
+from scalefall.net.operators import MOST_CALLERS, Duty, OutFile
+
+
+@pytest.fixture
+def firm(tmp_path):
+    return Firm(tmp_path, admin=("127.0.0.1", 0))
+
+
+def send(firm, data):
+    sock = socket.create_connection(firm.host.admin)
+    sock.setblocking(False)
+    sock.send(data)
+    return sock
+
+
+def call(firm, method, path):
+    """The status of one call; its connection is closed behind the answer, and it took no time."""
+    sock, began = send(firm, http.request(method, path, "s", [])), firm.world.now()
+    status = read(firm.world, sock, http.AnswerReader()).status
+    assert closed(firm.world, sock) and firm.world.now() - began < S
+    return status
+
+
+def play(firm, function):
+    firm.world.play(lambda: (firm.watched(), function()))
+
+
+def test_an_endpoint_in_maintenance_gets_nothing_whatever_the_list_says_and_across_a_restart(firm):
+    def steps():
+        assert call(firm, "PUT", "/endpoints/e/maint") == call(firm, "PUT", "/endpoints/e/maint") == 200
+        firm.send(firm.watch, chunk(roll(2, listed("e", firm.endpoint.address))))
+        firm.world.until(lambda: firm.host._farm.seq == 2)
+        firm.taken("a")
+        firm.die()
+        firm.start()
+        firm.watched()
+        assert firm.host._farm.entries["e"].endpoint.status.name == "DRAINING"
+        firm.taken("b")
+        firm.world.sleep(2 * S)
+        assert firm.endpoint.accepted == 0
+        assert call(firm, "PUT", "/endpoints/e/ready") == 200      # one call back undoes both
+        names = set()
+        while names != {"a", "b"}:
+            sock, request = firm.call()
+            names.add(request.fields["x-request-id"])
+            sock.send(http.answer(200, [], keep=False))
+        firm.die()
+        firm.start()
+        firm.watched()
+        assert not firm.host._duty.out
+        firm.world.until(lambda: "e" not in firm.host._farm.left_at)
+    play(firm, steps)
+
+
+def test_what_has_gone_while_it_was_out_does_not_come_back(firm):
+    def steps():
+        assert call(firm, "PUT", "/endpoints/e/maint") == 200
+        firm.send(firm.watch, chunk(roll(2, listed("f", firm.endpoint.address))))
+        firm.world.until(lambda: firm.host._farm.seq == 2)
+        assert call(firm, "PUT", "/endpoints/e/ready") == 200
+        assert "e" in firm.host._farm.left_at and not firm.host._farm.names("e")
+        assert call(firm, "PUT", "/endpoints/e/maint") == 404
+    play(firm, steps)
+
+
+def test_a_call_that_takes_out_cannot_be_kept_is_no_yes(firm, monkeypatch):
+    def steps():
+        monkeypatch.setattr(OutFile, "save", lambda self, names: False)
+        assert call(firm, "PUT", "/endpoints/e/maint") == 507
+        firm.taken("a")
+        assert firm.call()[1].fields["x-request-id"] == "a"
+    play(firm, steps)
+
+
+@pytest.mark.parametrize("method, path, status", [
+    ("GET", "/healthcheck", 200), ("PUT", "/healthcheck", 405), ("PUT", "/endpoints/x/maint", 404),
+    ("PUT", "/endpoints/x/ready", 404), ("GET", "/endpoints/e/maint", 405), ("PUT", "/endpoints/e/off", 404),
+    ("PUT", "/endpoints//maint", 404), ("PUT", "/endpoints/e/maint/", 404), ("GET", "/healthcheck/fail", 405),
+    ("PUT", "/healthcheck/ok", 200), ("PUT", "/healthcheck/other", 404), ("PUT", "/", 404), ("DELETE", "*", 404)])
+def test_a_call_gets_the_status_that_it_deserves(firm, method, path, status):
+    def steps():
+        assert call(firm, method, path) == status
+        assert firm.host._duty.out == set()
+        firm.taken("a")
+    play(firm, steps)
+
+
+@pytest.mark.parametrize("data, status", [(b"junk\r\n\r\n", 400), (b"PUT /endpoints/" + b"e" * 20_000, 431),
+                                          (b"PUT / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413)])
+def test_what_cannot_be_read_is_an_error(firm, data, status):
+    def steps():
+        assert read(firm.world, send(firm, data), http.AnswerReader()).status == status
+    play(firm, steps)
+
+
+def test_the_drain_empties_the_sender_and_ends_when_told(firm):
+    def steps():
+        def health():
+            sock = socket.create_connection(firm.host.address)
+            sock.setblocking(False)
+            sock.send(http.request("GET", "/healthz", "s", []))
+            answer = read(firm.world, sock, http.AnswerReader())
+            return answer.status, answer.keep
+        idle = firm.hand_in("a")
+        assert firm.answer(idle).status == 202
+        began = firm.world.now()
+        assert call(firm, "PUT", "/healthcheck/fail") == call(firm, "PUT", "/healthcheck/fail") == 200
+        assert closed(firm.world, idle) and health() == (503, False) and call(firm, "GET", "/healthcheck") == 503
+        late = firm.hand_in("b")        # the front has not looked yet: it is served, and its connection ends
+        answer = firm.answer(late)
+        assert (answer.status, answer.keep) == (202, False) and closed(firm.world, late)
+        silent = socket.create_connection(firm.host.address)
+        silent.setblocking(False)
+        assert closed(firm.world, silent) and firm.world.now() - began < 4 * S
+        assert call(firm, "PUT", "/healthcheck/ok") == 200
+        assert health() == (200, True) and call(firm, "GET", "/healthcheck") == 200
+    play(firm, steps)
+
+
+def test_callers_that_send_nothing_or_half_a_call_keep_nobody_out(firm):
+    def steps():
+        idle = [send(firm, b"PUT /endp" if n % 2 else b"") for n in range(3 * MOST_CALLERS)]
+        firm.world.sleep(10 * MS)
+        assert call(firm, "GET", "/healthcheck") == 200
+        assert len(firm.host._operators._callers) <= MOST_CALLERS
+        firm.world.sleep(3 * S)
+        assert not firm.host._operators._callers
+        for sock in idle:
+            sock.close()
+    play(firm, steps)
+
+
+def test_the_names_of_what_is_out_have_room_for_1024_and_a_torn_file_stops_no_start(tmp_path):
+    file, names = OutFile(tmp_path, 3_000_000), {f"s-{n:08x}" for n in range(1024)}
+    assert file.load() == set() and file.save(names) and file.load() == names
+    assert not file.save({"x" * 255 + str(n) for n in range(1024)}) and file.load() == names
+    for torn in (b"", b"[", b"{}", b"[7]", b"\xff", b"[" * 5000):
+        (tmp_path / "maintenance").write_bytes(torn)
+        assert file.load() == set()
+
+
+def test_duty_changes_only_once_a_call_is_carried_out():
+    duty = Duty(set())
+    assert duty.call("PUT", "/endpoints/a%20b/maint", True, lambda name: name == "a b") == (200, "out a b")
+    assert duty.out == set()
+    duty.done("out a b")
+    assert duty.call("PUT", "/endpoints/a%20b/ready", True, lambda name: False) == (200, "back a b")     # gone
+    duty.done("back a b")
+    assert duty.out == set() and duty.call("GET", "/healthcheck", False, bool) == (503, "")
