--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -101,6 +101,8 @@
 def _settled(settings: Settings, peers: Any) -> tuple[Settings, tuple[str, ...]]:
     """The number of senders is what limits, connections and asks are shared by: where the list of peers says another
     one, the larger is taken, as a part that is too small harms nobody."""
+    if not settings.classes:
+        raise ValueError("settings: grades names no class")
     doubts, number = [], settings.siblings
     if peers is not None and not (isinstance(peers, list) and all(isinstance(peer, str) for peer in peers)):
         doubts.append("peers is no list of addresses and is left aside")
--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -73,6 +73,10 @@
         """Whether the list names, or has lately named, an endpoint of the destination; an empty one tells nothing."""
         return not self.entries or destination in self._served
 
+    def keep_for(self, forget_us: int) -> None:
+        """Messages may take longer now; what is out may still be there for as long as before."""
+        self._forget_us = max(self._forget_us, forget_us)
+
     def names(self, name: str) -> bool:
         """Whether the list has the endpoint, and has not told that it is gone."""
         return name in self.entries and name not in self._gone
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -149,6 +149,7 @@
             transaction.decide(UnavailableAnswer(FULL_US, True))
         else:
             self._open[transaction.id] = transaction
+            transaction.cls = self._set.classes.get(transaction.class_name)
             self._gather(i.Message(transaction.id, transaction.destination, transaction.class_name, transaction.due))
 
     def _carried(self, transaction: Transaction) -> bool:
@@ -318,7 +319,7 @@
             if transaction is None:     # not taken on after all: the attempt ends unsent
                 self._gather(i.Attempted(send.id, 0, entry.endpoint.id, i.Outcome.NOT_SENT, 0, True))
                 continue
-            cls = self._set.classes.get(transaction.class_name)
+            cls = transaction.cls
             loads.append(Load(send.id, transaction.attempts, now + send.timeout_us, transaction.key, transaction.body,
                               cls is not None and cls.effect is i.Effect.UNSAFE, self._begin_by(transaction)))
             transaction.attempts += 1
@@ -337,7 +338,7 @@
 
     def _begin_by(self, transaction: Transaction) -> float:
         """Until when a repeat of it is dropped, if an attempt of a keyed class may have run."""
-        cls, owed = self._set.classes.get(transaction.class_name), self._journal.owed.get(transaction.id)
+        cls, owed = transaction.cls, self._journal.owed.get(transaction.id)
         if cls is None or cls.effect is not i.Effect.KEYED or owed is None or not owed.ran_wall:
             return inf
         return owed.ran_wall - self._wall + cls.key_ttl_us
@@ -431,7 +432,8 @@
             if owed.out:    # it was out when the process died: it may have run
                 self._journal.outcome(owed.id, True)
             self._open[owed.id] = Transaction(owed.id, owed.class_name, owed.destination, owed.due_wall - self._wall,
-                                              owed.key, owed.body, owed.attempts, Taken())
+                                              owed.key, owed.body, owed.attempts, Taken(),
+                                              cls=self._set.classes.get(owed.class_name))
             self._owe(self._open[owed.id])
             self._gather(i.Message(owed.id, owed.destination, owed.class_name, owed.due_wall - self._wall, None, None,
                                    owed.attempts, owed.ran_wall - self._wall if owed.ran_wall else None, owed.ran_zone))
@@ -439,8 +441,9 @@
             log.info("restored: %d open, %d with a notice to deliver", restored, len(self._journal.owed) - restored)
 
     def reload(self, read_again: Callable[[], Config]) -> None:
-        """SIGHUP: discovery, and with it the platform, may have moved. All else is settled at the start, but for a
-        fleet of the operator's own: its file may be long, and is read beside the sending."""
+        """SIGHUP: discovery, and with it the platform, may have moved, classes may have come and gone, and attempts
+        may be others. All else is settled at the start, but for a fleet of the operator's own: its file may be long,
+        and is read beside the sending."""
         if self._config.fleet is not None:
             self._reload_again = True
             if not self._reloading:
@@ -455,6 +458,20 @@
         log.info("configuration read again: discovery at %s:%d", *config.discovery)
         self._farm.move(config.discovery)
         self._notices.move(config.discovery)
+        self._retune(config.settings)
+
+    def _retune(self, new: i.Settings) -> None:
+        """Classes and attempts from now on. What is open keeps the rules that it was taken on under."""
+        old, now = self._set.classes, dict(new.classes)
+        added, dropped = sorted(new.classes.keys() - old.keys()), sorted(old.keys() - new.classes.keys())
+        changed = sorted(name for name in new.classes.keys() & old.keys() if new.classes[name] != old[name])
+        if added or dropped or changed or new.max_attempts != self._set.max_attempts:
+            log.info("retuned: classes new: %s; gone: %s; changed: %s; attempts %d", " ".join(added) or "none",
+                     " ".join(dropped) or "none", " ".join(changed) or "none", new.max_attempts)
+        old.clear()         # the front and the module have the same table
+        old.update(now)
+        self._set.max_attempts = new.max_attempts
+        self._farm.keep_for(2 * max((cls.deadline_us for cls in old.values()), default=0))
 
     def _reload_fleet(self, read_again: Callable[[], Config]) -> None:
         try:
@@ -476,7 +493,7 @@
             self._reloading = False
 
     def _follow(self, fleet: Fleet) -> None:
-        """The routes' rules from now on; those of messages that are held too. A large fleet stays as it is for long:
+        """The routes' rules from now on; what is open keeps its attempts. A large fleet stays as it is for long:
         the collector, which held everything up for 0.1 s over 20,000 endpoints, need not go through it again."""
         self._rules = fleet.routes
         self._scheduler.call_at(self._scheduler.now(), gc.freeze)
--- a/scalefall/net/transaction.py
+++ b/scalefall/net/transaction.py
@@ -4,6 +4,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from scalefall.interface import MessageClass
+
 
 @dataclass(slots=True, frozen=True)
 class Taken:
@@ -47,6 +49,7 @@
     verdict: Verdict | None = None
     promised: bool = False                  # a second user agent has been told that it is taken on
     alone: bool = False                     # must not share a call with others
+    cls: MessageClass | None = None         # the rules that it was taken on under
     told: Callable[[], object] | None = None    # called once the verdict is there
 
     def stands_for(self) -> int:
--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -162,6 +162,7 @@
     destination: int
     due: int
     seq: int
+    most: int                   # attempts
     key: str | None
     admitted: bool = False
     attempts: int = 0
@@ -254,15 +255,15 @@
         self.destinations: dict[int, Destination] = {}
         self.servers: dict[str, Server] = {}
         self.keys: dict[str, Key] = {}
-        self.wide = {name: Envelope() for name in settings.classes}
+        self.wide: dict[str, Envelope] = {}
         self.capped: dict[str, int] = {}    # until when idle connections are closed there
         self.touched: dict[int, Destination] = {}    # what this turn's events have changed
         self.starved: dict[int, Destination] = {}    # what waits for a slot
         self.wakes: list[tuple[int, int]] = []       # when a destination is to be looked at again
         self.due: list[tuple[int, int, str]] = []    # when a message is to be looked at again
         self.turn_calls: dict[str, Call] = {}
-        self.targets = {name: int(cls.deadline_us * (1 - MARGIN)) for name, cls in settings.classes.items()}
-        self.keeps = {name: self._keeps(cls) for name, cls in settings.classes.items()}
+        self.targets: dict[str, int] = {}    # by class, like what follows, as it was when last handed in
+        self.keeps: dict[str, int] = {}
 
     def handle(self, now_us: int, events: list[Event]) -> list[Action]:
         self.now, self.actions, self.turn_calls = now_us, [], {}
@@ -276,9 +277,8 @@
                 self._reported(event)
             elif isinstance(event, Listed):
                 self._listed(event)
-            elif isinstance(event, Dropped):
-                if event.id in self.held:
-                    self._forget(self.held[event.id])
+            elif isinstance(event, Dropped) and event.id in self.held:
+                self._forget(self.held[event.id])
             elif isinstance(event, Timer) and event.token == TIMER_ASK:
                 self.actions.append(Subscribe())
             elif isinstance(event, Known):
@@ -370,8 +370,10 @@
             self.actions.append(Fail(event.id))
             return
         self.seq += 1
-        message = Held(event.id, cls, event.destination, event.due_us, self.seq,
+        most = self.set.attempts.get(event.destination, self.set.max_attempts)
+        message = Held(event.id, cls, event.destination, event.due_us, self.seq, most,
                        event.key if cls.in_order else None, attempts=event.attempts)
+        self.targets[cls.name], self.keeps[cls.name] = int(cls.deadline_us * (1 - MARGIN)), self._keeps(cls)
         if event.ran_us is not None:
             message.ran_at = max(0, event.ran_us)
             message.ran_zone = event.ran_zone if cls.key_scope_zone else ""
@@ -408,7 +410,7 @@
         return False
 
     def _envelope(self, route: Route, name: str) -> Envelope:
-        return route.envelopes.setdefault(name, Envelope(self.wide[name]))
+        return route.envelopes.setdefault(name, Envelope(self.wide.setdefault(name, Envelope())))
 
     def _bound(self, destination: Destination, message: Held) -> float:
         """None may hold more than is left free: a hanging one fills all room; a burst is refused early too.
@@ -641,7 +643,7 @@
     def _timeout(self, message: Held, envelope: Envelope) -> int:
         """Only what may be sent again is cut short; each further attempt is given twice the time."""
         left = message.due - self.now
-        if message.cls.effect is Effect.UNSAFE or message.attempts + 1 >= self._most_attempts(message):
+        if message.cls.effect is Effect.UNSAFE or message.attempts + 1 >= message.most:
             return left
         wait = self._expected(envelope, message.cls) << min(message.attempts, 4)
         if message.cls.effect is Effect.KEYED:
@@ -843,12 +845,9 @@
 
     def _spent(self, message: Held) -> bool:
         """No further attempt is allowed; before a restart it may have run too."""
-        return (message.attempts >= self._most_attempts(message)
+        return (message.attempts >= message.most
                 or (message.ran_at >= 0 and message.cls.effect is Effect.UNSAFE))
 
-    def _most_attempts(self, message: Held) -> int:
-        return self.set.attempts.get(message.destination, self.set.max_attempts)
-
     # -- final answers
 
     def _give_up(self, message: Held) -> None:
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -167,6 +167,8 @@
        (settings_without("grades"), "settings: grades is missing"), (EXAMPLE | {"listen": "here"}, "listen must be"),
        (EXAMPLE | {"seed": "xyz"}, "seed must be"), (EXAMPLE | {"limits": {"disk_mb": -1}}, "limits.disk_mb must be"),
        (EXAMPLE | {"known": {"seq": 1, "hosts": [{"host": "x"}]}}, "list of endpoints"),
+       (EXAMPLE | {"settings": EXAMPLE["settings"] | {"grades": []}}, "grades names no class"),
+       (EXAMPLE | {"admin": "there"}, "admin must be"),
        (EXAMPLE | {"listen": "192.0.2.1:80"}, "assign"), (EXAMPLE | {"discovery": 7}, "discovery must be")]
 
 
