An endpoint back from maintenance is met as cold: a few calls first

It has been restarted while it was out. All that had waited for it went there at once (8 calls in the test). The host now tells the module of two failures that others have seen (the words that control has for other proxies' calls), so the endpoint gets its budget and the ramp; where its neighbours served within 2 s the partner as a whole is asked once and goes on.

--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -27,6 +27,7 @@
 FULL_US = SECOND                # when to come back, told by a sender that has no room
 CLOSING_US = SECOND // 2        # and by one that is about to end: others will be there
 DRAIN_MARGIN_US = 200 * MS      # a call whose first byte would go out later than the grace less this does not begin
+COLD_SEEN_US = 2 * SECOND       # an endpoint that is put back counts as seen down so long before
 LINGER_US = SECOND              # after SIGTERM new connections still come for a while
 LAST_CALL_US = 2600 * MS        # then with no pass out there is nothing left to wait for
 CLOSED_US = 3000 * MS           # no pass is to be out any more
@@ -122,11 +123,20 @@
                     self._farm.take_out({name})
                 elif name in self._duty.out:
                     self._farm.put_back(name)
+                    self._cold(name)
             case "drain" | "resume":
                 self.front.drain(verb == "drain")
         self._duty.done(what)
         return status
 
+    def _cold(self, name: str) -> None:
+        """Back from maintenance it has been restarted: to be met as after an outage that others have seen, with a few
+        calls and then more. Where its neighbours have served meanwhile, the partner as a whole was not down."""
+        if self._farm.names(name):
+            now = self._scheduler.now()
+            for sent in (now - COLD_SEEN_US, now + 2 * self._set.tick_us):  # the second after the first is told
+                self._gather(i.Reported(name, sent, i.Outcome.CONNECT_FAILED))
+
     # -- for fronts
 
     def offer(self, transaction: Transaction) -> None:
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,8 +1,9 @@
 """The operators' address: maintenance of endpoints, the drain, and callers that keep it busy."""
+import select
 import socket
 
 import pytest
-from nethelp import MS, S, chunk, closed, listed, read, roll
+from nethelp import MS, Peer, S, chunk, closed, listed, read, roll
 from test_host import Firm
 
 from scalefall.net import http
@@ -60,6 +61,58 @@
     play(firm, steps)
 
 
+@pytest.mark.parametrize("neighbour", [False, True])
+def test_what_comes_back_is_cold_and_gets_a_few_calls_first(tmp_path, neighbour):
+    """It has been restarted while it was out; without this it met all that had waited for it at once."""
+    firm = Firm(tmp_path, admin=("127.0.0.1", 0))
+    other = Peer(firm.world) if neighbour else None
+
+    def serve(peer):
+        sock = peer.accept()
+        peer.read(sock)
+        sock.send(http.answer(200, [], keep=False))
+
+    def steps():
+        if neighbour:
+            firm.send(firm.watch, chunk(roll(2, listed("e", firm.endpoint.address), listed("f", other.address))))
+            firm.world.until(lambda: firm.host._farm.seq == 2)
+        assert call(firm, "PUT", "/endpoints/e/maint") == 200
+        if neighbour:
+            firm.taken("n")
+            serve(other)
+        else:
+            firm.taken(*(f"m{n}" for n in range(8)))
+        firm.world.sleep(3 * S)
+        if neighbour:
+            firm.taken("o")
+            serve(other)
+        assert call(firm, "PUT", "/endpoints/e/ready") == 200
+        began = firm.world.now()
+        if neighbour:       # it serves on, and takes nearly all
+            firm.taken(*(f"m{n}" for n in range(8)))
+            for _ in range(6):
+                serve(other)
+            assert firm.world.now() - began < 3 * S and accepted(firm.endpoint) <= 2
+        else:               # one first, and then more
+            firm.world.sleep(300 * MS)
+            early = accepted(firm.endpoint)
+            assert early <= 1
+            for sock in firm.endpoint.waiting if early else ():
+                sock.send(http.answer(200, [], keep=False))
+            for _ in range(2):
+                serve(firm.endpoint)
+    play(firm, steps)
+
+
+def accepted(peer):
+    """How many connections wait there."""
+    number = 0
+    while select.select([peer.listener], [], [], 0)[0]:
+        peer.waiting = [*getattr(peer, "waiting", []), peer.listener.accept()[0]]
+        number += 1
+    return number
+
+
 def test_what_has_gone_while_it_was_out_does_not_come_back(firm):
     def steps():
         assert call(firm, "PUT", "/endpoints/e/maint") == 200
