End messages earlier where this sender's turns are late, up to a tenth of their time

An end takes a turn, a notice and its answer; each comes late by as much as the process does.

Cause: what is kept back of a message's time knew only what had lain unread (net/front.py, read_transaction). Now the scheduler tells by how much its timers have been late of late (falling by a tenth of the time that passes), and three times that is kept back as well, at most a tenth of the time. Where turns are on time nothing changes.

--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -28,6 +28,7 @@
 LINES, LINES_US = 10, 10 * SECOND   # rejected requests that are logged one by one, in each such span
 UNREAD_US = 400_000             # a request may lie unread for as long as its client waits for the answer, while its
 UNREAD_PART = 20                # time runs: so much is kept back, or this part, or what it may be seen to have waited
+LAG_STEPS, LAG_PART = 3, 10     # an end takes a turn, a notice and its answer: each may be late by as much as turns are
 UNITS = {"m": 1000, "u": 1}
 DEADLINE = re.compile(r"(\d{1,12})(?:\.(\d{1,6})\d*)?([mu])\Z")
 ROUTE = re.compile(r"(?:^|[,;\s])dest=(\d{1,9})(?:[,;\s]|\Z)")
@@ -62,9 +63,9 @@
 
 
 def read_transaction(reader: http.RequestReader, classes: dict[str, MessageClass], began: int,
-                     unread: int = 0) -> Transaction:
+                     unread: int = 0, lag: int = 0) -> Transaction:
     """The request as a transaction; Malformed says what it lacks, and with which status. Its first byte was read at
-    began and may have come so much earlier as unread says, in microseconds."""
+    began and may have come so much earlier as unread says, and turns are late by lag, in microseconds."""
     path = re.sub(r"\Ahttp://[^/?]*", "", reader.target).partition("?")[0]
     name = unquote(path).split("/")[1] if path.startswith("/") else ""
     cls = classes.get(name)
@@ -84,7 +85,7 @@
     if len(route) != 1:
         raise http.Malformed(400, "X-Route-To does not name one dest")
     left = min(int(float(f"{deadline[1]}.{deadline[2] or 0}") * UNITS[deadline[3]]), cls.deadline_us)
-    left -= min(UNREAD_US, max(unread, left // UNREAD_PART))
+    left -= min(UNREAD_US, max(unread, left // UNREAD_PART)) + min(left // LAG_PART, LAG_STEPS * lag)
     return Transaction(ident, name, int(route[0]), began + left, key, bytes(reader.body))
 
 
@@ -245,7 +246,7 @@
             ready = 503 if self.leaving else 200
             self._answer(agent, http.answer(ready if reader.method in ("GET", "HEAD") else 405, [], keep=keep))
         else:
-            transaction = read_transaction(reader, self._classes, began, began - agent.quiet_at)
+            transaction = read_transaction(reader, self._classes, began, began - agent.quiet_at, self._scheduler.lag)
             agent.served += 1
             self._hand_in(agent, transaction)
             keep = reader.keep and not self.leaving and not self._crowded
--- a/scalefall/net/scheduler.py
+++ b/scalefall/net/scheduler.py
@@ -18,6 +18,8 @@
 
 READ, WRITE = select.POLLIN, select.POLLOUT
 THREAD_DONE = 255               # a byte to the waker that is no signal's number
+LAG_LEAST_US = 10_000           # what is late by less is not counted
+LAG_FALLS = 10                  # what was late falls by a tenth of the time that passes
 LOOK_US = 1000                  # a look that took less found what it found at once: it had come since the look before
 MOST_IDLE_TIMERS = 256          # that were called off and still have a place in the order
 READY, TIME_UP = "ready", "time up"     # why a pause ended, where nobody woke it with a value
@@ -52,6 +54,7 @@
         self._ready: deque[tuple[Task, Any]] = deque()
         self._timers: list[tuple[int, int, Timer]] = []
         self._order, self._running, self._idle_timers = count(), False, 0
+        self._late, self._late_at = 0, 0
         self.looks = 0              # how often the sockets have been looked at
         self.quiet_at = self._polled_at = 0     # what is found ready now had not come before this; the last look
         self._woken, self._waker = socket.socketpair()
@@ -69,6 +72,12 @@
         """Microseconds since the epoch."""
         return time.time_ns() // 1000
 
+    @property
+    def lag(self) -> int:
+        """By how much what was to happen has been late of late, in microseconds: turns that took long, or a processor
+        that others have."""
+        return max(0, self._late - (self.now() - self._late_at) // LAG_FALLS)
+
     def spawn(self, function: Callable[..., object], *args: Any) -> Task:
         task = Task(self._guarded, self._loop)
         self._ready.append((task, (function, args)))
@@ -200,6 +209,10 @@
                 self.wake(self._waits[fd], READY)
         self._run_ready()
         now = self.now()
+        if self._timers and now - self._timers[0][0] > LAG_LEAST_US and self._timers[0][2].function is not None:
+            late = now - self._timers[0][0]
+            if late > self.lag:
+                self._late, self._late_at = late, now
         while self._timers and self._timers[0][0] <= now and self._running:
             timer = heapq.heappop(self._timers)[2]
             function, timer.function = timer.function, None
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -80,6 +80,28 @@
     desk.world.play(play)
 
 
+def test_where_turns_are_late_messages_end_so_much_earlier():
+    """With no more than a small share of a core, the turn, the notice and its answer each come late."""
+    desk = Desk(verdict=Taken())
+
+    def play():
+        sock, world = desk.dial(), desk.world
+        for late, left in ((0, 6650), (150 * MS, 6650 - 450), (0, 6650 - 450), (2 * S, 6600 - 700)):
+            world.call_at(world.now() + MS, lambda: None)
+            world.clock += MS + late        # others have the processor
+            world.sleep(0)
+            desk.ask(sock, X_Deadline="7000m")
+            desk.answer(sock)
+            assert abs(desk.offered[-1].due - world.now() - left * MS) < 4 * MS
+        for _ in range(40):
+            world.sleep(S)
+        sock = desk.dial()
+        desk.ask(sock, X_Deadline="7000m")
+        desk.answer(sock)
+        assert abs(desk.offered[-1].due - world.now() - 6650 * MS) < 4 * MS
+    desk.world.play(play)
+
+
 @pytest.mark.parametrize("verdict, status, after", [
     (UnavailableAnswer(250_000), 429, "0.250"), (UnavailableAnswer(1, True), 503, "0.001"), (Failed(), 500, None)])
 def test_final_answers_say_when_to_come_back(verdict, status, after):
