--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -117,18 +117,9 @@
         self._quiet_at = 0          # what waits in the listener's queue had not come before this
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(address)
-            listener.listen(BACKLOG)
-            listener.setblocking(False)
-        except OSError:
-            listener.close()
-            raise
-        self._listener = listener
+        self._listener = streams.listen(address, BACKLOG)
         self._accepting = self._scheduler.spawn(self._accept)
-        return listener.getsockname()
+        return self._listener.getsockname()
 
     def close_idle(self) -> None:
         """The process ends soon: answer on, but each connection no further than its present request."""
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -67,9 +67,8 @@
         self._rules, self._reloading, self._reload_again = None, False, False
         reports = config.discovery or config.reports
         if config.fleet is None:
-            longest = max((cls.deadline_us for cls in settings.classes.values()), default=0)
             self._farm = Farm(scheduler, config.discovery, config.known, self._listed, not settings.ask,
-                              config.memory_bytes // LIST_PART, config.seed, 2 * longest)
+                              config.memory_bytes // LIST_PART, config.seed, _listed_for(settings))
         else:
             self._farm = Roster(scheduler, config.known, self._listed, settings.drain_grace_us)
             self._follow(config.fleet)
@@ -482,7 +481,7 @@
         old.clear()         # the front and the module have the same table
         old.update(now)
         self._set.max_attempts = new.max_attempts
-        self._farm.keep_for(2 * max((cls.deadline_us for cls in old.values()), default=0))
+        self._farm.keep_for(_listed_for(self._set))
 
     def _reload_fleet(self, read_again: Callable[[], Config]) -> None:
         try:
@@ -539,6 +538,11 @@
         return since >= LINGER_US and rest and not self._passes.out and not self.front.answering
 
 
+def _listed_for(settings: i.Settings) -> int:
+    """For how long an endpoint that went has to be known: twice as long as any message may take."""
+    return 2 * max((cls.deadline_us for cls in settings.classes.values()), default=0)
+
+
 def run(config: Config, read_again: Callable[[], Config] | None = None) -> None:
     """Serve until SIGTERM or SIGINT has been heeded. SIGHUP reads the configuration again, where that is given."""
     scheduler = Scheduler()
--- a/scalefall/net/notices.py
+++ b/scalefall/net/notices.py
@@ -9,7 +9,7 @@
 import json
 import socket
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
 from scalefall.net import http, streams
@@ -57,7 +57,6 @@
     """One POST that is out."""
     names: list[str]
     alone: bool                 # no other was out when it began
-    task: Task | None = field(default=None, repr=False)
 
 
 class Notices:
@@ -100,7 +99,7 @@
             if len(self._tries) < MOST_TRIES:
                 one = Try(self._first(), not self._tries)
                 self._tries[one] = None
-                one.task = self._scheduler.spawn(self._carry, one)
+                self._scheduler.spawn(self._carry, one)
             ended = self._scheduler.sleep(STEP_US)
             if ended is False:      # refused or broken: at once again would only be refused again
                 pause, self._pause = self._pause, min(MOST_PAUSE_US, 2 * self._pause)
--- a/scalefall/net/operators.py
+++ b/scalefall/net/operators.py
@@ -13,15 +13,16 @@
 
 from scalefall.net import http, streams
 from scalefall.net.checks import log
+from scalefall.net.journal import BLOCK
 from scalefall.net.scheduler import READ, READY, Scheduler, Task
 
 SECOND = 1_000_000
 READ_US = 2 * SECOND            # from a connection's begin to its call's last byte
 WRITE_US = SECOND
+BACKLOG = 64                    # in the listener's queue
 MOST_CALLERS = 16               # at a time; the one that has been there longest with no call gives way
 MOST_BODY = 4096                # calls need none
 OUT_PART, LEAST_ROOM = 32, 8 * 1024     # of the folder's limit, for the names of what is out and the file's next copy
-BLOCK = 512                     # files are counted in whole blocks of this size
 
 
 class Duty:
@@ -104,22 +105,13 @@
 
     def __init__(self, scheduler: Scheduler, decide: Callable[[str, str], int]) -> None:
         self._scheduler, self._decide = scheduler, decide
-        self._callers: dict[Task, socket.socket] = {}   # that have not sent a whole call yet, the first one in front
+        self._callers: dict[socket.socket, Task] = {}   # that have not sent a whole call yet, the first one in front
         self._listener: socket.socket | None = None
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
-        listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            listener.bind(address)
-            listener.listen(64)
-            listener.setblocking(False)
-        except OSError:
-            listener.close()
-            raise
-        self._listener = listener
+        self._listener = streams.listen(address, BACKLOG)
         self._accepting = self._scheduler.spawn(self._accept)
-        return listener.getsockname()
+        return self._listener.getsockname()
 
     def close(self) -> None:
         if self._listener is not None:
@@ -141,12 +133,11 @@
                 continue
             sock.setblocking(False)
             if len(self._callers) >= MOST_CALLERS:
-                self._scheduler.wake(next(iter(self._callers)), streams.Interrupted("others call"))
-            self._callers[self._scheduler.spawn(self._serve, sock)] = sock
+                self._scheduler.wake(next(iter(self._callers.values())), streams.Interrupted("others call"))
+            self._callers[sock] = self._scheduler.spawn(self._serve, sock)
 
     def _serve(self, sock: socket.socket) -> None:
-        reader, me = http.RequestReader(MOST_BODY), next(task for task, own in self._callers.items() if own is sock)
-        until = self._scheduler.now() + READ_US
+        reader, until = http.RequestReader(MOST_BODY), self._scheduler.now() + READ_US
         try:
             try:
                 while not reader.complete:
@@ -154,7 +145,7 @@
                     if not data:
                         return
                     reader.feed(data)
-                del self._callers[me]
+                del self._callers[sock]
                 status, text = self._decide(reader.method, reader.target), ""
                 log.info("operators: %s %.200s: %d", reader.method, reader.target, status)
             except http.Malformed as error:
@@ -166,5 +157,5 @@
         except OSError:
             pass
         finally:
-            self._callers.pop(me, None)
+            self._callers.pop(sock, None)
             sock.close()
--- a/scalefall/net/paces.py
+++ b/scalefall/net/paces.py
@@ -11,11 +11,11 @@
 
 from scalefall.interface import Known
 from scalefall.net.checks import log
+from scalefall.net.journal import BLOCK
 
 LEAST_BYTES, PART = 32 * 1024, 16   # of the folder's limit, for the file and the copy that takes its place
 MOST_BYTES = 4 * 1024 * 1024
 ROW = 64                        # bytes that a row takes at most, but for long names
-BLOCK = 512                     # files are counted in whole blocks of this size
 SLICE = 128                     # rows written in one turn
 FRESH_US = 60_000_000           # what is older tells nothing of now
 
@@ -31,7 +31,7 @@
     if len(rows) * ROW > most // 2:
         rows = sorted(rows, key=lambda row: -row.part)
     for number, row in enumerate(rows, 1):
-        lines.append(f"[{row.destination},{json.dumps(row.route)},{row.part:.3f},{row.limit:.3f}]")
+        lines.append(json.dumps(put(row)))
         if number % SLICE == 0:
             rest()
         size += len(lines[-1]) + 1
--- a/scalefall/net/rolls.py
+++ b/scalefall/net/rolls.py
@@ -109,9 +109,9 @@
 
 def _read_entry(row: Any) -> Entry:
     host, port = row["dial"].rsplit(":", 1)
-    if max(len(row["host"]), len(host), len(str(row["site"])), len(str(row["class"]))) > MOST_NAME:
-        raise ValueError(f"list of endpoints: a name of {row['host'][:20]!r} is too long")
     if not isinstance(row["host"], str) or not isinstance(row["block"], int) or row["health"] not in STATES:
         raise ValueError(f"list of endpoints: {row['host']!r} has a wrong value")
+    if max(len(row["host"]), len(host), len(str(row["site"])), len(str(row["class"]))) > MOST_NAME:
+        raise ValueError(f"list of endpoints: a name of {row['host'][:20]!r} is too long")
     return Entry(i.Endpoint(row["host"], str(row["site"]), str(row["class"]), row["block"], STATES[row["health"]],
                             float(row.get("share") or 0)), (host, int(port)))
--- a/scalefall/net/streams.py
+++ b/scalefall/net/streams.py
@@ -45,6 +45,19 @@
     return sock
 
 
+def listen(address: tuple[str, int], backlog: int) -> socket.socket:
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(backlog)
+        listener.setblocking(False)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 def send(scheduler: Scheduler, sock: socket.socket, data: bytes, until: int) -> None:
     """Returns once the last byte has been written."""
     rest = memoryview(data)
