A process held up past a message's time lets the module end it first

The process had had no processor for over 50 ms at the message's time.

Cause: host._overdue (50 ms past the time) and the module's timer come due in one look of the loop. The module's timer only plans a turn for the next tick; _overdue runs at once and fails what the module would have returned, so its client does not come again, and counts an invariant as broken. Now what has been gathered has its turn first. The test steps the clock over both timers; without the line: "open past their time, and failed: m".

--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -300,7 +300,9 @@
             self._due_timer = self._scheduler.call_at(due + OVERDUE_US, self._overdue)
 
     def _overdue(self) -> None:
-        """What is open past its time has failed, whatever became of it in the module."""
+        """What is open past its time has failed, whatever became of it in the module. Where the process was held up for
+        so long, the module's own timer came due in the same look, and its turn goes first."""
+        self._turn()
         now, late, self._due_timer = self._scheduler.now(), [], None
         while self._due and (self._due[0][0] + OVERDUE_US <= now or self._due[0][1] not in self._open):
             transaction = self._open.get(heapq.heappop(self._due)[1])
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -348,6 +348,19 @@
     play(firm, steps)
 
 
+@pytest.mark.parametrize("held_up", [False, True])
+def test_a_process_that_was_held_up_past_a_messages_time_ends_it_as_the_module_says(firm, held_up):
+    """The module's timer and the host's own came due in one look, and the host's failed what may come again."""
+    def steps():
+        firm.watch.send(chunk(roll(2, listed("e", firm.endpoint.address, health="terminating"), whole=False)))
+        firm.world.until(lambda: firm.host._farm.seq == 2)
+        firm.taken("m", deadline="4000m")
+        if held_up:
+            firm.world.clock += 10 * S
+        assert [notice["state"] for notice in firm.notices()] == ["returned"]
+    play(firm, steps)
+
+
 def test_a_send_to_an_endpoint_that_no_list_has_costs_that_attempt_and_not_the_turn(firm, monkeypatch):
     counted, handle, outcomes = [], firm.host._module.handle, []
     monkeypatch.setattr(module, "holds", lambda condition, name: bool(condition) or counted.append(name))
