What a restart finds taken on is tried: it is not turned away for want of room

Cause: Sender._arrive turns away what comes when a destination holds more than _bound says. Where lists are pushed, the first turn of a process knows no route yet, so nothing is admitted and each destination kept four; with a list, what waits for one destination was cut at half of the room. That is right for a message that has just come, and wrong for one that is owed: it is given up with no call, and in a class keyed by zone a refusal lets its client repeat what may have run. The host now says which messages are restored, and these wait as they did before the restart.

The new tests fail without the line in _arrive, ten of ten.

--- a/scalefall/interface.py
+++ b/scalefall/interface.py
@@ -124,6 +124,7 @@
     attempts: int = 0
     ran_us: int | None = None       # may lie before the start
     ran_zone: str = ""
+    restored: bool = False          # taken on before a restart: never turned away for want of room
 
 
 @dataclass(slots=True)
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -453,7 +453,8 @@
                                               cls=self._set.classes.get(owed.class_name))
             self._owe(self._open[owed.id])
             self._gather(i.Message(owed.id, owed.destination, owed.class_name, owed.due_wall - self._wall, None, None,
-                                   owed.attempts, owed.ran_wall - self._wall if owed.ran_wall else None, owed.ran_zone))
+                                   owed.attempts, owed.ran_wall - self._wall if owed.ran_wall else None, owed.ran_zone,
+                                   restored=True))
         if self._journal.owed:
             log.info("restored: %d open, %d with a notice to deliver", restored, len(self._journal.owed) - restored)
 
--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -387,7 +387,7 @@
             return
         self._watch(message)
         self._admit(message)
-        if len(destination.waiting) > self._bound(destination, message):
+        if not event.restored and len(destination.waiting) > self._bound(destination, message):
             self._refuse(message)
 
     def _admit(self, message: Held) -> bool:
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -12,6 +12,7 @@
 from scalefall.net.config import Config
 from scalefall.net.farm import read_roll
 from scalefall.net.host import Host
+from scalefall.net.journal import Owed
 
 
 class Firm:
@@ -90,6 +91,11 @@
         return sorted(self.host._journal.owed)
 
 
+def owed(firm, name, cls):
+    """A record as of a message that was just taken on."""
+    return Owed(name, cls, 7, firm.world.wall() + 8 * S, "k" if cls in ("keyed", "zoned") else None, b"body")
+
+
 @pytest.fixture
 def firm(tmp_path):
     return Firm(tmp_path)
@@ -249,6 +255,41 @@
     play(firm, again)
 
 
+@pytest.mark.parametrize("cls, ran", [("safe", False), ("keyed", False), ("zoned", False), ("unsafe", False),
+                                      ("zoned", True)])
+@pytest.mark.parametrize("ask", [True, False])
+def test_all_that_a_restart_finds_and_may_be_sent_has_its_call(tmp_path, cls, ran, ask):
+    """Before a pushed list had come the module knew no route: it kept four a destination and refused the others, also
+    such as may have run in a zone, whose clients come again where nobody knows the repeat."""
+    firm = Firm(tmp_path, ask=ask, max_held=24, slots=30)
+    names = [f"m{number}" for number in range(24)]
+
+    def gone(health):
+        firm.watch.send(chunk(roll(2, listed("e", firm.endpoint.address, health=health))))
+
+    def steps():
+        gone("terminating")     # so nothing goes out before the death
+        firm.world.until(lambda: firm.host._farm.seq == 2)
+        for name in names:
+            firm.host._journal.take_on(owed(firm, name, cls))
+            if ran:
+                firm.host._journal.pass_begun([name], firm.world.wall(), "a")
+        firm.die()
+    play(firm, steps)
+    firm.start()
+
+    def again():
+        firm.world.sleep(S)     # a list that is pushed may take its time
+        gone("in_service")
+        while firm.owed():
+            sock, request = firm.call()
+            names.remove(request.fields["x-request-id"])
+            sock.send(http.answer(200, []))
+            firm.world.sleep(MS)
+        assert not names and not firm.posts
+    play(firm, again)
+
+
 def test_notices_that_were_not_delivered_go_out_after_a_death(firm):
     def steps():
         firm.taken("f", cls="unsafe", deadline="2000m")
