A watch that says no whole word is silent, and a discovery that counts anew is asked for all

- Farm._follow moved its time on with any byte of the body, so half a line, white space within an object or a drip that never ends one kept a mute watch for good.
Only a whole object, or a beat between two, is a word now.
A long list that keeps coming has 3 s more for each 64 KiB of it.
- A watch that was answered and never said its first word counted as a call that failed: the module asked again after up to 9 s, and what it missed counts as told after 6 s.
It is opened anew within 2 s like any that fell silent.
- A watch whose first object is an older change showed a discovery that had restarted; its changes were passed over until they reached the number known before.
The whole list is asked for at once.

--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -18,6 +18,7 @@
 FIRST_US = 3 * SECOND           # and a watch that has not answered after this
 BEAT_US = 2 * SECOND            # discovery sends a line at least so often
 SILENT_US = 3 * SECOND          # a watch with no line for this long is broken: told counts from 6 s on
+BULK = 64 * 1024                # of an object that is still coming, for each of which it may take so long again
 MOVING_US, MOVING_STEP_US = 3 * SECOND, SECOND // 10    # after a move it is asked again at once for so long
 FORGET_US = 60 * SECOND         # an endpoint gone for so long is forgotten, or for as long as any message may take
 MOST_LIST = 1024 * 1024         # bytes of one object of the list, where the settings' memory allows no more
@@ -207,17 +208,17 @@
         return "ended"
 
     def _follow(self, sock: socket.socket, address: tuple[str, int]) -> None:
-        begun = self._scheduler.now()
         streams.send(self._scheduler, sock, http.request(
             "GET", f"/v1/servers?stream=1&index={self.seq}", "discovery", []), self._scheduler.now() + DIAL_US)
-        reader, objects, until = http.AnswerReader(self._most), Objects(self._most), self._scheduler.now() + FIRST_US
+        reader, objects, first = http.AnswerReader(self._most), Objects(self._most), True
+        said_at, most, coming = self._scheduler.now(), FIRST_US, 0
         while not reader.complete:
             if address != self._discovery:      # moved while this task was not paused, so nothing woke it
                 raise OSError("discovery has moved")
             try:
-                data = streams.receive(self._scheduler, sock, until)
+                data = streams.receive(self._scheduler, sock, said_at + most * (1 + coming // BULK))
             except streams.TimeUp:
-                self._silent = self._heard_at >= begun
+                self._silent = reader.head_done     # what it would have told counts as told soon, heard or not
                 raise
             if not data:
                 raise OSError("discovery closed it")
@@ -226,7 +227,7 @@
                 continue
             if reader.status != 200:
                 raise OSError(f"discovery answered {reader.status}")
-            data = reader.take()
+            data, between = reader.take(), objects.between
             tables = objects.feed(data)
             for table in tables:
                 if len(data) >= PIECE:
@@ -234,15 +235,19 @@
                 roll = read_roll(table, strict=False)
                 if len(roll.entries) >= MANY:
                     self._scheduler.sleep(0)
+                if first and not roll.whole and roll.seq < self.seq:
+                    self.seq, self._silent = 0, True
+                    raise OSError("discovery counts its versions anew")
+                first = False
                 self._learn(roll)
-            if tables or data and data.isspace():
+            coming += len(data)
+            if tables or data and between and data.isspace():    # a part of an object is no word: it may drip for good
                 self._introduce()
                 if self._failed:        # an ask that was heard, whether or not anything is new
                     self._failed = False
                     self._tell(i.Listed(i.ListKind.CHANGES, []))
-                self._heard_at = self._scheduler.now()
-            if data:
-                until = self._scheduler.now() + SILENT_US
+                said_at, most, coming = self._scheduler.now(), SILENT_US, 0
+                self._heard_at = said_at
             if len(data) >= PIECE:
                 self._scheduler.sleep(0)
 
--- a/scalefall/net/rolls.py
+++ b/scalefall/net/rolls.py
@@ -44,6 +44,11 @@
         self._most, self._text = most, bytearray()
         self._scanned = self._depth = 0
 
+    @property
+    def between(self) -> bool:
+        """Whether no part of an object has come yet that is not whole."""
+        return not self._text
+
     def feed(self, data: bytes) -> list[Any]:
         """The objects that are whole by now, parsed; ValueError or RecursionError where it is none."""
         self._text += data
--- a/tests/nethelp.py
+++ b/tests/nethelp.py
@@ -112,6 +112,15 @@
     sock.close()
 
 
+def woken(world):
+    """Go on in the very look at the sockets that is on: what is done next comes after it, and before the timers that
+    have come due."""
+    one, other = socket.socketpair()
+    with one, other:
+        one.send(b"x")
+        assert world.pause(None, other, READ) is READY
+
+
 def listed(name, address, block=7, health="in_service", kind="one"):
     return {"host": name, "dial": "%s:%d" % address, "site": "a", "class": kind, "block": block, "health": health,
             "share": 1.0, "born_ms": 0}
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -3,7 +3,7 @@
 import socket
 
 import pytest
-from nethelp import MS, STREAM, Peer, S, World, chunk, closed, listed, reset, roll
+from nethelp import MS, STREAM, Peer, S, World, chunk, closed, listed, reset, roll, woken
 
 from scalefall import interface as i
 from scalefall.net import http
@@ -43,10 +43,14 @@
     world.play(play)
 
 
-@pytest.mark.parametrize("said", [b"", STREAM, http.answer(503, []), b"junk\r\n", STREAM + b"2\r\n{\n\r\n",
-                                  STREAM + chunk({"seq": 1}), STREAM + chunk(roll(42, {"host": "x"})),
-                                  STREAM + b"0\r\n\r\n"])
-@pytest.mark.parametrize("end", [reset, socket.socket.close, None])
+MUTE = [STREAM, STREAM + b"2\r\n{\n\r\n"]     # answered, and then no whole word
+
+
+@pytest.mark.parametrize("said, end", [
+    *((said, end) for said in (b"", http.answer(503, []), b"junk\r\n", STREAM + chunk({"seq": 1}),
+                               STREAM + chunk(roll(42, {"host": "x"})), STREAM + b"0\r\n\r\n")
+      for end in (reset, socket.socket.close, None)),
+    *((said, end) for said in MUTE for end in (reset, socket.socket.close))])
 def test_a_watch_that_breaks_is_one_failure_and_can_be_asked_anew(said, end):
     """Silence counts too: discovery sends a line every 2 s, and a cut-off machine says nothing at all."""
     world = World()
@@ -68,6 +72,95 @@
     world.play(play)
 
 
+@pytest.mark.parametrize("said", MUTE)
+@pytest.mark.parametrize("drip", [None, b"1\r\n \r\n", b"2\r\n\r\n\r\n", b"9\r\n{\"seq\": 1\r\n"])
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_watch_that_never_says_a_whole_word_is_as_silent_as_one_that_says_nothing(said, drip, pushed):
+    """Its module asked again after up to 9 s, as after a call that failed; and parts of an object, or the white space
+    within one, kept it for good. What it would have told counts as told after 6 s."""
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world, pushed=pushed)
+        farm.start()
+        farm.subscribe()
+        sock = peer.accept()
+        peer.read(sock)
+        began = world.now()
+        sock.send(said)
+
+        def on():
+            try:
+                sock.send(b"1\r\n{\r\n" if said is STREAM and world.now() == began + MS else drip)
+                world.call_at(world.now() + S // 2, on)
+            except OSError:
+                pass        # it was given up
+        if drip:
+            world.call_at(began + MS, on)
+        again = peer.accept()
+        assert peer.read(again).target == "/v1/servers?stream=1&index=41"
+        assert world.now() - began < 5500 * MS and K.FAILED not in [t.kind for t in told]
+    world.play(play)
+
+
+def test_a_long_list_that_keeps_coming_is_no_silence():
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world)
+        farm.subscribe()
+        sock = peer.accept()
+        peer.read(sock)
+        data = STREAM + chunk(roll(42, *(listed(f"e{number}", HERE) for number in range(2000))))
+        for at in range(0, len(data), 48 * 1024):   # 6 s in all
+            sock.send(data[at:at + 48 * 1024])
+            world.sleep(S)
+        world.until(lambda: told)
+        assert [(t.kind, len(t.endpoints)) for t in told] == [(K.WHOLE, 2000)] and peer.accepted == 1
+    world.play(play)
+
+
+@pytest.mark.parametrize("pushed", [False, True])
+def test_a_discovery_that_counts_anew_is_asked_for_the_whole_list(pushed):
+    """Its changes were taken for old ones, and the list stayed as it was for good."""
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world, pushed=pushed)
+        farm.subscribe()
+        sock = peer.accept()
+        assert peer.read(sock).target == "/v1/servers?stream=1&index=41"
+        sock.send(STREAM + chunk(roll(3, listed("f", HERE), whole=False)))
+        began, again = world.now(), peer.accept()
+        assert peer.read(again).target == "/v1/servers?stream=1&index=0" and world.now() - began < 2500 * MS
+        again.send(STREAM + chunk(roll(3, listed("f", HERE))))
+        again.send(chunk(roll(2, listed("g", HERE), whole=False), roll(4, listed("h", HERE), whole=False)))
+        world.until(lambda: "h" in farm.entries)
+        assert farm.seq == 4 and "g" not in farm.entries and K.FAILED not in [t.kind for t in told]
+    world.play(play)
+
+
+def test_a_change_that_comes_in_the_turn_in_which_its_watch_is_given_up_comes_again():
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world)
+        farm.subscribe()
+        sock = peer.accept()
+        peer.read(sock)
+        sock.send(STREAM + chunk(None))
+        world.sleep(MS)
+        woken(world)
+        sock.send(chunk(roll(42, listed("f", HERE), whole=False)))      # unread when the time is up
+        world.clock += 4 * S
+        again = peer.accept()
+        assert peer.read(again).target == "/v1/servers?stream=1&index=41"
+        again.send(STREAM + chunk(roll(42, listed("f", HERE), whole=False)))
+        world.until(lambda: farm.seq == 42)
+        assert "f" in farm.entries
+    world.play(play)
+
+
 def indented(table):
     data = json.dumps(table, indent=2).encode() + b"\n"
     return b"".join(b"%x\r\n%s\r\n" % (len(line), line) for line in data.splitlines(True))
