Connections of clients end by half-close, and a request that has just come is answered first

- Front._drop closed whatever it ended at once: resting connections at SIGTERM, at a drain and after their time, and each connection after an answer with Connection: close.
With bytes unread that is a reset, and an answer that its client has not read yet goes with it.
Now all end as _reject did: the sending first, then what still comes is read and dropped for up to 0.5 s or 256 KiB, then the close.
Nothing that is read after the shutdown is offered.
- A request that had come to a resting connection and lay unread as it was ended (SIGTERM, drain, rest over in the same look, room wanted) was thrown away; it is answered, with Connection: close where the process leaves.
- Closing the listener reset who waited in its queue.
They are taken in and answered first: up to 3.27 s after SIGTERM.
- At the end of the process what is open is shut and read empty, so its last answer arrives.

--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -22,7 +22,7 @@
 SILENT_US = SECOND // 4         # a silent one is closed after this if half of the room is taken
 YOUNG_US = SECOND // 20         # and one whose request is not all there yet is not closed for room before this
 WAIT_US = SECOND // 200         # until room is looked for again
-LINGER_US = SECOND // 2         # after an early answer, what still comes is read and dropped for so long
+LINGER_US = SECOND // 2         # after the last answer, what still comes is read and dropped for so long
 MOST_LINGER = 256 * 1024        # and so much of it
 BACKLOG, ACCEPTS = 512, 32      # in the listener's queue; accepted in a row before others have their turn
 LINES, LINES_US = 10, 10 * SECOND   # rejected requests that are logged one by one, in each such span
@@ -38,7 +38,7 @@
 
 class State(IntEnum):
     """Of a user agent's connection; the first of these are closed first when room is wanted."""
-    LEAVING = 0     # it has had its last answer, and what still comes is dropped
+    LEAVING = 0     # nothing more is said to it, and what still comes is dropped
     SPARE = 1       # idle for so long that it may be closed (only as a rank)
     SILENT = 2      # nothing has come yet
     READING = 3     # part of a request has come
@@ -133,15 +133,32 @@
             self._drop_idle()
 
     def _drop_idle(self) -> None:
+        """A request that has come to one in this very moment is still answered."""
         for agent in [agent for agent in self._agents if agent.state is State.IDLE]:
-            self._drop(agent)
+            self._scheduler.wake(agent.task, streams.Interrupted("no longer wanted"))
 
     def stop_listening(self) -> None:
+        """Whoever waits in the listener's queue is taken in first: closing it would reset them."""
         if self._listener is not None:
             listener, self._listener = self._listener, None
             self._scheduler.wake(self._accepting, None)
+            try:
+                while len(self._agents) < self._most:
+                    self._welcome(listener.accept()[0])
+            except OSError:
+                pass
             listener.close()
 
+    def end(self) -> None:
+        """The process is over in a moment, and a socket that ends with bytes unread takes its last answer along."""
+        for agent in self._agents:
+            try:
+                agent.sock.shutdown(socket.SHUT_WR)
+            except OSError:
+                continue
+            while _receive_now(agent.sock):
+                pass
+
     @property
     def leaving(self) -> bool:
         return self.closing or self.draining
@@ -189,13 +206,16 @@
     def _make_room(self, most: State = State.IDLE) -> bool:
         """Close the connection that is missed least: those that keep asking go last, and none being answered."""
         now = self._scheduler.now()
-        found = min(self._agents, key=lambda agent: (self._rank(agent, now), agent.since), default=None)
-        rank = State.ASKING if found is None else self._rank(found, now)
-        if rank is State.YOUNG or rank > most or (most is State.SILENT and rank is most and
-                                                   now - found.since < SILENT_US):
-            return False
-        self._drop(found)
-        return True
+        while True:
+            found = min(self._agents, key=lambda agent: (self._rank(agent, now), agent.since), default=None)
+            rank = State.ASKING if found is None else self._rank(found, now)
+            if rank is State.YOUNG or rank > most or (most is State.SILENT and rank is most and
+                                                       now - found.since < SILENT_US):
+                return False
+            if found.state is not State.IDLE or not _pending(found.sock):
+                self._drop(found)
+                return True
+            found.turn(State.READING, now)      # a request has come to it in this very moment
 
     @staticmethod
     def _rank(agent: UserAgent, now: int) -> State:
@@ -218,6 +238,7 @@
         try:
             while agent in self._agents and self._one_request(agent):
                 agent.reader.again()
+            self._leave(agent)
         except http.Malformed as error:
             if agent in self._agents:
                 self._reject(agent, error)
@@ -274,7 +295,9 @@
             except streams.TimeUp:
                 if reader.begun:
                     raise http.Malformed(408, "the request took too long") from None
-                return began
+                data = _receive_now(agent.sock)     # it may have come in this very moment
+            except streams.Interrupted:
+                data = _receive_now(agent.sock) if agent in self._agents and not reader.begun else b""
             if not data:
                 return began
             if not reader.begun:
@@ -315,17 +338,27 @@
     def _reject(self, agent: UserAgent, error: http.Malformed) -> None:
         self._log(error)
         agent.turn(State.LEAVING, self._scheduler.now())
-        until, left = self._scheduler.now() + LINGER_US, MOST_LINGER
         fields = [("Allow", "POST")] if error.status == 405 else []
         try:
             self._answer(agent, http.answer(error.status, fields, f"{error}\n".encode(), keep=False))
+        except OSError:
+            return
+        self._leave(agent)
+
+    def _leave(self, agent: UserAgent) -> None:
+        """End our sending, read and drop what still comes, and only then close: closing with bytes unread resets the
+        connection, and an answer that its client has not read yet is lost with it. Nothing that is read from here on
+        is taken on: its client has been told, or sees with no answer that it has to come again."""
+        agent.turn(State.LEAVING, self._scheduler.now())
+        until, left = self._scheduler.now() + LINGER_US, MOST_LINGER
+        try:
             agent.sock.shutdown(socket.SHUT_WR)
             while left > 0 and self._scheduler.now() < until:
                 data = streams.receive(self._scheduler, agent.sock, until)
                 if not data:
                     break
-                left -= len(data)       # closing with bytes unread would reset the connection and lose the answer
-                self._scheduler.sleep(0)    # but who floods must not keep the others from their turn
+                left -= len(data)
+                self._scheduler.sleep(0)    # who floods must not keep the others from their turn
         except OSError:
             pass
 
@@ -343,6 +376,14 @@
             log.info("request rejected: %d %s", error.status, error)
 
 
+def _pending(sock: socket.socket) -> bool:
+    """Whether bytes have come that nobody has read."""
+    try:
+        return bool(sock.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
 def _receive_now(sock: socket.socket) -> bytes | None:
     """What has come; none at the end of the stream; None if nothing has come after all."""
     try:
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -32,6 +32,7 @@
 LAST_CALL_US = 2600 * MS        # then with no pass out there is nothing left to wait for
 CLOSED_US = 3000 * MS           # no pass is to be out any more
 END_US = 3200 * MS              # and the process ends, well before SIGKILL at 3.7 s
+ENDED_BY_US = 3270 * MS         # those who came last have their answers by then
 REPORT_US = 10 * SECOND
 PACES_US, PACE_US = SECOND, SECOND // 200   # what the module knows of paces is kept for the next process so often,
                                 # and no more than 200 of them a second
@@ -534,6 +535,10 @@
         if self._operators is not None:
             self._operators.close()
         self._scheduler.sleep(20 * MS)
+        while self.front.answering and self._scheduler.now() - self._closing_at < ENDED_BY_US:
+            self._scheduler.sleep(5 * MS)       # whoever was in the listener's queue
+        self.front.end()
+        self._scheduler.sleep(5 * MS)
         log.info("ended: %d left to the journal, %d passes out", len(self._open), self._passes.out)
         checks.report()
         paces.save(self._config.state, self._paces_room, self._module.known(), self._scheduler.wall())
