The laboratory's stand-ins take their classes from arguments, not from one customer

lab/world.py and lab/partner named the classes of one deployment, and the partner's log said "repeat" by these names. Partner and proxy take `--class NAME=never|freely|keyed:SECONDS` now, the world a plan's classes; without any they have three of no customer.

Seen on the way: with other classes at the two ends the test of the fall back hung for good, as Process.line and Logged.event gave each single line its time and other lines went on coming; both have one time for all of it now. In one of four plays on a loaded machine the audit had no unsafe effect to check (found["twice"].checked was 0): which class a message has is drawn, and how many come through before the cut depends on the machine. The test waits for one now before it cuts.

test_a_partner_counts_effects_by_the_classes_it_is_told_of fails on the code before (unknown argument).

--- a/example/control_demo.py
+++ b/example/control_demo.py
@@ -35,6 +35,10 @@
 """
 
 
+CLASSES = [word for name in ("fee-order=never", "event-notice=keyed:6", "status-update=freely")
+           for word in ("--class", name)]
+
+
 def start(*words, log=None, **more):
     return subprocess.Popen([sys.executable, "-u", "-m", *words], cwd=ROOT, text=True,
                             stdout=log or subprocess.PIPE, stdin=subprocess.PIPE, **more)
@@ -60,7 +64,7 @@
             children.append(start(*words, log=log, **more))
         return children[-1]
     try:
-        child("partner-a", "scalefall.lab.partner", "--limit", "30", "--away", "12-16", "--seed", str(seed))
+        child("partner-a", "scalefall.lab.partner", "--limit", "30", "--away", "12-16", "--seed", str(seed), *CLASSES)
         a = wait_for(folder / "partner-a.log", "listening")["port"]
         b = a       # two endpoints of one partner: a second address in front of it
         relay = start("scalefall.lab.link", f"127.0.0.1:{a}")
@@ -81,7 +85,8 @@
             children.append(links[-1])
             port = links[-1].stdout.readline().strip()
             child(f"proxy-{number}", "scalefall.lab.proxy", "--control", f"127.0.0.1:{port}", "--node",
-                  f"proxy-{number}", "--routes", "7", "--load", "8", "--seed", str(seed * 10 + number))
+                  f"proxy-{number}", "--routes", "7", "--load", "8", "--seed", str(seed * 10 + number),
+                  *CLASSES)
 
         def link(number, word):
             say(f"link of proxy-{number}: {word}")
--- a/scalefall/lab/partner/__main__.py
+++ b/scalefall/lab/partner/__main__.py
@@ -1,4 +1,5 @@
-"""A stand-in partner on a socket: `python -m scalefall.lab.partner --port P --limit N [--away FROM-TO]`.
+"""A stand-in partner on a socket: `python -m scalefall.lab.partner --port P --limit N [--away FROM-TO]
+[--class NAME=REPEAT]`.
 
 Times are seconds from its start. It logs JSON lines for the audit to standard output: took, effect, capacity, fell.
 """
@@ -11,9 +12,9 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
 from scalefall.interface import Outcome
+from scalefall.lab.classes import REPEAT, add_classes, classes_of
 from scalefall.lab.partner.model import SECOND, Partner, Shape
 
-REPEAT = {"fee-order": "never", "event-notice": "keyed", "status-update": "freely"}
 LOOK_S = 0.1
 
 
@@ -25,7 +26,9 @@
     parser.add_argument("--resets", type=float, default=0.0)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--name", default="partner")
+    add_classes(parser)
     options = parser.parse_args()
+    classes = classes_of(options)
     away = tuple((int(float(a) * SECOND), int(float(b) * SECOND)) for a, _, b in
                  (span.partition("-") for span in options.away))
     shape = Shape(options.limit, away=away, resets=options.resets)
@@ -54,7 +57,7 @@
                 if partner.fell > fell:
                     say("fell")
                 if partner.effects[name] > before:
-                    say("effect", id=name, repeat=REPEAT.get(cls, "never"))
+                    say("effect", id=name, repeat=REPEAT[classes[cls].effect] if cls in classes else "never")
             time.sleep(answer.after_us / SECOND)
             if answer.outcome in (Outcome.RESET, Outcome.CONNECT_FAILED):
                 self.close_connection = True
--- a/scalefall/lab/proxy/__main__.py
+++ b/scalefall/lab/proxy/__main__.py
@@ -25,8 +25,8 @@
 from scalefall import interface as i
 from scalefall.control.catalog import EDS
 from scalefall.control.edge import reports, resources, wire
+from scalefall.lab.classes import add_classes, classes_of
 from scalefall.lab.proxy.contract import ASK_US, SECOND, Contract, Fall, Refuse, Send, given_up, may_repeat
-from scalefall.lab.world import CLASSES
 from scalefall.net import http
 
 O = i.Outcome  # noqa: E741
@@ -43,6 +43,7 @@
     def __init__(self, options: argparse.Namespace) -> None:
         self._options, self._routes = options, options.routes
         self._random = random.Random(options.seed)
+        self._classes = list(classes_of(options).values())
         self._instance = secrets.token_hex(4)
         self._contract = Contract(options.routes, options.at_end)
         self._calls: dict[tuple[int, str], list] = defaultdict(list)    # by route and address, not reported yet
@@ -168,7 +169,7 @@
 
     async def _message(self) -> None:
         self._ids += 1
-        name, cls = f"{self._options.node}-{self._ids}", self._random.choice(list(CLASSES.values()))
+        name, cls = f"{self._options.node}-{self._ids}", self._random.choice(self._classes)
         route = self._random.choice(self._routes)
         self.say("taken", id=name)
         self._open += 1
@@ -254,6 +255,7 @@
     parser.add_argument("--sender", metavar="ADDRESS:PORT", help="a sender's front, for when the lease has ended")
     parser.add_argument("--at-end", choices=["fallback", "stop", "floor"], default="fallback")
     parser.add_argument("--seed", type=int, default=1)
+    add_classes(parser)
     asyncio.run(Proxy(parser.parse_args()).run())
 
 
--- a/scalefall/lab/world.py
+++ b/scalefall/lab/world.py
@@ -22,6 +22,7 @@
 from scalefall.control.members import Joined
 from scalefall.control.service import Builder, Service
 from scalefall.control.streams import Request, Response
+from scalefall.lab.classes import ANY, REPEAT
 from scalefall.lab.partner.model import Partner, Shape
 from scalefall.lab.proxy.contract import ASK_US, ATTEMPTS, Contract, Fall, Refuse, Send, given_up, may_repeat
 from scalefall.net.config import Fleet, RouteRules
@@ -32,12 +33,6 @@
 KEEPALIVE_US = 15 * SECOND          # until an end that hears nothing gives a link up
 REPORT_US = SECOND // 2
 LAST_S = 3                          # before the end no more messages come, so that each can have its answer
-CLASSES = {
-    "fee-order": i.MessageClass("fee-order", 3 * SECOND, 24 * SECOND, 3, 0.4, i.Effect.UNSAFE, False, 0, False),
-    "event-notice": i.MessageClass("event-notice", 3 * SECOND, 24 * SECOND, 1, 0.3, i.Effect.KEYED, False,
-                                   6 * SECOND, False),
-    "status-update": i.MessageClass("status-update", 3 * SECOND, 28 * SECOND, 1, 0.3, i.Effect.SAFE, False, 0, False)}
-REPEAT = {i.Effect.UNSAFE: "never", i.Effect.KEYED: "keyed", i.Effect.SAFE: "freely"}
 
 
 @dataclass(slots=True)
@@ -58,11 +53,12 @@
     at_end: str = "fallback"
     forget: bool = False                # a restart that forgets what the module knew, as a fault to be caught
     mistakes: frozenset[str] = frozenset()          # that the proxies make, to be caught: see _Proxy
+    classes: dict[str, i.MessageClass] = field(default_factory=lambda: ANY)
 
 
-def settings() -> i.Settings:
+def settings(classes: dict[str, i.MessageClass]) -> i.Settings:
     return i.Settings(
-        index=0, siblings=1, classes=CLASSES, tenants={}, over_share_worth=0.1, slots=10, per_call={"one": 1},
+        index=0, siblings=1, classes=classes, tenants={}, over_share_worth=0.1, slots=10, per_call={"one": 1},
         apart={"one": False}, zone_fee={"a": 0.0}, halving=False, max_attempts=6, max_held=100, cancelling=True,
         probes=False, retry_after=True, max_retry_after_us=2 * SECOND, idle_close_us=5 * SECOND,
         dial_timeout_us=SECOND, streams=1, ask=False, ask_within_us=10 * SECOND, weights="none",
@@ -156,7 +152,8 @@
     def __init__(self, world: World, number: int, kept: dict | None) -> None:
         self._world, plan = world, world.plan
         builder = Builder(lambda rows, routes: [], self._endpoints)
-        self.service = Service(world.now, settings(), 3, builder, plan.lease_us, plan.delay_us, plan.lease_us)
+        self.service = Service(world.now, settings(plan.classes), 3, builder, plan.lease_us, plan.delay_us,
+                               plan.lease_us)
         self.service.ledger.resume(number)
         self._planned = 0
         self.streams: dict[int, tuple[_Proxy, int]] = {}        # by stream: whose, and its link's generation
@@ -173,7 +170,7 @@
     def configure(self) -> None:
         entries = [Entry(i.Endpoint(name, "a", "one", ROUTE, status, 0.0), ("127.0.0.1", 1))
                    for name, status in self._world.states.items()]
-        rules = {ROUTE: RouteRules(frozenset(CLASSES), 6, 2 * SECOND)}
+        rules = {ROUTE: RouteRules(frozenset(self._world.plan.classes), 6, 2 * SECOND)}
         self._send(self.service.configure(Fleet(entries, rules), self._world.now))
         self.plan()
 
@@ -404,7 +401,7 @@
         if self._world.now > (self._world.plan.seconds - LAST_S) * SECOND:
             return
         self._ids += 1
-        cls = self._world.random.choice(list(CLASSES.values()))
+        cls = self._world.random.choice(list(self._world.plan.classes.values()))
         name = f"{self.name}-{self._ids}"
         self._world.log(self.name, "taken", id=name, proxy=self.name)
         self._try(name, cls, 0, -1)
--- a/tests/edge/edgehelp.py
+++ b/tests/edge/edgehelp.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import grpc
@@ -28,6 +29,8 @@
 pool p {{ kind one; {limit} {endpoints} }}
 route 7 {{ pool p; classes fee-order, event-notice, status-update }}
 """
+# the same classes for the stand-ins
+CLASSES = ("--class", "fee-order=never", "--class", "event-notice=keyed:6", "--class", "status-update=freely")
 TTL = "xds.config.supports-resource-ttl"
 
 
@@ -59,10 +62,12 @@
 
     def event(self, name, **fields):
         """The next line of an event with these fields."""
-        while True:
+        until = time.monotonic() + LONG
+        while time.monotonic() < until:
             row = json.loads(self.line(f'"event": "{name}"'))
             if all(row.get(key) == value for key, value in fields.items()):
                 return row
+        raise AssertionError(f"no {name} with {fields}")
 
 
 class Started(Logged):
--- a/tests/edge/test_standins.py
+++ b/tests/edge/test_standins.py
@@ -1,13 +1,16 @@
 """The stand-ins as processes: a proxy behind a link that is cut, a partner, control, and the audit of their logs."""
+import http.client
 import signal
 import subprocess
 import sys
 
 import pytest
-from edgehelp import Logged, control, site
-from test_program import ROOT
+from edgehelp import CLASSES, Logged, control, site
+from test_program import LONG, ROOT
 
 from scalefall.control import audit
+from scalefall.interface import Effect
+from scalefall.lab.classes import read_class
 
 
 @pytest.fixture
@@ -23,7 +26,7 @@
 
 
 def test_a_proxy_sends_under_grants_falls_back_while_it_is_cut_off_and_comes_back(tmp_path, children):
-    partner = children("scalefall.lab.partner", "--limit", "20")
+    partner = children("scalefall.lab.partner", "--limit", "20", *CLASSES)
     port = partner.event("listening")["port"]
     site(tmp_path, port, limit="limit 20 per 1s;")
     flags = ("--plain-text", "--log-level", "debug", "--report-every", "0.2", "--lease", "1")
@@ -32,12 +35,13 @@
                                 stdin=subprocess.PIPE, stdout=subprocess.PIPE)
         try:
             proxy = children("scalefall.lab.proxy", "--control", f"127.0.0.1:{link.stdout.readline().strip()}",
-                             "--node", "p", "--routes", "7", "--load", "20")
+                             "--node", "p", "--routes", "7", "--load", "20", *CLASSES)
 
             def tell(word):
                 link.stdin.write(word + "\n")
                 link.stdin.flush()
             proxy.event("ended", how="ok")
+            partner.event("effect", repeat="never")     # or the audit has none to check
             tell("silence")
             proxy.event("ended", how="fallback")
             tell("reset")
@@ -59,14 +63,38 @@
 
 
 def test_without_control_messages_go_over_a_senders_own_front_and_reach_the_partner(tmp_path, children):
-    partner = children("scalefall.lab.partner", "--limit", "20")
+    partner = children("scalefall.lab.partner", "--limit", "20", *CLASSES)
     site(tmp_path, partner.event("listening")["port"], limit="limit 20 per 1s;")
     (tmp_path / "sender").mkdir()
     sender = children("scalefall", "run", "--config", str(tmp_path), "--state", str(tmp_path / "sender"),
                       "--listen", "127.0.0.1:0")
     front = sender.line("ready: ").split()[-1]
     proxy = children("scalefall.lab.proxy", "--control", "127.0.0.1:1", "--node", "p", "--routes", "7", "--load", "10",
-                     "--sender", front)
+                     "--sender", front, *CLASSES)
     name = proxy.event("ended", how="fallback 202")["id"]
     partner.event("effect", id=name)
     assert proxy.end(signal.SIGTERM) == 0 and not [line for line in proxy.said if '"sent"' in line]
+
+
+def test_a_partner_counts_effects_by_the_classes_it_is_told_of(children):
+    partner = children("scalefall.lab.partner", "--limit", "20", "--class", "ledger=freely", "--class", "vote=never")
+    port = partner.event("listening")["port"]
+    for cls, repeat in (("ledger", "freely"), ("vote", "never"), ("untold", "never")):
+        connection = http.client.HTTPConnection("127.0.0.1", port, timeout=LONG)
+        connection.request("POST", f"/{cls}", b"body", {"X-Request-Id": cls})
+        assert connection.getresponse().status == 200
+        connection.close()
+        assert partner.event("effect", id=cls)["repeat"] == repeat
+
+
+@pytest.mark.parametrize("word", ["", "=never", "a", "a=", "a=twice", "a=keyed:soon"])
+def test_a_word_that_names_no_class_is_told_in_one_line(children, word):
+    partner = children("scalefall.lab.partner", "--limit", "20", "--class", word)
+    partner.line(f"argument --class: invalid read_class value: {word!r}")
+    assert partner.child.wait(LONG) == 2
+
+
+def test_a_class_is_read_from_its_word():
+    cls = read_class("a=keyed:1.5")
+    assert (cls.name, cls.effect, cls.key_ttl_us) == ("a", Effect.KEYED, 1_500_000)
+    assert (read_class("b=never").effect, read_class("c=freely").effect) == (Effect.UNSAFE, Effect.SAFE)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import threading
+import time
 
 import pytest
 
@@ -39,8 +40,9 @@
             if part in line:
                 self.seen.remove(line)
                 return line
+        until = time.monotonic() + LONG     # other lines may go on coming
         while True:
-            line = self.lines.get(timeout=LONG)
+            line = self.lines.get(timeout=max(0, until - time.monotonic()))
             assert line is not None, f"ended without {part!r}: {self.seen}"
             if part in line:
                 return line
