Seven crossings mended: signals, a move, room, the end, calls overtaken in their middle

- Scheduler._poll_once heeded a signal before the sockets of the same look: SIGTERM in the moment in which a request came to a resting connection woke its task twice ("a polled socket has its task", an invariant broken).
Sockets go first.
- Farm._follow learned what the old discovery said in the turn of a SIGHUP: its version went to the new address as `index`, which then told only what came after it.
Looked at before each word is learned.
- Front._make_room ended a new connection, or one with half a request, whose request had come whole and lay unread: ended with no answer once its last byte was written.
Looked at for all states now, not for resting ones alone.
- Host._wind_up with nothing open left 20 ms after who was in the listener's queue had their answers, with their calls out, which may have run then.
It waits for these as for any.
- Passes._call went on writing a call past the end of a key's window, or past the final answer of one of its messages, where the endpoint took it slowly; it starts with the last byte.
It could not connect then, and never ran.
- One endpoint of the configuration's `known` list that could not be read kept the sender from starting; it costs itself, with a line in the log.

--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -80,6 +80,10 @@
         raise ConfigError(f"RELAY_STATE must name a folder, not {state!r}")
     try:
         settings, doubts = _settled(read_settings(table.get("settings")), table.get("peers"))
+        known = read_roll(table.get("known") or {"seq": 0, "whole": True, "hosts": []}, strict=False)
+        if known.unread:
+            doubts += (f"known: {len(known.unread)} endpoints cannot be read and are left out, the first "
+                       f"{known.unread[0]!r}",)
         return Config(
             name=environ.get("RELAY_NAME") or str(table.get("name", "")), state=state,
             listen=read_address(environ.get("RELAY_LISTEN") or table.get("listen"), "listen"),
@@ -89,7 +93,7 @@
             disk_bytes=int(_limit(limits, "disk_mb", 3, 0.1) * 1_000_000),
             memory_bytes=int(_limit(limits, "memory_mb", 192, 16) * 1_000_000),
             settings=settings, doubts=doubts, admin=_admin(environ.get("RELAY_ADMIN") or table.get("admin")),
-            known=read_roll(table.get("known") or {"seq": 0, "whole": True, "hosts": []}))
+            known=known)
     except (ValueError, TypeError, KeyError, OverflowError) as error:
         raise ConfigError(str(error) or type(error).__name__) from error
 
--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -213,13 +213,13 @@
         reader, objects, first = http.AnswerReader(self._most), Objects(self._most), True
         said_at, most, coming = self._scheduler.now(), FIRST_US, 0
         while not reader.complete:
-            if address != self._discovery:      # moved while this task was not paused, so nothing woke it
-                raise OSError("discovery has moved")
+            self._stays(address)
             try:
                 data = streams.receive(self._scheduler, sock, said_at + most * (1 + coming // BULK))
             except streams.TimeUp:
                 self._silent = reader.head_done     # what it would have told counts as told soon, heard or not
                 raise
+            self._stays(address)
             if not data:
                 raise OSError("discovery closed it")
             reader.feed(data)
@@ -239,6 +239,7 @@
                     self.seq, self._silent = 0, True
                     raise OSError("discovery counts its versions anew")
                 first = False
+                self._stays(address)
                 self._learn(roll)
             coming += len(data)
             if tables or data and between and data.isspace():    # a part of an object is no word: it may drip for good
@@ -251,6 +252,12 @@
             if len(data) >= PIECE:
                 self._scheduler.sleep(0)
 
+    def _stays(self, address: tuple[str, int]) -> None:
+        """Moved while this task was not paused, so nothing woke it: the old address counts otherwise than the new one,
+        and what it still says must not become the version that the new one is asked from."""
+        if address != self._discovery:
+            raise OSError("discovery has moved")
+
     def _learn(self, roll: Roll) -> None:
         if roll.unread:
             self._unread(roll)
--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -156,8 +156,9 @@
                 agent.sock.shutdown(socket.SHUT_WR)
             except OSError:
                 continue
-            while _receive_now(agent.sock):
-                pass
+            left = MOST_LINGER      # who floods must not hold up the end
+            while left > 0 and (data := _receive_now(agent.sock)):
+                left -= len(data)
 
     @property
     def leaving(self) -> bool:
@@ -212,10 +213,10 @@
             if rank is State.YOUNG or rank > most or (most is State.SILENT and rank is most and
                                                        now - found.since < SILENT_US):
                 return False
-            if found.state is not State.IDLE or not _pending(found.sock):
+            if found.state is State.LEAVING or not _pending(found.sock):
                 self._drop(found)
                 return True
-            found.turn(State.READING, now)      # a request has come to it in this very moment
+            found.turn(State.READING, now)      # a request, or more of one, has come to it in this very moment
 
     @staticmethod
     def _rank(agent: UserAgent, now: int) -> State:
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -535,8 +535,9 @@
         if self._operators is not None:
             self._operators.close()
         self._scheduler.sleep(20 * MS)
-        while self.front.answering and self._scheduler.now() - self._closing_at < ENDED_BY_US:
-            self._scheduler.sleep(5 * MS)       # whoever was in the listener's queue
+        while self._scheduler.now() - self._closing_at < ENDED_BY_US and (
+                self.front.answering or not self._may_end(self._scheduler.now() - self._closing_at)):
+            self._scheduler.sleep(5 * MS)       # whoever was in the listener's queue, and what they handed in
         self.front.end()
         self._scheduler.sleep(5 * MS)
         log.info("ended: %d left to the journal, %d passes out", len(self._open), self._passes.out)
--- a/scalefall/net/journal.py
+++ b/scalefall/net/journal.py
@@ -232,7 +232,7 @@
         at = len(MARK)
         if not data.startswith(MARK):
             if data:
-                log.error("journal: not one of ours, or its head is torn; %d bytes are set aside", len(data))
+                log.error("journal: not one of ours, or its head is torn; %d bytes are thrown away", len(data))
             self._cut(0)
             os.write(self._file, MARK)
             return at
--- a/scalefall/net/passes.py
+++ b/scalefall/net/passes.py
@@ -229,7 +229,10 @@
             self._keep(one)
             one.over = True
             return
-        streams.send(self._scheduler, one.sock, self._encode(one), until)
+        # An endpoint starts a call at its last byte, so one that is overtaken in its middle never ran: by the end of a
+        # message's time, which has its final answer by then, or of the time for which a repeat is dropped.
+        streams.send(self._scheduler, one.sock, self._encode(one),
+                     min(end for load in one.loads for end in (load.until, load.begin_by)))
         one.written = True
         begun = 0
         while not reader.complete:
--- a/scalefall/net/scheduler.py
+++ b/scalefall/net/scheduler.py
@@ -201,11 +201,14 @@
         found = self._polled(self._timers[0][0] if self._timers else None)
         last, self._polled_at = self._polled_at, self.now()
         self.quiet_at = last if self._polled_at - asked < LOOK_US else self._polled_at
+        signalled = False
         for fd, _ in found:
             if fd == self._woken.fileno():
-                self._take_signals()
+                signalled = True
             elif holds(fd in self._waits, "a polled socket has its task"):
                 self.wake(self._waits[fd], READY)
+        if signalled:       # last: what a signal wakes may be among what was found
+            self._take_signals()
         self._run_ready()
         now = self.now()
         if self._timers and now - self._timers[0][0] > LAG_LEAST_US and self._timers[0][2].function is not None:
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -9,6 +9,7 @@
 from scalefall.net import http
 from scalefall.net.farm import Farm, read_roll
 from scalefall.net.notices import Notices
+from scalefall.net.scheduler import READY
 
 HERE = ("127.0.0.1", 1)
 K = i.ListKind
@@ -442,6 +443,57 @@
     world.play(play)
 
 
+@pytest.mark.parametrize("length", [1, 400])
+@pytest.mark.parametrize("said_first", [True, False])
+def test_what_the_old_discovery_says_as_it_is_left_does_not_number_the_new_one(length, said_first):
+    """Learned after the move, its version went to the new address as the one to count from, which told only what came
+    after it: the list stayed as the old one had it."""
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world)
+        new = Peer(world)
+        farm.subscribe()
+        old = peer.accept()
+        peer.read(old)
+        old.send(STREAM + chunk(None))
+        world.sleep(MS)
+        woken(world)
+        old.send(chunk(roll(99, *(listed(f"x{n}", HERE) for n in range(length)), whole=False)))
+        if said_first:      # its task has been woken by these bytes as the move comes
+            world.wake(farm._task, READY)
+        farm.move(new.address)
+        sock = new.accept()
+        assert new.read(sock).target == "/v1/servers?stream=1&index=0"
+        sock.send(STREAM + chunk(roll(3, listed("f", HERE))))
+        world.until(lambda: told)
+        assert [event.kind for event in told] == [K.WHOLE] and set(farm.left_at) == {"e"}
+    world.play(play)
+
+
+def test_a_long_list_of_the_old_discovery_is_dropped_where_the_move_comes_between_two_of_its_objects():
+    world = World()
+
+    def play():
+        peer, farm, told = watched(world)
+        new = Peer(world)
+        farm.subscribe()
+        old = peer.accept()
+        peer.read(old)
+        old.send(STREAM)
+        moved = farm._learn
+
+        def learn(roll):
+            moved(roll)
+            farm.move(new.address)      # while the watch's task runs, so that nothing wakes it
+        farm._learn = learn
+        old.send(chunk(roll(50, listed("f", HERE), whole=False), roll(51, listed("g", HERE), whole=False)))
+        sock = new.accept()
+        assert new.read(sock).target == "/v1/servers?stream=1&index=0"
+        assert "f" in farm.entries and "g" not in farm.entries and len(told) == 1
+    world.play(play)
+
+
 @pytest.mark.parametrize("watching", [True, False])
 def test_after_a_move_discovery_is_asked_until_it_answers_without_waiting_for_the_module(watching):
     """What it has to tell counts as told 4 s after SIGHUP; the module's pause after a failure may be 8 s."""
--- a/tests/test_front_crossings.py
+++ b/tests/test_front_crossings.py
@@ -3,10 +3,10 @@
 
 import pytest
 from nethelp import MS, S, closed, read, woken
-from test_front import Desk
+from test_front import HEAD, Desk
 
 from scalefall.net import http
-from scalefall.net.front import IDLE_US
+from scalefall.net.front import IDLE_US, MOST_LINGER, YOUNG_US
 from scalefall.net.transaction import Taken
 
 ENDS = {
@@ -156,6 +156,52 @@
     desk.world.play(play)
 
 
+def test_who_floods_does_not_hold_up_the_end_of_the_process():
+    desk = Desk(verdict=Taken())
+
+    class Endless:
+        """A client's side that is never read empty."""
+        read = 0
+
+        def __init__(self, sock):
+            self.sock = sock
+
+        def __getattr__(self, name):
+            return getattr(self.sock, name)
+
+        def recv(self, size, *flags):
+            self.read += size
+            assert self.read < 100 * MOST_LINGER, "read for good"
+            return b"x" * size
+
+    def play():
+        resting(desk)
+        (agent,) = desk.front._agents
+        agent.sock = Endless(agent.sock)
+        desk.front.end()
+        assert agent.sock.read >= MOST_LINGER
+        agent.sock = agent.sock.sock
+    desk.world.play(play)
+
+
+@pytest.mark.parametrize("begun", [b"", b"POST /safe HTTP/1.1\r\n"])
+def test_room_is_not_made_by_ending_a_connection_whose_request_is_whole_but_not_read(begun):
+    """New, or with half a request read, for longer than the young are spared; the rest has come in this very moment.
+    A connection that is ended with no answer once its request has been written has lost it."""
+    desk = Desk(most=4, verdict=Taken())
+
+    def play():
+        sock = desk.dial()
+        sock.send(begun)
+        desk.world.sleep(2 * YOUNG_US)
+        woken(desk.world)
+        whole = http.request("POST", "/safe", "s", list(HEAD.items()), b"body")
+        sock.send(whole[len(begun):])
+        assert not desk.front._make_room()
+        assert desk.answer(sock).status == 202
+    desk.world.play(play)
+
+
 @pytest.mark.parametrize("leaves", ["before its verdict", "with it", "after its answer"])
 def test_a_client_that_leaves_about_the_turn_of_its_verdict(leaves):
     """Before its verdict it takes its message back; with an answer written or on its way it is owed."""
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -443,3 +443,31 @@
     firm.world.run()
     assert firm.world.broken is None and firm.world.now() - began < 4 * S
     assert firm.endpoint.accepted == 1 and firm.owed() == ["late"]
+
+
+def test_what_is_handed_in_as_the_listener_closes_is_sent_and_its_answer_waited_for(firm, monkeypatch):
+    """With nothing open at SIGTERM the process ends early; it left with the call of the last message out, which may
+    have run by then."""
+    def steps():
+        for name in "abcde":        # how long a call takes is known
+            firm.taken(name)
+            sock, _ = firm.call()
+            sock.send(http.answer(200, []))
+            firm.world.until(lambda: not firm.owed())
+            sock.close()
+        close, last = firm.host.front.stop_listening, []
+
+        def stop_listening():
+            last.append(firm.hand_in("last"))       # waits in the listener's queue
+            close()
+        monkeypatch.setattr(firm.host.front, "stop_listening", stop_listening)
+        firm.host.close()
+        sock, call = firm.call()
+        assert call.fields["x-request-id"] == "last" and firm.answer(last[0]).status == 202
+        firm.world.sleep(200 * MS)
+        sock.send(http.answer(200, []))
+        firm.world.sleep(60 * S)
+        raise AssertionError("still running")
+    firm.world.spawn(lambda: (firm.watched(), steps()))
+    firm.world.run()
+    assert firm.world.broken is None and firm.owed() == []
--- a/tests/test_passes.py
+++ b/tests/test_passes.py
@@ -11,7 +11,7 @@
 from nethelp import MS, Calls, Peer, S, World, closed, reset
 
 from scalefall import interface as i
-from scalefall.net import http
+from scalefall.net import http, streams
 from scalefall.net.farm import Entry
 
 O = i.Outcome  # noqa: E741
@@ -201,6 +201,26 @@
     world.play(play)
 
 
+@pytest.mark.parametrize("ends", ["a repeat's time", "the time of one"])
+def test_a_call_that_is_overtaken_in_its_middle_is_not_completed(world, ends):
+    """The endpoint takes its last byte late: by then a repeat would run again, or a message has its final answer."""
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(), peer.address)
+        early = {"begin_by": world.now() + S} if ends == "a repeat's time" else {"span": S}
+        loads = [calls.load("long", span=5 * S), calls.load("early", **{"span": 5 * S} | early)]
+        loads[0].body = b"x" * (8 << 20)
+        calls.passes.begin(calls.entry, loads)
+        sock = peer.accept()
+        world.sleep(2 * S)
+        reader = http.RequestReader(1 << 24)
+        while not reader.complete and (data := streams.receive(world, sock, world.now() + S)):
+            reader.feed(data)
+        assert not reader.complete
+        assert calls.outcome("early").outcome is calls.outcome("long").outcome is O.CONNECT_FAILED
+    world.play(play)
+
+
 def test_a_batch_stays_whole_until_its_last_message_stops_waiting(world):
     """On an open connection a message counts as out: told as ended before, it could be sent a second time."""
     def play():
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -12,6 +12,7 @@
 import time
 
 import pytest
+from nethelp import listed
 
 from scalefall.net.config import read_config
 
@@ -200,6 +201,15 @@
     assert says in config.doubts[0] if says else not config.doubts
 
 
+def test_an_endpoint_of_the_known_list_that_cannot_be_read_costs_itself(tmp_path):
+    """The sender did not start."""
+    rows = [listed("fine", ("127.0.0.1", 1)), {"host": "torn"}, 7]
+    (tmp_path / "config.json").write_text(json.dumps(EXAMPLE | {"known": {"seq": 1, "whole": True, "hosts": rows}}))
+    config = read_config({"RELAY_CONFIG": str(tmp_path / "config.json"), "RELAY_STATE": str(tmp_path)})
+    assert [entry.endpoint.id for entry in config.known.entries] == ["fine"]
+    assert config.doubts == ("known: 2 endpoints cannot be read and are left out, the first 'torn'",)
+
+
 @pytest.mark.parametrize("variable", ["RELAY_CONFIG", "RELAY_STATE"])
 def test_a_missing_variable_is_named(tmp_path, variable):
     environ = os.environ | {"RELAY_CONFIG": str(ROOT / "example" / "config.json"), "RELAY_STATE": str(tmp_path)}
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -62,6 +62,28 @@
     signal.signal(signal.SIGUSR1, before)
 
 
+def test_a_signal_in_the_very_look_in_which_a_socket_is_ready_wakes_its_task_once():
+    """It broke an invariant: the signal was heeded first, and the task that it woke was found once more by its socket.
+    As SIGTERM in the moment in which a request comes to a resting connection."""
+    world, woken = World(), []
+
+    def play():
+        near, far = socket.socketpair()
+        task = world.spawn(lambda: woken.append(world.pause(None, near, READ)))
+        world.on_signal(signal.SIGUSR1, lambda: woken.append(world.wake(task, "signal")))
+        world.sleep(MS)
+        far.send(b"x")
+        os.kill(os.getpid(), signal.SIGUSR1)
+        world.sleep(MS)
+        assert woken == [False, READY] and not world._waits
+    before = signal.getsignal(signal.SIGUSR1)
+    try:
+        world.play(play)
+    finally:
+        signal.set_wakeup_fd(-1)
+        signal.signal(signal.SIGUSR1, before)
+
+
 def test_an_invariant_is_asserted_in_debug_and_logged_once_counted(caplog, monkeypatch):
     assert checks.holds(True, "fine")
     with pytest.raises(AssertionError, match="this breaks"):
