--- a/scalefall/interface.py
+++ b/scalefall/interface.py
@@ -125,6 +125,7 @@
     ran_us: int | None = None       # may lie before the start
     ran_zone: str = ""
     restored: bool = False          # taken on before a restart: never turned away for want of room
+    cls: MessageClass | None = None     # the rules that it was taken on under, where not the settings' of now
 
 
 @dataclass(slots=True)
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -282,8 +282,11 @@
         debug("taken on %s: %s for %d, %d ms left", transaction.id, transaction.class_name,
               transaction.destination, (transaction.due - self._scheduler.now()) // MS,
               id=transaction.id, class_=transaction.class_name, dest=transaction.destination)
-        if not self._journal.take_on(Owed(transaction.id, transaction.class_name, transaction.destination,
-                                          transaction.due + self._wall, transaction.key, transaction.body)):
+        owed, cls = Owed(transaction.id, transaction.class_name, transaction.destination,
+                         transaction.due + self._wall, transaction.key, transaction.body), transaction.cls
+        if cls is not None:
+            owed.effect, owed.key_scope_zone, owed.key_ttl_us = cls.effect, cls.key_scope_zone, cls.key_ttl_us
+        if not self._journal.take_on(owed):
             transaction.decide(UnavailableAnswer(FULL_US, True))
             self.withdraw(transaction)
         else:
@@ -449,16 +452,24 @@
             restored += 1
             if owed.out:    # it was out when the process died: it may have run
                 self._journal.outcome(owed.id, True)
+            cls = self._rules_of(owed)
             self._open[owed.id] = Transaction(owed.id, owed.class_name, owed.destination, owed.due_wall - self._wall,
-                                              owed.key, owed.body, owed.attempts, Taken(),
-                                              cls=self._set.classes.get(owed.class_name))
+                                              owed.key, owed.body, owed.attempts, Taken(), cls=cls)
             self._owe(self._open[owed.id])
             self._gather(i.Message(owed.id, owed.destination, owed.class_name, owed.due_wall - self._wall, None, None,
                                    owed.attempts, owed.ran_wall - self._wall if owed.ran_wall else None, owed.ran_zone,
-                                   restored=True))
+                                   restored=True, cls=cls))
         if self._journal.owed:
             log.info("restored: %d open, %d with a notice to deliver", restored, len(self._journal.owed) - restored)
 
+    def _rules_of(self, owed: Owed) -> i.MessageClass | None:
+        """Its class as the settings have it now; but whether, where and for how long it may be repeated is as it was
+        when it was taken on: the settings may have changed since, and it may have run."""
+        cls = self._set.classes.get(owed.class_name)
+        if cls is None or owed.effect is None:
+            return cls
+        return replace(cls, effect=owed.effect, key_scope_zone=owed.key_scope_zone, key_ttl_us=owed.key_ttl_us)
+
     def reload(self, read_again: Callable[[], Config]) -> None:
         """SIGHUP: discovery, and with it the platform, may have moved, classes may have come and gone, and attempts
         may be others. All else is settled at the start, but for a fleet of the operator's own: its file may be long,
--- a/scalefall/net/journal.py
+++ b/scalefall/net/journal.py
@@ -11,10 +11,13 @@
 import zlib
 from dataclasses import dataclass, field
 
+from scalefall.interface import Effect
 from scalefall.net.checks import holds, log
 
 HEAD = struct.Struct("<II")             # length of the record's body, its CRC-32
-TAKEN = struct.Struct("<qiIqBB")        # due, destination, attempts, ran at (0: not), out, state of the end
+TAKEN = struct.Struct("<qiIqBB")        # due, destination, attempts, ran at (0: not), flags, state of the end
+OUT, ZONED = 1, 8                       # of the flags; between them the effect: 0 where the record does not say
+EFFECTS = (None, Effect.SAFE, Effect.KEYED, Effect.UNSAFE)
 BLOCK = 512                             # files are counted in whole blocks of this size
 SPARE = 64 * 1024                       # kept free for the small records between two compactions, where there is room
 ZONES = 128                             # room in a copy for the zones that a transaction's history may name
@@ -39,6 +42,9 @@
     out_zone: str = ""
     end: int = 0                # FAILED or RETURNED: a notice is owed
     after_ms: int = 0
+    effect: Effect | None = None    # its class's, as it was when it was taken on; None: the record does not say
+    key_scope_zone: bool = False
+    key_ttl_us: int = 0
     size: int = field(default=0, repr=False)
     zones: int = field(default=ZONES, repr=False)   # of it, the room for zones
 
@@ -68,10 +74,11 @@
 
 def _snapshot(owed: Owed) -> bytes:
     """One record that holds all of a transaction; its begin, and its history after a compaction."""
-    ran_wall, ran_zone = owed.ran_wall, owed.ran_zone
-    head = TAKEN.pack(owed.due_wall, owed.destination, owed.attempts, ran_wall, owed.out, owed.end)
-    tail = struct.pack("<Iq", owed.after_ms, owed.out_wall)
-    return b"T" + head + tail + _text(owed.id, owed.class_name, owed.key, ran_zone, owed.out_zone) \
+    flags = OUT * owed.out | EFFECTS.index(owed.effect) << 1 | ZONED * owed.key_scope_zone
+    head = TAKEN.pack(owed.due_wall, owed.destination, owed.attempts, owed.ran_wall, flags, owed.end)
+    span = owed.after_ms if owed.end else min(owed.key_ttl_us // 1000, 0xFFFFFFFF)     # each is of use to one alone
+    tail = struct.pack("<Iq", span, owed.out_wall)
+    return b"T" + head + tail + _text(owed.id, owed.class_name, owed.key, owed.ran_zone, owed.out_zone) \
         + (b"" if owed.end else owed.body)
 
 
@@ -255,11 +262,12 @@
     def _replay(self, record: bytes) -> None:
         kind = record[:1]
         if kind == b"T":
-            due, destination, attempts, ran_wall, out, end = TAKEN.unpack_from(record, 1)
-            after_ms, out_wall = struct.unpack_from("<Iq", record, 1 + TAKEN.size)
+            due, destination, attempts, ran_wall, flags, end = TAKEN.unpack_from(record, 1)
+            span, out_wall = struct.unpack_from("<Iq", record, 1 + TAKEN.size)
             texts, at = _untext(record, 1 + TAKEN.size + 12, 5)
             owed = Owed(texts[0] or "", texts[1] or "", destination, due, texts[2], record[at:], attempts, ran_wall,
-                        texts[3] or "", bool(out), out_wall, texts[4] or "", end, after_ms)
+                        texts[3] or "", bool(flags & OUT), out_wall, texts[4] or "", end, span if end else 0,
+                        EFFECTS[flags >> 1 & 3], bool(flags & ZONED), 0 if end else span * 1000)
             owed.size = HEAD.size + len(record) + ZONES
             self.owed[owed.id] = owed
             self._live += owed.size
--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -365,7 +365,7 @@
     # -- a message arrives
 
     def _arrive(self, event: Message) -> None:
-        cls = self.set.classes.get(event.class_name)
+        cls = event.cls or self.set.classes.get(event.class_name)
         if cls is None:
             self.actions.append(Fail(event.id))
             return
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -8,15 +8,16 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
-from scalefall.interface import Known
+from scalefall.interface import Effect, Known
 from scalefall.net import journal as j
 from scalefall.net import paces
 
 MOST = 400_000
 
 
-def owed(name, body=b"body", key=None):
-    return j.Owed(name, "fee-order", 7, 10**15, key, body)
+def owed(name, body=b"body", key=None, effect=None):
+    return j.Owed(name, "fee-order", 7, 10**15, key, body, effect=effect, key_scope_zone=effect is Effect.KEYED,
+                  key_ttl_us=6_000_000 * (effect is Effect.KEYED))
 
 
 def used(folder):
@@ -25,7 +26,8 @@
 
 def plain(book):
     """What a journal owes, without its book-keeping of sizes."""
-    return {name: (o.attempts, bool(o.ran_wall) and (o.ran_wall, o.ran_zone), o.out, o.end, o.after_ms, o.body, o.key)
+    return {name: (o.attempts, bool(o.ran_wall) and (o.ran_wall, o.ran_zone), o.out, o.end, o.after_ms, o.body, o.key,
+                   o.effect, o.key_scope_zone, not o.end and o.key_ttl_us)
             for name, o in book.items()}
 
 
@@ -41,12 +43,13 @@
         names = [n for n, o in self.model.items() if all(getattr(o, k) == v for k, v in wanted.items())]
         return data.draw(st.sampled_from(sorted(names))) if names else None
 
-    @rule(size=st.sampled_from([0, 10, 3000, 65536]), key=st.sampled_from([None, "", "k"]))
-    def take_on(self, size, key):
+    @rule(size=st.sampled_from([0, 10, 3000, 65536]), key=st.sampled_from([None, "", "k"]),
+          effect=st.sampled_from(j.EFFECTS))
+    def take_on(self, size, key, effect):
         self.number += 1
         name, body = f"m{self.number}", os.urandom(size)
-        if self.journal.take_on(owed(name, body, key)):
-            self.model[name] = owed(name, body, key)
+        if self.journal.take_on(owed(name, body, key, effect)):
+            self.model[name] = owed(name, body, key, effect)
         else:
             assert sum(len(o.body) for o in self.model.values()) + size > MOST // 2 - 100_000, "there was room"
 
@@ -204,3 +207,21 @@
         (tmp_path / "paces").write_bytes(torn)
         assert paces.load(tmp_path, room, 10**15) == []
     assert "paces: cannot be read" in caplog.text
+
+
+def test_a_record_of_the_version_before_is_read_and_one_of_this_version_is_no_less_careful_there(tmp_path):
+    """It had 0 or 1 where the flags stand, whether a pass was out, and read any other value as one that was."""
+    book = j.Journal(str(tmp_path), MOST)
+    for number, out in enumerate((False, True)):
+        before = owed(f"m{number}")
+        before.out = out
+        assert book.take_on(before)
+    assert book.take_on(owed("n", effect=Effect.UNSAFE))
+    data = (tmp_path / "journal").read_bytes()
+    book.close()
+    names = b"m0", b"m1", b"\1\0n"
+    flags = [data[data.index(name) - 2 * (name[0] != 1) - 12 - 2] for name in names]   # a span, a time, a length
+    assert flags[:2] == [0, 1] and flags[2] & ~1
+    again = j.Journal(str(tmp_path), MOST)
+    assert [(one.out, one.effect) for one in again.owed.values()] == [(False, None), (True, None),
+                                                                      (False, Effect.UNSAFE)]
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -3,12 +3,13 @@
 
 import pytest
 from helpers import message_class, settings
-from nethelp import reset
+from nethelp import S, listed, reset, roll
 from test_host import Firm, play
 
 from scalefall import interface as i
 from scalefall.net import http
 from scalefall.net.config import ConfigError
+from scalefall.net.farm import read_roll
 
 
 @pytest.fixture
@@ -63,3 +64,47 @@
         assert "not taken, the old settings stay: settings: grades[0].deadline" in caplog.text
         assert "retuned" not in caplog.text
     play(firm, steps)
+
+
+KEYED = {"effect": i.Effect.KEYED}
+CHANGED = {     # what a class was as its message was taken on, what it is at the next start, and that message's end
+    "not to be repeated, now it may be": ({"effect": i.Effect.UNSAFE}, {}, "failed"),
+    "its window was shorter": (KEYED | {"key_ttl_us": S}, KEYED | {"key_ttl_us": 7 * S}, "returned"),
+    "repeats were dropped in their zone alone": (KEYED | {"key_scope_zone": True}, KEYED, "failed"),
+    "it could be repeated, now it may not": ({}, {"effect": i.Effect.UNSAFE}, None),
+}
+
+
+@pytest.mark.parametrize("restarts", [1, 2])
+@pytest.mark.parametrize("change", CHANGED)
+def test_what_may_have_run_is_repeated_as_its_class_was_when_it_was_taken_on(tmp_path, change, restarts):
+    """A restart on changed settings took those of now for what the process before had left: a message that must not run
+    twice was sent again, or one past its window, or in a zone that does not know the repeat."""
+    before, after, end = CHANGED[change]
+    firm = Firm(tmp_path, classes={"c": message_class("c", **before)})
+
+    def steps():
+        firm.taken("m", cls="c", key="k")
+        firm.call()
+        firm.die()
+        firm.world.clock += 2 * S
+    play(firm, steps)
+    firm.changes["classes"] = {"c": message_class("c", **after)}
+    firm.known = read_roll(roll(2, listed("e", firm.endpoint.address) | {"site": "b"}))    # another zone than before
+    for _ in range(restarts - 1):       # what was read is written anew
+        firm.start()
+        firm.host._journal._compact()
+        firm.die()
+    firm.start()
+
+    def again():
+        if end:
+            assert [(n["id"], n["state"]) for n in firm.notices()] == [("m", end)]
+            with pytest.raises(BlockingIOError):
+                firm.endpoint.listener.accept()     # nobody dialled since
+        else:
+            sock, request = firm.call()
+            assert request.fields["x-request-id"] == "m"
+            sock.send(http.answer(200, []))
+        firm.world.until(lambda: firm.owed() == [])
+    play(firm, again)
