--- a/tests/test_passes.py
+++ b/tests/test_passes.py
@@ -8,7 +8,7 @@
 from hypothesis import settings as limits
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from nethelp import MS, Calls, Peer, S, World, closed, reset
+from nethelp import MS, Calls, Peer, S, World, closed, reset, woken
 
 from scalefall import interface as i
 from scalefall.net import http, streams
@@ -221,6 +221,58 @@
     world.play(play)
 
 
+@pytest.mark.parametrize("comes, outcome", [(b"HTTP/1.1 2", O.ERROR), (b"x", O.ERROR), (None, O.RESET)])
+def test_what_an_endpoint_does_to_an_idle_connection_just_before_a_call_costs_that_call_alone(world, comes, outcome):
+    """Half a line, or its end, between the last look at the connection and the first byte: the call may have run, and
+    the connection is of no further use."""
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(), peer.address)
+        calls.begin("first")
+        sock = peer.accept()
+        peer.read(sock)
+        sock.send(http.answer(200, []))
+        assert calls.outcome("first").outcome is O.OK
+        world.sleep(20 * MS)
+
+        def may_begin(_):       # asked between the two
+            sock.send(comes) if comes else sock.close()
+            return True
+        calls.passes._may_begin = may_begin
+        calls.begin("second")
+        if comes:
+            peer.read(sock)
+            sock.send(http.answer(200, []))
+        assert calls.outcome("second").outcome is outcome
+        calls.passes._may_begin = lambda _: True
+        calls.begin("third")
+        sock = peer.accept()    # on a connection of its own
+        assert peer.read(sock).fields["x-request-id"] == "third"
+    world.play(play)
+
+
+@pytest.mark.parametrize("first", ["its answer", "the cancel"])
+def test_a_call_that_is_answered_and_cancelled_in_one_moment_has_one_outcome(world, first):
+    def play():
+        peer = Peer(world)
+        calls = Calls(world, settings(), peer.address)
+        calls.begin("m")
+        sock = peer.accept()
+        peer.read(sock)
+        woken(world)
+        sock.send(http.answer(200, []))
+        if first == "its answer":
+            calls.outcome("m")
+        calls.passes.cancel("m", 0)
+        assert calls.outcome("m").outcome is (O.OK if first == "its answer" else O.CANCELLED)
+        world.sleep(S)
+        assert len(calls.told) == 1
+        calls.begin("n")        # and no connection on which the answer of another lies
+        sock = peer.accept() if first == "the cancel" else sock
+        assert peer.read(sock).fields["x-request-id"] == "n"
+    world.play(play)
+
+
 def test_a_batch_stays_whole_until_its_last_message_stops_waiting(world):
     """On an open connection a message counts as out: told as ended before, it could be sent a second time."""
     def play():
