--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -1,4 +1,4 @@
-"""The platform's front: user agents hand in messages over HTTP, one request each, and GET /healthz."""
+"""The platform's front: clients hand in messages over HTTP, one request each, and GET /healthz."""
 from __future__ import annotations
 
 import re
@@ -37,7 +37,7 @@
 
 
 class State(IntEnum):
-    """Of a user agent's connection; the first of these are closed first when room is wanted."""
+    """Of a client's connection; the first of these are closed first when room is wanted."""
     LEAVING = 0     # nothing more is said to it, and what still comes is dropped
     SPARE = 1       # idle for so long that it may be closed (only as a rank)
     SILENT = 2      # nothing has come yet
@@ -49,7 +49,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class UserAgent:
+class Client:
     """One connection of the client's side."""
     sock: socket.socket
     reader: http.RequestReader
@@ -110,7 +110,7 @@
                  offer: Callable[[Transaction], object], withdraw: Callable[[Transaction], object]) -> None:
         self._scheduler, self._classes, self._most = scheduler, classes, most
         self._offer, self._withdraw = offer, withdraw
-        self._agents: dict[UserAgent, None] = {}
+        self._clients: dict[Client, None] = {}
         self._listener: socket.socket | None = None
         self.closing = self.draining = False
         self._lines, self._unsaid, self._lines_until = 0, 0, 0
@@ -134,8 +134,8 @@
 
     def _drop_idle(self) -> None:
         """A request that has come to one in this very moment is still answered."""
-        for agent in [agent for agent in self._agents if agent.state is State.IDLE]:
-            self._scheduler.wake(agent.task, streams.Interrupted("no longer wanted"))
+        for client in [client for client in self._clients if client.state is State.IDLE]:
+            self._scheduler.wake(client.task, streams.Interrupted("no longer wanted"))
 
     def stop_listening(self) -> None:
         """Whoever waits in the listener's queue is taken in first: closing it would reset them."""
@@ -143,7 +143,7 @@
             listener, self._listener = self._listener, None
             self._scheduler.wake(self._accepting, None)
             try:
-                while len(self._agents) < self._most:
+                while len(self._clients) < self._most:
                     self._welcome(listener.accept()[0])
             except OSError:
                 pass
@@ -151,13 +151,13 @@
 
     def end(self) -> None:
         """The process is over in a moment, and a socket that ends with bytes unread takes its last answer along."""
-        for agent in self._agents:
+        for client in self._clients:
             try:
-                agent.sock.shutdown(socket.SHUT_WR)
+                client.sock.shutdown(socket.SHUT_WR)
             except OSError:
                 continue
             left = MOST_LINGER      # who floods must not hold up the end
-            while left > 0 and (data := _receive_now(agent.sock)):
+            while left > 0 and (data := _receive_now(client.sock)):
                 left -= len(data)
 
     @property
@@ -166,7 +166,7 @@
 
     @property
     def answering(self) -> bool:
-        return any(agent.state in (State.YOUNG, State.READING, State.ASKING) for agent in self._agents)
+        return any(client.state in (State.YOUNG, State.READING, State.ASKING) for client in self._clients)
 
     def _accept(self) -> None:
         behind = False
@@ -177,13 +177,13 @@
             behind = True
             try:
                 for _ in range(ACCEPTS):
-                    if len(self._agents) >= self._most and not self._make_room():
+                    if len(self._clients) >= self._most and not self._make_room():
                         self._scheduler.sleep(WAIT_US)  # the others wait in the listener's queue
                         break
                     self._welcome(self._listener.accept()[0])
                     if self._crowded:
                         self._make_room(State.SILENT)
-                    if len(self._agents) >= self._most:
+                    if len(self._clients) >= self._most:
                         self._make_room()       # one place is free for whoever comes next
             except BlockingIOError:
                 behind = False
@@ -194,21 +194,21 @@
     def _welcome(self, sock: socket.socket) -> None:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        agent = UserAgent(sock, http.RequestReader(), self._scheduler.now(), quiet_at=self._quiet_at)
-        self._agents[agent] = None
-        agent.task = self._scheduler.spawn(self._serve, agent)
+        client = Client(sock, http.RequestReader(), self._scheduler.now(), quiet_at=self._quiet_at)
+        self._clients[client] = None
+        client.task = self._scheduler.spawn(self._serve, client)
 
     @property
     def _crowded(self) -> bool:
         """Half of the places are taken. What stays open with no request takes room at the other side too, which may
         have less: from here on connections end with their answer, and silent ones soon."""
-        return len(self._agents) >= self._most // 2
+        return len(self._clients) >= self._most // 2
 
     def _make_room(self, most: State = State.IDLE) -> bool:
         """Close the connection that is missed least: those that keep asking go last, and none being answered."""
         now = self._scheduler.now()
         while True:
-            found = min(self._agents, key=lambda agent: (self._rank(agent, now), agent.since), default=None)
+            found = min(self._clients, key=lambda client: (self._rank(client, now), client.since), default=None)
             rank = State.ASKING if found is None else self._rank(found, now)
             if rank is State.YOUNG or rank > most or (most is State.SILENT and rank is most and
                                                        now - found.since < SILENT_US):
@@ -219,59 +219,59 @@
             found.turn(State.READING, now)      # a request, or more of one, has come to it in this very moment
 
     @staticmethod
-    def _rank(agent: UserAgent, now: int) -> State:
-        age = now - agent.since
-        if agent.state in (State.SILENT, State.READING) and age < YOUNG_US:
+    def _rank(client: Client, now: int) -> State:
+        age = now - client.since
+        if client.state in (State.SILENT, State.READING) and age < YOUNG_US:
             return State.YOUNG
-        if agent.state is not State.IDLE:
-            return agent.state
-        return State.SPARE if age >= SPARE_US else State.IDLE if agent.served > 1 else State.ONCE
+        if client.state is not State.IDLE:
+            return client.state
+        return State.SPARE if age >= SPARE_US else State.IDLE if client.served > 1 else State.ONCE
 
-    def _drop(self, agent: UserAgent) -> None:
-        if agent in self._agents:
-            del self._agents[agent]
-            self._scheduler.wake(agent.task, streams.Interrupted("closed"))
-            agent.sock.close()
+    def _drop(self, client: Client) -> None:
+        if client in self._clients:
+            del self._clients[client]
+            self._scheduler.wake(client.task, streams.Interrupted("closed"))
+            client.sock.close()
 
-    # -- one user agent
+    # -- one client
 
-    def _serve(self, agent: UserAgent) -> None:
+    def _serve(self, client: Client) -> None:
         try:
-            while agent in self._agents and self._one_request(agent):
-                agent.reader.again()
-            self._leave(agent)
+            while client in self._clients and self._one_request(client):
+                client.reader.again()
+            self._leave(client)
         except http.Malformed as error:
-            if agent in self._agents:
-                self._reject(agent, error)
+            if client in self._clients:
+                self._reject(client, error)
         except OSError:
             pass        # gone; what it had not been told of has been withdrawn
         finally:
-            self._drop(agent)
+            self._drop(client)
 
-    def _one_request(self, agent: UserAgent) -> bool:
+    def _one_request(self, client: Client) -> bool:
         """Read and answer one request; whether the connection carries on."""
-        reader = agent.reader
-        began = self._read(agent)
+        reader = client.reader
+        began = self._read(client)
         if not reader.complete:
             return False
-        agent.turn(State.ASKING, self._scheduler.now())
+        client.turn(State.ASKING, self._scheduler.now())
         self._alone(reader)
         keep = reader.keep and not self.leaving and not self._crowded
         if reader.target.partition("?")[0] == "/healthz":
             ready = 503 if self.leaving else 200
-            self._answer(agent, http.answer(ready if reader.method in ("GET", "HEAD") else 405, [], keep=keep))
+            self._answer(client, http.answer(ready if reader.method in ("GET", "HEAD") else 405, [], keep=keep))
         else:
-            transaction = read_transaction(reader, self._classes, began, began - agent.quiet_at, self._scheduler.lag)
-            agent.served += 1
-            self._hand_in(agent, transaction)
+            transaction = read_transaction(reader, self._classes, began, began - client.quiet_at, self._scheduler.lag)
+            client.served += 1
+            self._hand_in(client, transaction)
             keep = reader.keep and not self.leaving and not self._crowded
             try:
-                self._answer(agent, write_verdict(transaction.verdict, keep))
+                self._answer(client, write_verdict(transaction.verdict, keep))
             except OSError:
                 self._withdraw(transaction)
                 raise
-        agent.turn(State.IDLE, self._scheduler.now())
-        agent.quiet_at = agent.since
+        client.turn(State.IDLE, self._scheduler.now())
+        client.quiet_at = client.since
         return keep
 
     @staticmethod
@@ -282,80 +282,80 @@
             raise http.Malformed(400, "more than one request at a time")
         reader.rest.clear()
 
-    def _read(self, agent: UserAgent) -> int:
+    def _read(self, client: Client) -> int:
         """Read one request; when its first byte came. Not complete if the connection ended before it did."""
-        reader, began = agent.reader, self._scheduler.now()
+        reader, began = client.reader, self._scheduler.now()
         asked, until = False, began + IDLE_US
-        if agent.state is not State.IDLE:
-            agent.turn(State.SILENT, began)
+        if client.state is not State.IDLE:
+            client.turn(State.SILENT, began)
             until = began + REQUEST_US
         while not reader.complete:
             looks, asked_at = self._scheduler.looks, self._scheduler.now()
             try:
-                data = streams.receive(self._scheduler, agent.sock, until)
+                data = streams.receive(self._scheduler, client.sock, until)
             except streams.TimeUp:
                 if reader.begun:
                     raise http.Malformed(408, "the request took too long") from None
-                data = _receive_now(agent.sock)     # it may have come in this very moment
+                data = _receive_now(client.sock)     # it may have come in this very moment
             except streams.Interrupted:
-                data = _receive_now(agent.sock) if agent in self._agents and not reader.begun else b""
+                data = _receive_now(client.sock) if client in self._clients and not reader.begun else b""
             if not data:
                 return began
             if not reader.begun:
                 began = self._scheduler.now()
                 if looks != self._scheduler.looks:      # nothing was there at first
-                    agent.quiet_at = max(asked_at, self._scheduler.quiet_at)
-                until = min(until, began + REQUEST_US) if agent.state is State.SILENT else began + REQUEST_US
-                agent.turn(State.READING, began)
+                    client.quiet_at = max(asked_at, self._scheduler.quiet_at)
+                until = min(until, began + REQUEST_US) if client.state is State.SILENT else began + REQUEST_US
+                client.turn(State.READING, began)
             reader.feed(data)
             if reader.head_done and not reader.complete and not asked and "expect" in reader.fields:
                 asked = True
                 if reader.fields["expect"].lower() != "100-continue":
                     raise http.Malformed(417, "unknown expectation")
-                self._answer(agent, b"HTTP/1.1 100 Continue\r\n\r\n")
+                self._answer(client, b"HTTP/1.1 100 Continue\r\n\r\n")
         return began
 
-    def _hand_in(self, agent: UserAgent, transaction: Transaction) -> None:
-        """Offer it to the module and wait for its verdict; a user agent that goes meanwhile withdraws it."""
-        transaction.told = lambda: self._scheduler.wake(agent.task, None)
+    def _hand_in(self, client: Client, transaction: Transaction) -> None:
+        """Offer it to the module and wait for its verdict; a client that goes meanwhile withdraws it."""
+        transaction.told = lambda: self._scheduler.wake(client.task, None)
         self._offer(transaction)
         while transaction.verdict is None:
-            why = self._scheduler.pause(None, agent.sock, READ)
+            why = self._scheduler.pause(None, client.sock, READ)
             if why is READY and transaction.verdict is None:
-                data = _receive_now(agent.sock)
+                data = _receive_now(client.sock)
                 if data == b"":
                     self._withdraw(transaction)
-                    raise ConnectionResetError("the user agent is gone")
-                agent.reader.rest += data or b""
+                    raise ConnectionResetError("the client is gone")
+                client.reader.rest += data or b""
                 try:
-                    self._alone(agent.reader)
+                    self._alone(client.reader)
                 except http.Malformed:
                     self._withdraw(transaction)
                     raise
 
-    def _answer(self, agent: UserAgent, data: bytes) -> None:
-        streams.send(self._scheduler, agent.sock, data, self._scheduler.now() + WRITE_US)
+    def _answer(self, client: Client, data: bytes) -> None:
+        streams.send(self._scheduler, client.sock, data, self._scheduler.now() + WRITE_US)
 
-    def _reject(self, agent: UserAgent, error: http.Malformed) -> None:
+    def _reject(self, client: Client, error: http.Malformed) -> None:
         self._log(error)
-        agent.turn(State.LEAVING, self._scheduler.now())
+        client.turn(State.LEAVING, self._scheduler.now())
         fields = [("Allow", "POST")] if error.status == 405 else []
         try:
-            self._answer(agent, http.answer(error.status, fields, f"{error}\n".encode(), keep=False))
+            self._answer(client, http.answer(error.status, fields, f"{error}\n".encode(), keep=False))
         except OSError:
             return
-        self._leave(agent)
+        self._leave(client)
 
-    def _leave(self, agent: UserAgent) -> None:
+    def _leave(self, client: Client) -> None:
         """End our sending, read and drop what still comes, and only then close: closing with bytes unread resets the
         connection, and an answer that its client has not read yet is lost with it. Nothing that is read from here on
         is taken on: its client has been told, or sees with no answer that it has to come again."""
-        agent.turn(State.LEAVING, self._scheduler.now())
+        client.turn(State.LEAVING, self._scheduler.now())
         until, left = self._scheduler.now() + LINGER_US, MOST_LINGER
         try:
-            agent.sock.shutdown(socket.SHUT_WR)
+            client.sock.shutdown(socket.SHUT_WR)
             while left > 0 and self._scheduler.now() < until:
-                data = streams.receive(self._scheduler, agent.sock, until)
+                data = streams.receive(self._scheduler, client.sock, until)
                 if not data:
                     break
                 left -= len(data)
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -39,7 +39,7 @@
 ENDED_US = 30 * SECOND          # a repeat of an id that is over comes within this, or not at all
 ENDED_BYTES = 4096              # of the memory, for each id that may be remembered so long: 192 MB hold 46,875
 OVERDUE_US = 50 * MS            # a message that the module has not ended so long after its time is ended for it
-OWN_SOCKETS = 24                # descriptors that are neither a user agent's nor an endpoint's
+OWN_SOCKETS = 24                # descriptors that are neither a client's nor an endpoint's
 LIST_PART = 16                  # of the memory, that one object of discovery's list may take
 MOST_CALL = 64 * 1024           # the protocol's limit for any body, so for a call with several messages too
 
@@ -77,8 +77,8 @@
             LoggedNotices(self._journal.over)
         self._passes = Passes(scheduler, settings, share, self._settled, self._may_begin,
                               self._open.__contains__)
-        agents = min(share, config.memory_bytes // 4 // (http.MOST_HEAD + http.MOST_BODY))
-        self.front = Front(scheduler, settings.classes, agents, self.offer, self.withdraw)
+        clients = min(share, config.memory_bytes // 4 // (http.MOST_HEAD + http.MOST_BODY))
+        self.front = Front(scheduler, settings.classes, clients, self.offer, self.withdraw)
         self._operators = Operators(scheduler, self._operated) if config.admin else None
 
     def start(self) -> None:
@@ -170,7 +170,7 @@
 
     def _again(self, transaction: Transaction) -> None:
         """The id of an open transaction once more. What is open stays as it was handed in, whoever asks: another's
-        body under its id would be sent to an endpoint, and its user agent's leaving would take it away."""
+        body under its id would be sent to an endpoint, and its client's leaving would take it away."""
         first = self._open[transaction.id]
         if first.stands_for() == transaction.stands_for() and first.verdict == Taken():
             first.promised = True
@@ -190,7 +190,7 @@
         return transaction
 
     def withdraw(self, transaction: Transaction) -> None:
-        """Its user agent went before it had its answer: nothing more is owed."""
+        """Its client went before it had its answer: nothing more is owed."""
         if self._open.get(transaction.id) is transaction and not transaction.promised:
             del self._open[transaction.id]
             self._journal.over(transaction.id)
--- a/scalefall/net/http.py
+++ b/scalefall/net/http.py
@@ -218,7 +218,7 @@
 
 
 class RequestReader(Reader):
-    """The user agent's side: requests as they come in."""
+    """The client's side: requests as they come in."""
     method = target = ""
 
     def _first_line(self, line: str) -> None:
--- a/scalefall/net/transaction.py
+++ b/scalefall/net/transaction.py
@@ -47,7 +47,7 @@
     body: bytes
     attempts: int = 0
     verdict: Verdict | None = None
-    promised: bool = False                  # a second user agent has been told that it is taken on
+    promised: bool = False                  # a second client has been told that it is taken on
     alone: bool = False                     # must not share a call with others
     cls: MessageClass | None = None         # the rules that it was taken on under
     told: Callable[[], object] | None = None    # called once the verdict is there
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,4 +1,4 @@
-"""The platform's front, spoken to by a user agent that the test plays; the module's side is a list of offers."""
+"""The platform's front, spoken to by a client that the test plays; the module's side is a list of offers."""
 import socket
 
 import pytest
@@ -167,7 +167,7 @@
 
 
 @pytest.mark.parametrize("end", [reset, socket.socket.close])
-def test_a_user_agent_that_goes_before_its_answer_withdraws_and_one_that_never_finished_offers_nothing(end):
+def test_a_client_that_goes_before_its_answer_withdraws_and_one_that_never_finished_offers_nothing(end):
     desk = Desk()
 
     def play():
@@ -180,7 +180,7 @@
         half = desk.dial()
         half.send(b"POST /safe HTTP/1.1\r\n")
         end(half)
-        desk.world.until(lambda: not desk.front._agents)
+        desk.world.until(lambda: not desk.front._clients)
         assert len(desk.offered) == 1
     desk.world.play(play)
 
@@ -220,7 +220,7 @@
     desk.world.play(play)
 
 
-def test_silent_and_slow_user_agents_are_gone_in_time_also_if_bytes_keep_coming():
+def test_silent_and_slow_clients_are_gone_in_time_also_if_bytes_keep_coming():
     """They kept their descriptors for 5 to 60 s."""
     desk = Desk(most=50, verdict=Taken())
 
@@ -232,16 +232,16 @@
         for _ in range(15):
             slow.send(b"X")
             desk.world.sleep(S // 10)
-        assert len(desk.front._agents) == 3
+        assert len(desk.front._clients) == 3
         assert closed(desk.world, silent) and desk.answer(slow).status == 408
         assert desk.world.now() - began < 3 * S
         assert closed(desk.world, stays) and 2 * S < desk.world.now() - began < 6 * S
         desk.world.sleep(S)
-        assert not desk.front._agents
+        assert not desk.front._clients
     desk.world.play(play)
 
 
-def test_a_user_agent_that_floods_is_cut_off_and_the_others_have_their_turn():
+def test_a_client_that_floods_is_cut_off_and_the_others_have_their_turn():
     """What came after a rejected request was read with no pause and no end: nobody else was served meanwhile."""
     desk = Desk(verdict=Taken())
 
@@ -261,7 +261,7 @@
     desk.world.play(play)
 
 
-def test_many_silent_user_agents_do_not_keep_out_one_that_asks():
+def test_many_silent_clients_do_not_keep_out_one_that_asks():
     """And those that ask for the same again and again don't close the connections of those that keep theirs."""
     desk = Desk(most=8, verdict=Taken())
 
@@ -277,13 +277,13 @@
             crowd.append(sock)
         late = desk.dial()
         desk.ask(late)
-        assert desk.answer(late).status == 202 and len(desk.front._agents) <= 8
+        assert desk.answer(late).status == 202 and len(desk.front._clients) <= 8
         desk.ask(usual)
         assert desk.answer(usual).status == 202
     desk.world.play(play)
 
 
-def test_user_agents_that_ask_for_health_once_and_stay_do_not_keep_out_those_that_hand_in():
+def test_clients_that_ask_for_health_once_and_stay_do_not_keep_out_those_that_hand_in():
     """250 of them a second filled all places; new ones waited in the queue as long as any other was young and silent,
     and the usual ones with them: four fifths of the messages were refused."""
     desk = Desk(most=20, verdict=Taken())
@@ -304,7 +304,7 @@
                 waits.append(desk.world.now() - began)
                 late.close()
             desk.world.sleep(4 * MS)
-        assert max(waits) < 20 * MS and len(desk.front._agents) <= 20
+        assert max(waits) < 20 * MS and len(desk.front._clients) <= 20
         desk.ask(usual)
         assert desk.answer(usual).status == 202
     desk.world.play(play)
@@ -363,7 +363,7 @@
     desk.world.play(play)
 
 
-def test_room_for_a_new_user_agent_comes_from_the_one_that_has_been_idle_longest():
+def test_room_for_a_new_client_comes_from_the_one_that_has_been_idle_longest():
     desk = Desk(most=8, verdict=Taken())
 
     def play():
@@ -373,7 +373,7 @@
             assert desk.answer(sock).keep
         desk.verdict, busy = None, []
         for n in range(8):
-            assert len(desk.front._agents) <= 8
+            assert len(desk.front._clients) <= 8
             busy.append(desk.dial())
             desk.ask(busy[n])
             desk.world.until(lambda n=n: len(desk.offered) == 4 + n)
@@ -381,7 +381,7 @@
         late = desk.dial()      # none that is being answered goes: this one waits
         desk.ask(late)
         desk.world.sleep(S)
-        assert len(desk.offered) == 11 and len(desk.front._agents) == 8
+        assert len(desk.offered) == 11 and len(desk.front._clients) == 8
         desk.offered[5].decide(Taken())
         desk.world.until(lambda: len(desk.offered) == 12)
     desk.world.play(play)
@@ -403,8 +403,8 @@
                 desk.ask(sock)
                 desk.answer(sock)
             desk.world.sleep(50 * MS)
-            assert len(desk.front._agents) <= 11
+            assert len(desk.front._clients) <= 11
         late = desk.dial()
         desk.ask(late)
-        assert desk.answer(late).keep is not (len(desk.front._agents) >= 10)
+        assert desk.answer(late).keep is not (len(desk.front._clients) >= 10)
     desk.world.play(play)
--- a/tests/test_front_crossings.py
+++ b/tests/test_front_crossings.py
@@ -64,7 +64,7 @@
         sock.shutdown(socket.SHUT_WR)
         desk.world.sleep(5 * MS)
         assert ended_whole(sock) == b"" and [one.id for one in desk.offered] == ["first"]
-        assert not desk.front._agents
+        assert not desk.front._clients
     desk.world.play(play)
 
 
@@ -98,7 +98,7 @@
         desk.front.close_idle()
         assert closed(desk.world, sock)
         desk.world.sleep(S)
-        assert not desk.front._agents
+        assert not desk.front._clients
     desk.world.play(play)
 
 
@@ -132,8 +132,8 @@
         woken(desk.world)
         sock.send(b"half a request")
         desk.front.end()
-        for agent in list(desk.front._agents):      # as the end of the process does
-            desk.front._drop(agent)
+        for client in list(desk.front._clients):      # as the end of the process does
+            desk.front._drop(client)
         assert reader.status == 202 and ended_whole(sock) == b""
     desk.world.play(play)
 
@@ -152,7 +152,7 @@
             desk.ask(socks[0], X_Request_Id="second")
         assert desk.front._make_room()
         assert desk.answer(socks[0]).status == 202 if asks else closed(desk.world, socks[0])
-        assert len(desk.front._agents) == 2
+        assert len(desk.front._clients) == 2
     desk.world.play(play)
 
 
@@ -176,11 +176,11 @@
 
     def play():
         resting(desk)
-        (agent,) = desk.front._agents
-        agent.sock = Endless(agent.sock)
+        (client,) = desk.front._clients
+        client.sock = Endless(client.sock)
         desk.front.end()
-        assert agent.sock.read >= MOST_LINGER
-        agent.sock = agent.sock.sock
+        assert client.sock.read >= MOST_LINGER
+        client.sock = client.sock.sock
     desk.world.play(play)
 
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -1,4 +1,4 @@
-"""The host with its module on sockets; the test plays the user agents, the endpoints and the platform."""
+"""The host with its module on sockets; the test plays the clients, the endpoints and the platform."""
 import json
 import socket
 
@@ -133,7 +133,7 @@
     play(firm, steps)
 
 
-def test_a_user_agent_that_goes_before_its_answer_leaves_nothing_behind(firm):
+def test_a_client_that_goes_before_its_answer_leaves_nothing_behind(firm):
     def steps():
         firm.hand_in("m").close()
         firm.world.sleep(S)
