--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -12,6 +12,7 @@
 from scalefall.settings import read_settings
 
 Address = tuple[str, int]
+LIMITS = {"sockets": (1024, 64), "disk_mb": (3, 0.1), "memory_mb": (192, 16)}   # where it is missing; the least
 
 
 class ConfigError(Exception):
@@ -84,14 +85,16 @@
         if known.unread:
             doubts += (f"known: {len(known.unread)} endpoints cannot be read and are left out, the first "
                        f"{known.unread[0]!r}",)
+        doubts += tuple(f"limits.{key} is missing: {default} it is" for key, (default, _) in LIMITS.items()
+                        if key not in limits)
         return Config(
             name=environ.get("RELAY_NAME") or str(table.get("name", "")), state=state,
             listen=read_address(environ.get("RELAY_LISTEN") or table.get("listen"), "listen"),
             discovery=read_address(table.get("discovery") if again and "discovery" in table else
                                    environ.get("RELAY_DISCOVERY") or table.get("discovery"), "discovery"),
-            seed=_seed(table.get("seed", "0")), sockets=int(_limit(limits, "sockets", 1024, 64)),
-            disk_bytes=int(_limit(limits, "disk_mb", 3, 0.1) * 1_000_000),
-            memory_bytes=int(_limit(limits, "memory_mb", 192, 16) * 1_000_000),
+            seed=_seed(table.get("seed", "0")), sockets=int(_limit(limits, "sockets")),
+            disk_bytes=int(_limit(limits, "disk_mb") * 1_000_000),
+            memory_bytes=int(_limit(limits, "memory_mb") * 1_000_000),
             settings=settings, doubts=doubts, admin=_admin(environ.get("RELAY_ADMIN") or table.get("admin")),
             known=known)
     except (ValueError, TypeError, KeyError, OverflowError) as error:
@@ -119,7 +122,8 @@
     return replace(settings, siblings=number), tuple(doubts)
 
 
-def _limit(limits: dict[str, Any], key: str, default: float, least: float) -> float:
+def _limit(limits: dict[str, Any], key: str) -> float:
+    default, least = LIMITS[key]
     value = limits.get(key, default)
     if isinstance(value, bool) or not isinstance(value, (int, float)) or not least <= value < float("inf"):
         raise ConfigError(f"limits.{key} must be a number of at least {least}, not {value!r}")
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -210,6 +210,16 @@
     assert config.doubts == ("known: 2 endpoints cannot be read and are left out, the first 'torn'",)
 
 
+@pytest.mark.parametrize("limits", [{}, {"sockets": 512}, {"sockets": 512, "disk_mb": 3, "memory_mb": 64}])
+def test_a_limit_that_is_not_told_is_said(tmp_path, limits):
+    """The process may have less than what is taken for it."""
+    (tmp_path / "config.json").write_text(json.dumps(EXAMPLE | {"limits": limits}))
+    config = read_config({"RELAY_CONFIG": str(tmp_path / "config.json"), "RELAY_STATE": str(tmp_path)})
+    assert [line.partition(" ")[0] for line in config.doubts] == [
+        f"limits.{name}" for name in ("sockets", "disk_mb", "memory_mb") if name not in limits]
+    assert (config.sockets, config.memory_bytes) == (limits.get("sockets", 1024), limits.get("memory_mb", 192) * 10**6)
+
+
 @pytest.mark.parametrize("variable", ["RELAY_CONFIG", "RELAY_STATE"])
 def test_a_missing_variable_is_named(tmp_path, variable):
     environ = os.environ | {"RELAY_CONFIG": str(ROOT / "example" / "config.json"), "RELAY_STATE": str(tmp_path)}
