--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -443,6 +443,17 @@
     world.play(play)
 
 
+def about_to_move(world):
+    """A watch that has had its first word from one discovery, and another one that is to be moved to."""
+    peer, farm, told = watched(world)
+    farm.subscribe()
+    old = peer.accept()
+    peer.read(old)
+    old.send(STREAM + chunk(None))
+    world.sleep(MS)
+    return farm, told, old, Peer(world)
+
+
 @pytest.mark.parametrize("length", [1, 400])
 @pytest.mark.parametrize("said_first", [True, False])
 def test_what_the_old_discovery_says_as_it_is_left_does_not_number_the_new_one(length, said_first):
@@ -451,13 +462,7 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
-        new = Peer(world)
-        farm.subscribe()
-        old = peer.accept()
-        peer.read(old)
-        old.send(STREAM + chunk(None))
-        world.sleep(MS)
+        farm, told, old, new = about_to_move(world)
         woken(world)
         old.send(chunk(roll(99, *(listed(f"x{n}", HERE) for n in range(length)), whole=False)))
         if said_first:      # its task has been woken by these bytes as the move comes
@@ -475,12 +480,7 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
-        new = Peer(world)
-        farm.subscribe()
-        old = peer.accept()
-        peer.read(old)
-        old.send(STREAM)
+        farm, told, old, new = about_to_move(world)
         moved = farm._learn
 
         def learn(roll):
--- a/tests/test_passes.py
+++ b/tests/test_passes.py
@@ -226,11 +226,7 @@
     """Half a line, or its end, between the last look at the connection and the first byte: the call may have run, and
     the connection is of no further use."""
     def play():
-        peer = Peer(world)
-        calls = Calls(world, settings(), peer.address)
-        calls.begin("first")
-        sock = peer.accept()
-        peer.read(sock)
+        calls, peer, sock, _ = begun(world, "first")
         sock.send(http.answer(200, []))
         assert calls.outcome("first").outcome is O.OK
         world.sleep(20 * MS)
@@ -254,11 +250,7 @@
 @pytest.mark.parametrize("first", ["its answer", "the cancel"])
 def test_a_call_that_is_answered_and_cancelled_in_one_moment_has_one_outcome(world, first):
     def play():
-        peer = Peer(world)
-        calls = Calls(world, settings(), peer.address)
-        calls.begin("m")
-        sock = peer.accept()
-        peer.read(sock)
+        calls, peer, sock, _ = begun(world, "m")
         woken(world)
         sock.send(http.answer(200, []))
         if first == "its answer":
