Tests close what they have left open

Seen: of 821 tests on a clean checkout two failed, test_what_comes_back_is_cold_and_gets_a_few_calls_first in both forms, with "filedescriptor out of range in select()": the tests before them had left over 1,500 descriptors open, most of them the new plays of killed processes. A task that pauses holds its sockets where the collector does not see them.

--- a/tests/nethelp.py
+++ b/tests/nethelp.py
@@ -1,10 +1,13 @@
 """For the network code: a scheduler on a clock of its own, and the other sides, played step by step by the test."""
 from __future__ import annotations
 
+import contextlib
 import json
 import socket
 import sys
 
+from greenlet import getcurrent
+
 from scalefall import interface as i
 from scalefall.net import http, streams
 from scalefall.net.farm import Entry
@@ -17,9 +20,30 @@
 class World(Scheduler):
     """Time stands still while anything happens on the sockets, and then jumps to the next timer."""
 
+    made = []       # since they were cleared last
+
     def __init__(self):
         super().__init__()
-        self.clock, self.broken = 1000 * S, None
+        self.clock, self.broken, self.tasks = 1000 * S, None, []
+        World.made.append(self)
+
+    def spawn(self, function, *args):
+        self.tasks.append(super().spawn(function, *args))
+        return self.tasks[-1]
+
+    def clear(self):
+        """End the tasks that still pause. The collector does not see what these hold, so a test's sockets would stay
+        open until the end of all tests."""
+        self._loop = getcurrent()
+        for task in self.tasks:
+            if task:        # begun, and not at its end
+                task.parent = self._loop
+                with contextlib.suppress(BaseException):
+                    task.throw()
+        for kept in (self.tasks, self._ready, self._waits, self._timers):
+            kept.clear()
+        for sock in (self._woken, self._waker):
+            sock.close()
 
     def now(self):
         return self.clock
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -111,6 +111,7 @@
         assert not others.taken or "m" in others.delivered | others.notices, f"record {number}: no end"
         assert cls != "unsafe" or len(others.calls) <= 1 + answers.count(503), f"record {number}: sent again"
         assert firm.owed() == []
+        firm.die()
         if not killed:      # it has no more records than that
             break
     assert number > 3
