--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -21,6 +21,15 @@
     return peer, farm, told
 
 
+def opened(world):
+    """The same with a watch open that has said nothing yet; its socket on discovery's side."""
+    peer, farm, told = watched(world)
+    farm.subscribe()
+    sock = peer.accept()
+    peer.read(sock)
+    return peer, farm, told, sock
+
+
 def test_a_watch_begins_from_the_known_version_and_tells_what_changes():
     world = World()
 
@@ -108,10 +117,7 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
-        farm.subscribe()
-        sock = peer.accept()
-        peer.read(sock)
+        peer, farm, told, sock = opened(world)
         data = STREAM + chunk(roll(42, *(listed(f"e{number}", HERE) for number in range(2000))))
         for at in range(0, len(data), 48 * 1024):   # 6 s in all
             sock.send(data[at:at + 48 * 1024])
@@ -145,10 +151,7 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
-        farm.subscribe()
-        sock = peer.accept()
-        peer.read(sock)
+        peer, farm, told, sock = opened(world)
         sock.send(STREAM + chunk(None))
         world.sleep(MS)
         woken(world)
@@ -172,10 +175,7 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
-        farm.subscribe()
-        sock = peer.accept()
-        peer.read(sock)
+        peer, farm, told, sock = opened(world)
         for seq in (50, 51):
             data = STREAM * (seq == 50) + indented(roll(seq, listed("f", HERE), {"host": "e"})) + chunk(None)
             for at in range(0, len(data), 50):
@@ -445,10 +445,7 @@
 
 def about_to_move(world):
     """A watch that has had its first word from one discovery, and another one that is to be moved to."""
-    peer, farm, told = watched(world)
-    farm.subscribe()
-    old = peer.accept()
-    peer.read(old)
+    peer, farm, told, old = opened(world)
     old.send(STREAM + chunk(None))
     world.sleep(MS)
     return farm, told, old, Peer(world)
