--- a/scalefall/__main__.py
+++ b/scalefall/__main__.py
@@ -1,16 +1,13 @@
 """Bare, `python -m scalefall` is the platform's sender; with words behind it, the command line, loaded only then."""
-import logging
 import os
 import sys
 
 
 def sender() -> int:
+    from scalefall.net.checks import log_to_standard_error
     from scalefall.net.config import ConfigError, read_config
     from scalefall.net.host import run
-    level = logging.DEBUG if os.environ.get("SCALEFALL_LOG") == "debug" else logging.INFO
-    logging.basicConfig(level=level, format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
-                        datefmt="%H:%M:%S", stream=sys.stderr)
-    logging.raiseExceptions = False     # a log that nobody reads must not end the program
+    log_to_standard_error(os.environ.get("SCALEFALL_LOG") == "debug")
     try:
         run(read_config(os.environ), lambda: read_config(os.environ, again=True))
     except (ConfigError, OSError) as error:
--- a/scalefall/net/checks.py
+++ b/scalefall/net/checks.py
@@ -2,6 +2,7 @@
 from __future__ import annotations
 
 import logging
+import sys
 from collections import Counter
 
 log = logging.getLogger("scalefall")
@@ -28,3 +29,10 @@
     """Log every non-zero count; the caller chooses when."""
     for name, count in sorted(broken.items()):
         log.warning("invariant broken: %s, %d times since the start", name, count)
+
+
+def log_to_standard_error(debug: bool) -> None:
+    """Set up the platform sender's log; debug logs every message and attempt. A log that nobody reads is no error."""
+    logging.basicConfig(level=logging.DEBUG if debug else logging.INFO, stream=sys.stderr, datefmt="%H:%M:%S",
+                        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s")
+    logging.raiseExceptions = False
