--- a/example/demo.py
+++ b/example/demo.py
@@ -5,6 +5,7 @@
 It needs the addresses of example/site.scale to be free. The toy is the other side: it tells what was delivered to whom
 (its own count, not the sender's) and which notices came.
 """
+
 import argparse
 import collections
 import http.client
@@ -20,15 +21,16 @@
 
 ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
 PATIENCE_S = 60
-AWAY_MS = 2500              # how long a message for the partner that is away may take
+AWAY_MS = 2500  # how long a message for the partner that is away may take
 
 
 class Child:
     """A process whose lines are read as they come."""
 
     def __init__(self, *words):
-        self.process = subprocess.Popen([sys.executable, "-u", *words], cwd=ROOT, text=True,
-                                        stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+        self.process = subprocess.Popen(
+            [sys.executable, "-u", *words], cwd=ROOT, text=True, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+        )
         self.lines, self.seen = queue.Queue(), []
         threading.Thread(target=self._read, daemon=True).start()
 
@@ -129,7 +131,7 @@
             _, name, _, port = line.split()
             ends[name].append(f"delivered at {port}")
         elif line.startswith("notice "):
-            notice = json.loads(line[len("notice "):])
+            notice = json.loads(line[len("notice ") :])
             ends[notice["id"]].append("notice: " + notice["state"])
     print(f"\n{'message':<13}{'class':<15}{'route':<7}{'first answer':<14}final answer")
     for name, cls, dest, _ in rows:
--- a/example/toy_server.py
+++ b/example/toy_server.py
@@ -6,6 +6,7 @@
 Prints its addresses, then a line for each message delivered and each notice. An endpoint takes N calls a second and
 answers 429 with a wait above that. Port 0 picks a free one. Standard library only; it is no model of real partners.
 """
+
 import argparse
 import json
 import threading
@@ -102,8 +103,18 @@
     Endpoint.a_second = options.a_second
     servers = [ThreadingHTTPServer(("127.0.0.1", port), Endpoint) for port in options.endpoints]
     for number, server in enumerate(servers):
-        Discovery.hosts.append({"host": f"toy-{number}", "dial": f"127.0.0.1:{server.server_port}", "site": "here",
-                                "class": "toy", "block": 7, "health": "in_service", "share": 1.0, "born_ms": 0})
+        Discovery.hosts.append(
+            {
+                "host": f"toy-{number}",
+                "dial": f"127.0.0.1:{server.server_port}",
+                "site": "here",
+                "class": "toy",
+                "block": 7,
+                "health": "in_service",
+                "share": 1.0,
+                "born_ms": 0,
+            }
+        )
     Discovery.hosts.append(Discovery.hosts[0] | {"host": "toy-away", "dial": "127.0.0.1:1", "block": 9})
     servers.append(ThreadingHTTPServer(("127.0.0.1", options.discovery), Discovery))
     for server in servers:
--- a/scalefall/__main__.py
+++ b/scalefall/__main__.py
@@ -1,4 +1,5 @@
 """Bare, `python -m scalefall` is the platform's sender; with words behind it, the command line, loaded only then."""
+
 import os
 import sys
 
@@ -7,6 +8,7 @@
     from scalefall.net.checks import log_to_standard_error
     from scalefall.net.config import ConfigError, read_config
     from scalefall.net.host import run
+
     log_to_standard_error(os.environ.get("SCALEFALL_LOG") == "debug")
     try:
         run(read_config(os.environ), lambda: read_config(os.environ, again=True))
@@ -20,6 +22,7 @@
     if len(sys.argv) < 2 and "_SCALEFALL_COMPLETE" not in os.environ:
         return sender()
     from scalefall.cli import entry
+
     return entry()
 
 
--- a/scalefall/adapter.py
+++ b/scalefall/adapter.py
@@ -1,4 +1,5 @@
 """Wire to interface and back: JSON lines on standard input, one reply a batch on standard output. Chooses nothing."""
+
 from __future__ import annotations
 
 import json
@@ -10,8 +11,13 @@
 from scalefall.settings import ms, read_settings, us
 
 OUTCOMES = {
-    "done": i.Outcome.OK, "err": i.Outcome.ERROR, "busy": i.Outcome.FULL, "etimedout": i.Outcome.TIMEOUT,
-    "econnrefused": i.Outcome.CONNECT_FAILED, "econnreset": i.Outcome.RESET, "ecanceled": i.Outcome.CANCELLED,
+    "done": i.Outcome.OK,
+    "err": i.Outcome.ERROR,
+    "busy": i.Outcome.FULL,
+    "etimedout": i.Outcome.TIMEOUT,
+    "econnrefused": i.Outcome.CONNECT_FAILED,
+    "econnreset": i.Outcome.RESET,
+    "ecanceled": i.Outcome.CANCELLED,
     "skipped": i.Outcome.NOT_SENT,
 }
 
@@ -78,8 +84,16 @@
         if name == "ingress":
             return i.Message(row[2], row[9], row[6], us(row[4]), self._tenant(row[1], row[3]), row[8])
         if name == "settled":
-            return i.Attempted(row[2], row[3], row[4], OUTCOMES[row[5]], us(row[6]), bool(row[7]),
-                               us(row[8]) if row[5] == "busy" else 0, self._report(row[1], row[9]))
+            return i.Attempted(
+                row[2],
+                row[3],
+                row[4],
+                OUTCOMES[row[5]],
+                us(row[6]),
+                bool(row[7]),
+                us(row[8]) if row[5] == "busy" else 0,
+                self._report(row[1], row[9]),
+            )
         if name == "pong":
             return i.Probed(row[2], OUTCOMES[row[3]], us(row[4]), 0, self._report(row[1], row[5]))
         if name == "timer":
--- a/scalefall/cli/__init__.py
+++ b/scalefall/cli/__init__.py
@@ -1,4 +1,5 @@
 """The command line: parse, call, print; what is computed stands in the packages below."""
+
 import sys
 
 
--- a/scalefall/cli/config.py
+++ b/scalefall/cli/config.py
@@ -1,4 +1,5 @@
 """Commands on configurations: check, fmt, diff, explain, compile, import."""
+
 from __future__ import annotations
 
 import difflib
@@ -16,12 +17,14 @@
 from scalefall.lang.text import near
 
 
-@click.command(epilog="""\b
+@click.command(
+    epilog="""\b
 Examples:
   scalefall check site.scale
   scalefall check --format json site.scale
 \b
-Exit code: 0 clean (warnings do no harm), 1 errors, 2 it could not run.""")
+Exit code: 0 clean (warnings do no harm), 1 errors, 2 it could not run."""
+)
 @config_argument
 @format_option
 @option("--strict/--no-strict", default=False, help="Warnings count as errors.")
@@ -38,14 +41,16 @@
     sys.exit(output.ERRORS if loaded.errors or strict and loaded.problems else output.OK)
 
 
-@click.command(epilog="""\b
+@click.command(
+    epilog="""\b
 Examples:
   scalefall fmt site.scale partners/
   scalefall fmt --check .
   scalefall fmt - < site.scale
 \b
 Exit code: 0 done, or nothing to do; 1 something would change (--check, --diff) or a file
-has errors of shape (it is left alone); 2 it could not run.""")
+has errors of shape (it is left alone); 2 it could not run."""
+)
 @click.argument("paths", nargs=-1, type=click.Path(), required=True)
 @option("--check", "only_check", is_flag=True, envvar="SCALEFALL_FMT_CHECK", help="Change nothing; name what would.")
 @option("--diff", "show_diff", is_flag=True, envvar="SCALEFALL_FMT_DIFF", help="Change nothing; show what would.")
@@ -83,8 +88,9 @@
         return output.OK
     if show_diff:
         before = old.decode(errors="replace").splitlines(keepends=True)
-        click.echo("".join(difflib.unified_diff(before, new.splitlines(keepends=True), name, f"{name} (laid out)")),
-                   nl=False)
+        click.echo(
+            "".join(difflib.unified_diff(before, new.splitlines(keepends=True), name, f"{name} (laid out)")), nl=False
+        )
     elif only_check:
         click.echo(f"{name} would change")
     else:
@@ -93,13 +99,15 @@
     return output.DIFFERS if only_check or show_diff else output.OK
 
 
-@click.command(epilog="""\b
+@click.command(
+    epilog="""\b
 Examples:
   scalefall diff old/site.scale new/site.scale
   scalefall diff --git HEAD site.scale              the last commit and the file as it is
   scalefall diff --git v1 --git v2 site.scale       two revisions
 \b
-Exit code: 0 the same meaning, 1 it differs, 2 it could not run, 3 it differs dangerously.""")
+Exit code: 0 the same meaning, 1 it differs, 2 it could not run, 3 it differs dangerously."""
+)
 @click.argument("paths", nargs=-1, type=click.Path(), required=True)
 @option("--git", "revisions", multiple=True, metavar="REV", help="A revision to compare; twice for two of them.")
 @format_option
@@ -120,12 +128,20 @@
     sys.exit(output.DANGEROUS if dangerous else output.DIFFERS if changes else output.OK)
 
 
-@click.command(epilog="""\b
+@click.command(
+    epilog="""\b
 Example:
-  scalefall explain 7 --config site.scale""")
+  scalefall explain 7 --config site.scale"""
+)
 @click.argument("route")
-@option("--config", "path", type=click.Path(), default=files.ROOT_FILE, show_default=True,
-        help="The configuration's file, or a folder with a site.scale.")
+@option(
+    "--config",
+    "path",
+    type=click.Path(),
+    default=files.ROOT_FILE,
+    show_default=True,
+    help="The configuration's file, or a folder with a site.scale.",
+)
 @format_option
 @color_option
 def explain(route: str, path: str, form: str) -> None:
@@ -133,35 +149,49 @@
     site = output.usable(path).site
     if route not in site.of("route"):
         found = near(route, site.of("route"))
-        output.cannot_run(f"{site.file} has no route {route}" + (f"; did you mean {found}?" if found else
-                          f"; it has {', '.join(sorted(site.of('route'), key=int)) or 'none'}"))
+        output.cannot_run(
+            f"{site.file} has no route {route}"
+            + (
+                f"; did you mean {found}?"
+                if found
+                else f"; it has {', '.join(sorted(site.of('route'), key=int)) or 'none'}"
+            )
+        )
     rows = explainer.explain(site, route)
     click.echo(explainer.as_json(route, rows) if form == "json" else explainer.as_text(route, rows), nl=False)
 
 
-@click.command("compile", epilog="""\b
+@click.command(
+    "compile",
+    epilog="""\b
 Example:
-  scalefall compile site.scale -o config.json""")
+  scalefall compile site.scale -o config.json""",
+)
 @config_argument
 @option("-o", "--output", "target", type=click.Path(), help="Write there instead of standard output.")
 def compile_(path: str, target: str | None) -> None:
     """Write the platform's JSON. What it has no place for is named on standard error."""
     from scalefall.lang import wire
+
     table, lost = wire.compiled(output.usable(path).site)
     for row in lost:
         click.echo(f"not in the JSON: {row}", err=True)
     output.put(json.dumps(table, indent=2) + "\n", target)
 
 
-@click.command("import", epilog="""\b
+@click.command(
+    "import",
+    epilog="""\b
 Example:
-  scalefall import config.json -o site.scale""")
+  scalefall import config.json -o site.scale""",
+)
 @click.argument("path", type=click.Path())
 @option("-o", "--output", "target", type=click.Path(), help="Write there instead of standard output.")
 def import_(path: str, target: str | None) -> None:
     """Write the platform's JSON in the language."""
     from scalefall.lang import wire
     from scalefall.net.config import ConfigError
+
     try:
         text, dropped = wire.imported(json.loads(files.read(path)))
     except json.JSONDecodeError as error:
--- a/scalefall/cli/control.py
+++ b/scalefall/cli/control.py
@@ -1,4 +1,5 @@
 """`scalefall control`: the control service for other proxies. Its libraries are loaded only when it starts."""
+
 from __future__ import annotations
 
 import ipaddress
@@ -28,45 +29,101 @@
         raise click.BadParameter(str(error)) from None
 
 
-@click.group(invoke_without_command=True, epilog="""\b
+@click.group(
+    invoke_without_command=True,
+    epilog="""\b
 Examples:
   scalefall control --config site.scale --state /var/lib/scalefall-control --listen 10.0.0.5:18000 \\
                     --certificate control.pem --key control.key --clients proxies-ca.pem
   scalefall control --config site.scale --state state --plain-text         on loopback only
 \b
 SIGHUP reads the configuration again. Certificates that are replaced count from the next connection on.
-Exit code 2: it could not start.""")
-@option("--config", "path", type=click.Path(), default=ROOT_FILE, show_default=True,
-        help="The configuration's file, or a folder with a site.scale.")
-@option("--state", callback=lambda *args: args[2] and state_folder(*args),
-        help="The folder that lasts. Processes that share it stand by for each other.")
-@option("--listen", metavar="ADDRESS:PORT", default="127.0.0.1:18000", show_default=True, callback=_listen,
-        help="Where proxies connect: ADS, load reports and quotas.")
+Exit code 2: it could not start.""",
+)
+@option(
+    "--config",
+    "path",
+    type=click.Path(),
+    default=ROOT_FILE,
+    show_default=True,
+    help="The configuration's file, or a folder with a site.scale.",
+)
+@option(
+    "--state",
+    callback=lambda *args: args[2] and state_folder(*args),
+    help="The folder that lasts. Processes that share it stand by for each other.",
+)
+@option(
+    "--listen",
+    metavar="ADDRESS:PORT",
+    default="127.0.0.1:18000",
+    show_default=True,
+    callback=_listen,
+    help="Where proxies connect: ADS, load reports and quotas.",
+)
 @option("--certificate", type=click.Path(), help="This service's certificate, PEM, with its chain.")
 @option("--key", type=click.Path(), help="Its private key, PEM.")
 @option("--clients", type=click.Path(), help="The authorities of the proxies' certificates, PEM.")
 @option("--plain-text", is_flag=True, help="No certificates: whoever connects is believed. On loopback only.")
-@option("--lease", type=click.FloatRange(0.5, 60), default=2.0, show_default=True,
-        help="Seconds that a grant lasts. A fall of an allowance takes lease + delay at most.")
-@option("--delay", type=click.FloatRange(0, 60), default=0.5, show_default=True,
-        help="The longest that a message may be under way to a client that does not number its reports.")
-@option("--endpoint-lease", type=click.FloatRange(0.3, 60), default=0.9, show_default=True,
-        help="Seconds that a proxy trusts its endpoints without a word from here: under 1 for the drain rule.")
-@option("--report-every", type=click.FloatRange(0.1, 60), default=1.0, show_default=True,
-        help="Seconds between load reports.")
+@option(
+    "--lease",
+    type=click.FloatRange(0.5, 60),
+    default=2.0,
+    show_default=True,
+    help="Seconds that a grant lasts. A fall of an allowance takes lease + delay at most.",
+)
+@option(
+    "--delay",
+    type=click.FloatRange(0, 60),
+    default=0.5,
+    show_default=True,
+    help="The longest that a message may be under way to a client that does not number its reports.",
+)
+@option(
+    "--endpoint-lease",
+    type=click.FloatRange(0.3, 60),
+    default=0.9,
+    show_default=True,
+    help="Seconds that a proxy trusts its endpoints without a word from here: under 1 for the drain rule.",
+)
+@option(
+    "--report-every",
+    type=click.FloatRange(0.1, 60),
+    default=1.0,
+    show_default=True,
+    help="Seconds between load reports.",
+)
 @option("--log-level", type=click.Choice(logs.LEVELS), default="info", show_default=True)
-@option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True,
-        help="Lines for people, or one JSON object each.")
+@option(
+    "--log-format",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    show_default=True,
+    help="Lines for people, or one JSON object each.",
+)
 @click.pass_context
-def control(context: click.Context, path: str, state: str | None, listen: str, certificate: str | None,
-            key: str | None, clients: str | None, plain_text: bool, lease: float, delay: float, endpoint_lease: float,
-            report_every: float, log_level: str, log_format: str) -> None:
+def control(
+    context: click.Context,
+    path: str,
+    state: str | None,
+    listen: str,
+    certificate: str | None,
+    key: str | None,
+    clients: str | None,
+    plain_text: bool,
+    lease: float,
+    delay: float,
+    endpoint_lease: float,
+    report_every: float,
+    log_level: str,
+    log_format: str,
+) -> None:
     """Hand the decisions to other proxies over xDS, until SIGTERM. Without a command behind it, it serves."""
     if context.invoked_subcommand:
         return
     if state is None:
         raise click.UsageError("--state is needed: a folder that lasts")
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # one that comes before it is ready must not end it
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before it is ready must not end it
     given = [word for word in (certificate, key, clients) if word]
     if plain_text and given:
         raise click.UsageError("--plain-text goes with no certificates")
@@ -95,11 +152,14 @@
         output.cannot_run(str(error))
 
 
-@control.command("audit", epilog="""\b
+@control.command(
+    "audit",
+    epilog="""\b
 Example:
   scalefall control audit control.log proxy-*.log partner.log
 \b
-Exit code 0: every rule that could be judged was kept. 1: one was broken. 2: a log could not be read.""")
+Exit code 0: every rule that could be judged was kept. 1: one was broken. 2: a log could not be read.""",
+)
 @click.argument("logs_", metavar="LOG...", nargs=-1, required=True, type=click.Path())
 def audit_command(logs_: tuple[str, ...]) -> None:
     """Say rule by rule whether the JSON logs of control (at --log-level debug), proxies and partners show it kept."""
--- a/scalefall/cli/logs.py
+++ b/scalefall/cli/logs.py
@@ -3,6 +3,7 @@
 The network code logs through the standard library, with a message's fields (id, class, dest, endpoint) beside the text.
 An event's name is the constant text that its line begins with, as docs/operate/on-call.md lists them: "taken on".
 """
+
 from __future__ import annotations
 
 import logging
@@ -45,16 +46,20 @@
         chain.append(_clock)
         last = _line
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(structlog.stdlib.ProcessorFormatter(
-        foreign_pre_chain=chain, processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, last]))
+    handler.setFormatter(
+        structlog.stdlib.ProcessorFormatter(
+            foreign_pre_chain=chain, processors=[structlog.stdlib.ProcessorFormatter.remove_processors_meta, last]
+        )
+    )
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
-    logging.raiseExceptions = False     # a log that nobody reads must not end the program
+    logging.raiseExceptions = False  # a log that nobody reads must not end the program
 
 
 def _clock(logger: object, method: str, event: dict) -> dict:
     record: logging.LogRecord = event["_record"]
     event["timestamp"] = logging.Formatter("%(asctime)s.%(msecs)03d", "%H:%M:%S").format(
-        logging.makeLogRecord({"created": record.created, "msecs": record.msecs, "msg": ""}))
+        logging.makeLogRecord({"created": record.created, "msecs": record.msecs, "msg": ""})
+    )
     return event
--- a/scalefall/cli/main.py
+++ b/scalefall/cli/main.py
@@ -1,4 +1,5 @@
 """The `scalefall` command. Called bare, `python -m scalefall` is the platform's sender and none of this is loaded."""
+
 from __future__ import annotations
 
 import click
@@ -35,6 +36,7 @@
 def completion(context: click.Context, shell: str) -> None:
     """Print what a shell needs to complete commands, options and paths."""
     from click.shell_completion import get_completion_class
+
     kind = get_completion_class(shell)
     click.echo(kind(main, {}, "scalefall", "_SCALEFALL_COMPLETE").source())
 
--- a/scalefall/cli/output.py
+++ b/scalefall/cli/output.py
@@ -1,4 +1,5 @@
 """What the commands share: options, colours, and how problems are printed."""
+
 from __future__ import annotations
 
 import gc
@@ -13,8 +14,13 @@
 SETTINGS = {"help_option_names": ["-h", "--help"], "max_content_width": 100}
 OK, DIFFERS, ERRORS, CANNOT_RUN, DANGEROUS = 0, 1, 1, 2, 3
 STYLES: dict[str, dict[str, Any]] = {
-    "error": {"fg": "red", "bold": True}, "warning": {"fg": "yellow", "bold": True}, "help": {"fg": "cyan"},
-    "place": {"bold": True}, "dangerous": {"fg": "red", "bold": True}, "notable": {"fg": "yellow"}}
+    "error": {"fg": "red", "bold": True},
+    "warning": {"fg": "yellow", "bold": True},
+    "help": {"fg": "cyan"},
+    "place": {"bold": True},
+    "dangerous": {"fg": "red", "bold": True},
+    "notable": {"fg": "yellow"},
+}
 
 
 def paint(text: str, what: str) -> str:
@@ -34,12 +40,26 @@
     return value
 
 
-format_option = option("--format", "form", type=click.Choice(["text", "json"]), default="text", show_default=True,
-                       help="Text for people, or one JSON object for editors and scripts.")
-color_option = option("--color", type=click.Choice(["auto", "always", "never"]), default="auto", show_default=True,
-                      callback=colours, expose_value=False, help="Colours; auto: on a terminal only.")
-config_argument = click.argument("path", type=click.Path(), envvar="SCALEFALL_CONFIG", default=files.ROOT_FILE,
-                                 required=False)
+format_option = option(
+    "--format",
+    "form",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    show_default=True,
+    help="Text for people, or one JSON object for editors and scripts.",
+)
+color_option = option(
+    "--color",
+    type=click.Choice(["auto", "always", "never"]),
+    default="auto",
+    show_default=True,
+    callback=colours,
+    expose_value=False,
+    help="Colours; auto: on a terminal only.",
+)
+config_argument = click.argument(
+    "path", type=click.Path(), envvar="SCALEFALL_CONFIG", default=files.ROOT_FILE, required=False
+)
 
 
 def cannot_run(text: str) -> NoReturn:
@@ -49,7 +69,7 @@
 
 def read(path: str, revision: str = "") -> load.Loaded:
     """The configuration at a path (a file, or a folder with a site.scale), as it is or as a git revision has it."""
-    gc.disable()        # one run reads and ends: looking for cycles meanwhile was a third of its time
+    gc.disable()  # one run reads and ends: looking for cycles meanwhile was a third of its time
     try:
         return load.load(*files.locate(path, revision))
     except OSError as error:
--- a/scalefall/cli/reader.py
+++ b/scalefall/cli/reader.py
@@ -5,6 +5,7 @@
 speak over pipes, in pickles: a request; then a Read, or a Wrong, and the endpoints in pieces, so that taking them in
 holds the sender up for a few milliseconds at a time.
 """
+
 from __future__ import annotations
 
 import pickle
@@ -17,7 +18,7 @@
 from scalefall.net.config import Config, ConfigError, Fleet
 from scalefall.net.farm import Entry, Roll
 
-PIECE = 200             # endpoints
+PIECE = 200  # endpoints
 MOST_SECONDS = 120
 
 
@@ -25,23 +26,23 @@
 class Request:
     path: str
     state: str
-    seed: int                       # where the file has none
-    flags: dict[str, Any]           # values of the Config that go before the file's
-    fixed: dict[str, Any] | None    # what the running sender cannot change, where there is one
+    seed: int  # where the file has none
+    flags: dict[str, Any]  # values of the Config that go before the file's
+    fixed: dict[str, Any] | None  # what the running sender cannot change, where there is one
 
 
 @dataclass(slots=True)
 class Read:
-    config: Config                  # without its endpoints
+    config: Config  # without its endpoints
     fixed: dict[str, Any]
-    notes: list[str]                # worth a line in the log at the start
+    notes: list[str]  # worth a line in the log at the start
 
 
 @dataclass(slots=True)
 class Wrong:
-    text: str                       # as `scalefall check` prints it
-    lines: list[str]                # for a log
-    fatal: bool                     # the file itself could not be read
+    text: str  # as `scalefall check` prints it
+    lines: list[str]  # for a log
+    fatal: bool  # the file itself could not be read
 
 
 class Unusable(ConfigError):
@@ -54,11 +55,17 @@
 
 # -- the sender's side
 
+
 def read(request: Request) -> Read:
     """The configuration, read elsewhere; Unusable if it has errors, ConfigError if it could not be read at all."""
     try:
-        done = subprocess.run([sys.executable, "-m", "scalefall.cli.reader"], input=pickle.dumps(request),
-                              capture_output=True, timeout=MOST_SECONDS, start_new_session=True)
+        done = subprocess.run(
+            [sys.executable, "-m", "scalefall.cli.reader"],
+            input=pickle.dumps(request),
+            capture_output=True,
+            timeout=MOST_SECONDS,
+            start_new_session=True,
+        )
     except (OSError, subprocess.SubprocessError) as error:
         raise ConfigError(f"{request.path} cannot be read: {error}") from error
     if done.returncode:
@@ -81,17 +88,19 @@
 
 
 def _next(data: memoryview, at: int) -> tuple[Any, int]:
-    length = int.from_bytes(data[at:at + 8], "big")
-    return pickle.loads(data[at + 8:at + 8 + length]), at + 8 + length
+    length = int.from_bytes(data[at : at + 8], "big")
+    return pickle.loads(data[at + 8 : at + 8 + length]), at + 8 + length
 
 
 # -- the reading process
 
+
 def answer(request: Request, put: Callable[[Any], None]) -> None:
     """Read what is asked for, and hand the answer's parts to put."""
     import gc
 
     from scalefall.lang import files, load, render, sender
+
     gc.disable()
     try:
         loaded = load.load(*files.locate(request.path))
@@ -100,25 +109,30 @@
         put(Wrong(f"scalefall: {line}\n", [line], True))
         return
     if not loaded.usable:
-        put(Wrong(render.text(loaded.wrong, loaded.source()), [render.line(each) for each in loaded.wrong],
-                  loaded.fatal))
+        put(
+            Wrong(
+                render.text(loaded.wrong, loaded.source()), [render.line(each) for each in loaded.wrong], loaded.fatal
+            )
+        )
         return
     config = replace(sender.config(loaded.site, request.state, request.seed), **request.flags)
     left = sender.cannot_change(request.fixed, loaded.site) if request.fixed else []
     bare = replace(config, known=Roll(1, True, []), fleet=Fleet([], config.fleet.routes), left=tuple(left))
     put(Read(bare, sender.fixed(loaded.site), sender.notes(config, loaded.site)))
     for at in range(0, len(config.fleet.entries), PIECE):
-        put(config.fleet.entries[at:at + PIECE])
+        put(config.fleet.entries[at : at + PIECE])
 
 
 def main() -> None:
     def put(part: Any) -> None:
         data = pickle.dumps(part, pickle.HIGHEST_PROTOCOL)
         sys.stdout.buffer.write(len(data).to_bytes(8, "big") + data)
+
     answer(pickle.load(sys.stdin.buffer), put)
     sys.stdout.buffer.flush()
 
 
 if __name__ == "__main__":
-    from scalefall.cli import reader        # under its own name, so that both sides mean the same classes
+    from scalefall.cli import reader  # under its own name, so that both sides mean the same classes
+
     reader.main()
--- a/scalefall/cli/run.py
+++ b/scalefall/cli/run.py
@@ -1,4 +1,5 @@
 """`scalefall run`: a complete sender on a file of its own, with no platform."""
+
 from __future__ import annotations
 
 import os
@@ -48,29 +49,55 @@
     def read_again() -> Config:
         """Called beside the serving; what it raises leaves everything as it was."""
         return reader.read(replace(request, fixed=start.fixed)).config
+
     return start, read_again
 
 
-@click.command(epilog="""\b
+@click.command(
+    epilog="""\b
 Example:
   scalefall run --config site.scale --state /var/lib/scalefall --log-format json
 \b
 SIGHUP reads the configuration again: endpoints, limits, policies and routes change at once or not at all.
-SIGTERM ends it within 3.3 s; what it owes stays in the folder. Exit code 2: it could not start.""")
-@option("--config", "path", type=click.Path(), default=ROOT_FILE, show_default=True,
-        help="The configuration's file, or a folder with a site.scale.")
+SIGTERM ends it within 3.3 s; what it owes stays in the folder. Exit code 2: it could not start."""
+)
+@option(
+    "--config",
+    "path",
+    type=click.Path(),
+    default=ROOT_FILE,
+    show_default=True,
+    help="The configuration's file, or a folder with a site.scale.",
+)
 @option("--state", required=True, callback=folder, help="The folder that lasts. Nothing else is written.")
 @option("--name", help="Goes before the file's name.")
 @option("--listen", metavar="ADDRESS:PORT", callback=_address, help="Goes before the file's listen.")
 @option("--reports", metavar="ADDRESS:PORT", callback=_address, help="Goes before the file's reports.")
-@option("--log-level", type=click.Choice(logs.LEVELS), default="info", show_default=True,
-        help="debug follows every message.")
-@option("--log-format", type=click.Choice(["text", "json"]), default="text", show_default=True,
-        help="Lines for people, or one JSON object each.")
-def run(path: str, state: str, name: str | None, listen: tuple[str, int] | None, reports: tuple[str, int] | None,
-        log_level: str, log_format: str) -> None:
+@option(
+    "--log-level",
+    type=click.Choice(logs.LEVELS),
+    default="info",
+    show_default=True,
+    help="debug follows every message.",
+)
+@option(
+    "--log-format",
+    type=click.Choice(["text", "json"]),
+    default="text",
+    show_default=True,
+    help="Lines for people, or one JSON object each.",
+)
+def run(
+    path: str,
+    state: str,
+    name: str | None,
+    listen: tuple[str, int] | None,
+    reports: tuple[str, int] | None,
+    log_level: str,
+    log_format: str,
+) -> None:
     """Start a sender on a configuration, and serve until SIGTERM."""
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)    # one that comes before the sender is ready must not end it
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes before the sender is ready must not end it
     flags = {key: value for key, value in (("name", name), ("listen", listen), ("reports", reports)) if value}
     start, read_again = configuration(path, state, flags)
     logs.set_up(log_level, log_format)
--- a/scalefall/control/bounds.py
+++ b/scalefall/control/bounds.py
@@ -1,4 +1,5 @@
 """What a client may cost: how fast it may speak and open streams. No I/O, no clock."""
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -11,7 +12,7 @@
 
     def __init__(self, now: int, burst: int, a_second: int) -> None:
         self._burst, self._gap = burst, SECOND // a_second
-        self._next = now - burst * self._gap        # the moment up to which it is used
+        self._next = now - burst * self._gap  # the moment up to which it is used
 
     def take(self, now: int, cost: int = 1) -> int:
         """Takes so many; how many us to wait before the next is let through, 0 for at once."""
--- a/scalefall/control/catalog.py
+++ b/scalefall/control/catalog.py
@@ -3,6 +3,7 @@
 No I/O, no clock, no protobuf: a resource's body is whatever the transport will send, and its version is the caller's (a
 hash of the body, so that what did not change keeps its version over a restart).
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable
@@ -12,8 +13,8 @@
 RDS = "type.googleapis.com/envoy.config.route.v3.RouteConfiguration"
 CDS = "type.googleapis.com/envoy.config.cluster.v3.Cluster"
 EDS = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
-TYPES = (CDS, EDS, LDS, RDS)        # in the order in which they are made: what is referred to comes first
-Key = tuple[str, str]               # a resource's type and name
+TYPES = (CDS, EDS, LDS, RDS)  # in the order in which they are made: what is referred to comes first
+Key = tuple[str, str]  # a resource's type and name
 
 
 @dataclass(slots=True, frozen=True)
@@ -22,8 +23,8 @@
     name: str
     version: str
     body: object = field(compare=False, repr=False)
-    needs: frozenset[Key] = frozenset()     # what it refers to: no client is to have it without these
-    ttl_us: int = 0                         # a client that has not heard of it for so long drops it; 0: it keeps it
+    needs: frozenset[Key] = frozenset()  # what it refers to: no client is to have it without these
+    ttl_us: int = 0  # a client that has not heard of it for so long drops it; 0: it keeps it
 
     @property
     def key(self) -> Key:
--- a/scalefall/control/edge/keys.py
+++ b/scalefall/control/edge/keys.py
@@ -4,6 +4,7 @@
 with no restart. Replacing that is half done (a key that doesn't belong to the certificate) leaves the old pair in use.
 A certificate names its node by a DNS or URI entry of its subject alternative name that equals the node id.
 """
+
 from __future__ import annotations
 
 import datetime
@@ -18,7 +19,7 @@
 from cryptography.hazmat.primitives.serialization import Encoding, PublicFormat, load_pem_private_key
 
 MOST_BYTES = 1_000_000
-MOST_CHECKED = 10_000       # certificates whose signature is remembered
+MOST_CHECKED = 10_000  # certificates whose signature is remembered
 
 
 class Unusable(Exception):
@@ -29,7 +30,7 @@
 class Paths:
     certificate: str
     key: str
-    clients: str        # the authorities that proxies' certificates are signed by
+    clients: str  # the authorities that proxies' certificates are signed by
 
 
 @dataclass(slots=True, frozen=True)
@@ -102,9 +103,10 @@
         names = theirs.extensions.get_extension_for_class(x509.SubjectAlternativeName).value
     except (ValueError, x509.ExtensionNotFound):
         return frozenset(), 0.0
-    return (frozenset(names.get_values_for_type(x509.DNSName) +
-                      names.get_values_for_type(x509.UniformResourceIdentifier)),
-            theirs.not_valid_after_utc.timestamp())
+    return (
+        frozenset(names.get_values_for_type(x509.DNSName) + names.get_values_for_type(x509.UniformResourceIdentifier)),
+        theirs.not_valid_after_utc.timestamp(),
+    )
 
 
 @lru_cache(maxsize=MOST_CHECKED)
--- a/scalefall/control/edge/reports.py
+++ b/scalefall/control/edge/reports.py
@@ -9,6 +9,7 @@
 
 Errors that nothing says more of are errors. Source: envoy.service.load_stats.v3, gRFC A64, A85.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterable, Iterator
@@ -20,13 +21,17 @@
 from scalefall.net.farm import Entry
 
 PREFIX = "scalefall."
-ENDS = {"full": i.Outcome.FULL, "timeout": i.Outcome.TIMEOUT, "reset": i.Outcome.RESET,
-        "connect_failed": i.Outcome.CONNECT_FAILED}
+ENDS = {
+    "full": i.Outcome.FULL,
+    "timeout": i.Outcome.TIMEOUT,
+    "reset": i.Outcome.RESET,
+    "connect_failed": i.Outcome.CONNECT_FAILED,
+}
 FIGURES = ("x0", "x1")
-MOST_REPORTED = 1000        # calls of one endpoint and outcome in one report that the module is told one by one
+MOST_REPORTED = 1000  # calls of one endpoint and outcome in one report that the module is told one by one
 MOST_WAIT_MS = 3_600_000
 MOST_INTERVAL_US = 60_000_000
-Place = tuple[int, str, int]        # route, address, port
+Place = tuple[int, str, int]  # route, address, port
 
 
 class Index:
--- a/scalefall/control/edge/resources.py
+++ b/scalefall/control/edge/resources.py
@@ -17,6 +17,7 @@
 
 Sources: envoy.config.{listener,route,cluster,endpoint}.v3; gRFC A27, A28, A31, A32, A44 for what gRPC takes.
 """
+
 from __future__ import annotations
 
 import hashlib
@@ -42,11 +43,14 @@
 
 KEY_HEADER = "idempotency-key"
 NOT_SENT = "connect-failure"
-REPEATED = "connect-failure,refused-stream,reset,gateway-error,unavailable"     # the last one is gRPC's word
-WHOLE = 100                 # the weight of an endpoint that is in no doubt
-STEPS = (1, 2, 5, 10, 20, 50)       # weights of those in doubt, so that not every turn is a change
-HEALTH = {judge.READY: health_check_pb2.HEALTHY, judge.DRAINING: health_check_pb2.DRAINING,
-          judge.RESTING: health_check_pb2.UNHEALTHY}
+REPEATED = "connect-failure,refused-stream,reset,gateway-error,unavailable"  # the last one is gRPC's word
+WHOLE = 100  # the weight of an endpoint that is in no doubt
+STEPS = (1, 2, 5, 10, 20, 50)  # weights of those in doubt, so that not every turn is a change
+HEALTH = {
+    judge.READY: health_check_pb2.HEALTHY,
+    judge.DRAINING: health_check_pb2.DRAINING,
+    judge.RESTING: health_check_pb2.UNHEALTHY,
+}
 
 
 def name(destination: int) -> str:
@@ -64,9 +68,11 @@
     made = []
     for number, rules in routes.items():
         title = name(number)
-        made += [_resource(CDS, title, _cluster(title, rows[number]), needs=()),
-                 _resource(RDS, title, _routes(title, rules, settings), needs=((CDS, title),)),
-                 _resource(LDS, title, _listener(title), needs=((RDS, title),))]
+        made += [
+            _resource(CDS, title, _cluster(title, rows[number]), needs=()),
+            _resource(RDS, title, _routes(title, rules, settings), needs=((CDS, title),)),
+            _resource(LDS, title, _listener(title), needs=((RDS, title),)),
+        ]
     return made
 
 
@@ -79,18 +85,33 @@
     places: dict[str, list[endpoint_components_pb2.LbEndpoint]] = {}
     for entry in rows:
         if entry.endpoint.id in found:
-            places.setdefault(entry.endpoint.zone, []).append(endpoint_components_pb2.LbEndpoint(
-                endpoint=endpoint_components_pb2.Endpoint(address=_address(*entry.address)),
-                health_status=HEALTH[found[entry.endpoint.id]],
-                load_balancing_weight=wrappers_pb2.UInt32Value(value=_weight(budgets.get(entry.endpoint.id), fair))))
+            places.setdefault(entry.endpoint.zone, []).append(
+                endpoint_components_pb2.LbEndpoint(
+                    endpoint=endpoint_components_pb2.Endpoint(address=_address(*entry.address)),
+                    health_status=HEALTH[found[entry.endpoint.id]],
+                    load_balancing_weight=wrappers_pb2.UInt32Value(value=_weight(budgets.get(entry.endpoint.id), fair)),
+                )
+            )
     policy = endpoint_pb2.ClusterLoadAssignment.Policy()
     if blocked:
-        policy.drop_overloads.add(category=blocked, drop_percentage=percent_pb2.FractionalPercent(
-            numerator=100, denominator=percent_pb2.FractionalPercent.HUNDRED))
-    body = endpoint_pb2.ClusterLoadAssignment(cluster_name=title, policy=policy, endpoints=[
-        endpoint_components_pb2.LocalityLbEndpoints(
-            locality=base_pb2.Locality(zone=zone), lb_endpoints=ends,
-            load_balancing_weight=wrappers_pb2.UInt32Value(value=len(ends))) for zone, ends in sorted(places.items())])
+        policy.drop_overloads.add(
+            category=blocked,
+            drop_percentage=percent_pb2.FractionalPercent(
+                numerator=100, denominator=percent_pb2.FractionalPercent.HUNDRED
+            ),
+        )
+    body = endpoint_pb2.ClusterLoadAssignment(
+        cluster_name=title,
+        policy=policy,
+        endpoints=[
+            endpoint_components_pb2.LocalityLbEndpoints(
+                locality=base_pb2.Locality(zone=zone),
+                lb_endpoints=ends,
+                load_balancing_weight=wrappers_pb2.UInt32Value(value=len(ends)),
+            )
+            for zone, ends in sorted(places.items())
+        ],
+    )
     return _resource(EDS, title, body, (), ttl_us)
 
 
@@ -103,14 +124,20 @@
 
 def _cluster(title: str, rows: list[Entry]) -> cluster_pb2.Cluster:
     body = cluster_pb2.Cluster(
-        name=title, type=cluster_pb2.Cluster.EDS, lb_policy=cluster_pb2.Cluster.ROUND_ROBIN,
+        name=title,
+        type=cluster_pb2.Cluster.EDS,
+        lb_policy=cluster_pb2.Cluster.ROUND_ROBIN,
         connect_timeout=duration(rows[0].dial_us if rows else 1_000_000),
         eds_cluster_config=cluster_pb2.Cluster.EdsClusterConfig(eds_config=_ads()),
-        lrs_server=config_source_pb2.ConfigSource(self=config_source_pb2.SelfConfigSource()))
+        lrs_server=config_source_pb2.ConfigSource(self=config_source_pb2.SelfConfigSource()),
+    )
     most = sum(row.endpoint.most_calls for row in rows)
     if most and all(row.endpoint.most_calls for row in rows):
-        body.circuit_breakers.thresholds.append(circuit_breaker_pb2.CircuitBreakers.Thresholds(
-            max_requests=wrappers_pb2.UInt32Value(value=most), max_connections=wrappers_pb2.UInt32Value(value=most)))
+        body.circuit_breakers.thresholds.append(
+            circuit_breaker_pb2.CircuitBreakers.Thresholds(
+                max_requests=wrappers_pb2.UInt32Value(value=most), max_connections=wrappers_pb2.UInt32Value(value=most)
+            )
+        )
     return body
 
 
@@ -119,20 +146,28 @@
     for word, cls in settings.classes.items():
         matches = [{"path": f"/{word}"}, {"prefix": f"/{word}/"}]
         if word not in rules.classes:
-            rows += [_route(match, direct_response=route_components_pb2.DirectResponseAction(
-                status=404, body=base_pb2.DataSource(inline_string=f"{word} is not carried on {title}\n")))
-                for match in matches]
+            rows += [
+                _route(
+                    match,
+                    direct_response=route_components_pb2.DirectResponseAction(
+                        status=404, body=base_pb2.DataSource(inline_string=f"{word} is not carried on {title}\n")
+                    ),
+                )
+                for match in matches
+            ]
             continue
         tries, each_us = repeats(cls, rules.attempts)
         if tries > 1 and cls.effect is i.Effect.KEYED:
             keyed = [route_components_pb2.HeaderMatcher(name=KEY_HEADER, present_match=True)]
-            rows += [_route(match, headers=keyed, route=_action(title, cls.deadline_us, tries, each_us))
-                     for match in matches]
+            rows += [
+                _route(match, headers=keyed, route=_action(title, cls.deadline_us, tries, each_us)) for match in matches
+            ]
             tries = 1
         rows += [_route(match, route=_action(title, cls.deadline_us, tries, each_us)) for match in matches]
     rows.append(_route({"prefix": ""}, route=_action(title, 0, 1, 0)))
-    return route_pb2.RouteConfiguration(name=title, virtual_hosts=[
-        route_components_pb2.VirtualHost(name=title, domains=["*"], routes=rows)])
+    return route_pb2.RouteConfiguration(
+        name=title, virtual_hosts=[route_components_pb2.VirtualHost(name=title, domains=["*"], routes=rows)]
+    )
 
 
 def repeats(cls: i.MessageClass, attempts: int) -> tuple[int, int]:
@@ -144,14 +179,17 @@
         return 1, 0
     if cls.key_ttl_us >= cls.deadline_us:
         return attempts, 0
-    return 2, cls.key_ttl_us // 2       # then a pause of a tenth of a second at most, and the second one
+    return 2, cls.key_ttl_us // 2  # then a pause of a tenth of a second at most, and the second one
 
 
 def _action(title: str, within_us: int, tries: int, each_us: int) -> route_components_pb2.RouteAction:
     policy = route_components_pb2.RetryPolicy(
-        retry_on=REPEATED if tries > 1 else NOT_SENT, num_retries=wrappers_pb2.UInt32Value(value=max(1, tries - 1)),
+        retry_on=REPEATED if tries > 1 else NOT_SENT,
+        num_retries=wrappers_pb2.UInt32Value(value=max(1, tries - 1)),
         retry_back_off=route_components_pb2.RetryPolicy.RetryBackOff(
-            base_interval=duration(25_000), max_interval=duration(100_000)))
+            base_interval=duration(25_000), max_interval=duration(100_000)
+        ),
+    )
     if tries > 1 and each_us:
         policy.per_try_timeout.CopyFrom(duration(each_us))
     return route_components_pb2.RouteAction(cluster=title, timeout=duration(within_us), retry_policy=policy)
@@ -163,9 +201,14 @@
 
 def _listener(title: str) -> listener_pb2.Listener:
     manager = http_connection_manager_pb2.HttpConnectionManager(
-        stat_prefix=title, rds=http_connection_manager_pb2.Rds(config_source=_ads(), route_config_name=title),
-        http_filters=[http_connection_manager_pb2.HttpFilter(
-            name="envoy.filters.http.router", typed_config=_any(router_pb2.Router()))])
+        stat_prefix=title,
+        rds=http_connection_manager_pb2.Rds(config_source=_ads(), route_config_name=title),
+        http_filters=[
+            http_connection_manager_pb2.HttpFilter(
+                name="envoy.filters.http.router", typed_config=_any(router_pb2.Router())
+            )
+        ],
+    )
     return listener_pb2.Listener(name=title, api_listener=api_listener_pb2.ApiListener(api_listener=_any(manager)))
 
 
@@ -182,8 +225,9 @@
 
 
 def _ads() -> config_source_pb2.ConfigSource:
-    return config_source_pb2.ConfigSource(ads=config_source_pb2.AggregatedConfigSource(),
-                                          resource_api_version=config_source_pb2.V3)
+    return config_source_pb2.ConfigSource(
+        ads=config_source_pb2.AggregatedConfigSource(), resource_api_version=config_source_pb2.V3
+    )
 
 
 def _address(host: str, port: int) -> address_pb2.Address:
--- a/scalefall/control/edge/run.py
+++ b/scalefall/control/edge/run.py
@@ -1,4 +1,5 @@
 """A control process from its start to its end: signals, and reading the configuration again."""
+
 from __future__ import annotations
 
 import asyncio
@@ -14,7 +15,7 @@
 from scalefall.net.config import Config, ConfigError
 
 
-MARGIN_MS = 500         # for a report's way through this process, where the audit asks when a wait must have been heard
+MARGIN_MS = 500  # for a report's way through this process, where the audit asks when a wait must have been heard
 
 
 def run(config: Config, options: Options, folder: Folder, held: Keys | None, read_again: Callable[[], Config]) -> None:
@@ -23,8 +24,9 @@
     asyncio.run(_serve(config, options, folder, held, read_again))
 
 
-async def _serve(config: Config, options: Options, folder: Folder, held: Keys | None,
-                 read_again: Callable[[], Config]) -> None:
+async def _serve(
+    config: Config, options: Options, folder: Folder, held: Keys | None, read_again: Callable[[], Config]
+) -> None:
     loop, end, again = asyncio.get_running_loop(), asyncio.Event(), asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, end.set)
@@ -32,9 +34,16 @@
     control = Control(config, options, folder, held)
     await control.start()
     reloads = asyncio.create_task(_reload(control, again, read_again))
-    log.info("ready: control at %s", control.address, extra={"fields": {
-        "listen": control.address, "wait_heard_ms": (options.report_us + options.lease_us + options.delay_us) // 1000 +
-        MARGIN_MS}})
+    log.info(
+        "ready: control at %s",
+        control.address,
+        extra={
+            "fields": {
+                "listen": control.address,
+                "wait_heard_ms": (options.report_us + options.lease_us + options.delay_us) // 1000 + MARGIN_MS,
+            }
+        },
+    )
     await end.wait()
     reloads.cancel()
     await control.stop()
--- a/scalefall/control/edge/server.py
+++ b/scalefall/control/edge/server.py
@@ -4,6 +4,7 @@
 Each stream is one task that reads and one that writes. Reading is paced (bounds.py), and a client that reads slowly
 holds up its own writer alone: what it may have waiting is bounded by its streams' windows, or it is cut off.
 """
+
 from __future__ import annotations
 
 import asyncio
@@ -32,22 +33,29 @@
 from scalefall.net.config import Config, RouteRules
 
 Code = grpc.StatusCode
-MOST_MESSAGE = 4_000_000        # bytes of one request: 20,000 names of 200 bytes
+MOST_MESSAGE = 4_000_000  # bytes of one request: 20,000 names of 200 bytes
 MOST_STREAMS = 5_000
-MOST_WAITING = 2_000            # messages that one stream may have to be read
-FIRST_S = 10                    # a stream that has not said who it is by then
+MOST_WAITING = 2_000  # messages that one stream may have to be read
+FIRST_S = 10  # a stream that has not said who it is by then
 MOST_NODE = 256
 ELSEWHERE = "another process grants here"
-SPEAK = (200, 100)              # requests of one stream: at once, and a second
-DEAR, CHEAP = 1_000, 20_000     # bytes that cost as much as a request; where it repeats the last one's names
-OPEN = (50, 10)                 # streams of one node likewise
-KEEP_S = 1.0                    # between looks at what has to outlast the process
-ENDS_S = 1.0                    # for streams to end in at the end of the process
-TAKE_S = 0.2                    # between tries to be the one that grants
-OPTIONS = [("grpc.max_receive_message_length", MOST_MESSAGE), ("grpc.max_send_message_length", -1),
-           ("grpc.max_concurrent_streams", 1000), ("grpc.so_reuseport", 0), ("grpc.keepalive_time_ms", 10_000),
-           ("grpc.keepalive_timeout_ms", 5_000), ("grpc.keepalive_permit_without_calls", 1),
-           ("grpc.http2.min_ping_interval_without_data_ms", 5_000), ("grpc.max_metadata_size", 16_384)]
+SPEAK = (200, 100)  # requests of one stream: at once, and a second
+DEAR, CHEAP = 1_000, 20_000  # bytes that cost as much as a request; where it repeats the last one's names
+OPEN = (50, 10)  # streams of one node likewise
+KEEP_S = 1.0  # between looks at what has to outlast the process
+ENDS_S = 1.0  # for streams to end in at the end of the process
+TAKE_S = 0.2  # between tries to be the one that grants
+OPTIONS = [
+    ("grpc.max_receive_message_length", MOST_MESSAGE),
+    ("grpc.max_send_message_length", -1),
+    ("grpc.max_concurrent_streams", 1000),
+    ("grpc.so_reuseport", 0),
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.keepalive_permit_without_calls", 1),
+    ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+    ("grpc.max_metadata_size", 16_384),
+]
 
 
 @dataclass(slots=True, frozen=True)
@@ -62,20 +70,21 @@
 @dataclass(slots=True)
 class Peer:
     """One stream."""
+
     number: int
     context: grpc.aio.ServicerContext
     task: asyncio.Task
-    names: frozenset[str] | None        # the node ids that its certificate is for; None: plain text
+    names: frozenset[str] | None  # the node ids that its certificate is for; None: plain text
     certificate: bytes
-    ends: float                         # when that ends, by the wall clock
+    ends: float  # when that ends, by the wall clock
     incremental: bool = False
-    leased: bool = False                # it knows times to live
+    leased: bool = False  # it knows times to live
     node: str = ""
-    repeats: bool = False               # its last request had the names of the one before
+    repeats: bool = False  # its last request had the names of the one before
     waiting: deque[bytes] = field(default_factory=deque)
     ready: asyncio.Event = field(default_factory=asyncio.Event)
     closing: tuple[Code, str] | None = None
-    buckets: dict[int, tuple[dict[str, str], int | None]] = field(default_factory=dict)    # by route, of a quota stream
+    buckets: dict[int, tuple[dict[str, str], int | None]] = field(default_factory=dict)  # by route, of a quota stream
 
 
 class Ended(Exception):
@@ -96,7 +105,7 @@
         self._responses = wire.Responses()
         self._index = reports.Index(())
         self._timer: asyncio.TimerHandle | None = None
-        self._armed = 0             # when it comes
+        self._armed = 0  # when it comes
         self._kept: object = None
         self._beside: list[asyncio.Task] = []
         self.granting = False
@@ -111,8 +120,16 @@
 
         def fixed(rows: Rows, routes: dict[int, RouteRules]) -> list:
             return resources.fixed(rows, routes, self._settings)
-        service = Service(_now(), self._settings, self._seed, Builder(fixed, endpoints), self._options.lease_us,
-                          self._options.delay_us, self._options.lease_us)
+
+        service = Service(
+            _now(),
+            self._settings,
+            self._seed,
+            Builder(fixed, endpoints),
+            self._options.lease_us,
+            self._options.delay_us,
+            self._options.lease_us,
+        )
         service.ledger.stand_by()
         return service
 
@@ -121,17 +138,31 @@
     async def start(self) -> None:
         """OSError if the address can't be had."""
         self._server = grpc.aio.server(options=OPTIONS)
-        self._server.add_generic_rpc_handlers([
-            _handlers(ads_pb2.DESCRIPTOR.services_by_name["AggregatedDiscoveryService"].full_name, {
-                "StreamAggregatedResources": self._stream(self._whole),
-                "DeltaAggregatedResources": self._stream(self._delta)}),
-            _handlers(lrs_pb2.DESCRIPTOR.services_by_name["LoadReportingService"].full_name, {
-                "StreamLoadStats": self._stream(self._load)}),
-            _handlers(rlqs_pb2.DESCRIPTOR.services_by_name["RateLimitQuotaService"].full_name, {
-                "StreamRateLimitQuotas": self._stream(self._quota)})])
+        self._server.add_generic_rpc_handlers(
+            [
+                _handlers(
+                    ads_pb2.DESCRIPTOR.services_by_name["AggregatedDiscoveryService"].full_name,
+                    {
+                        "StreamAggregatedResources": self._stream(self._whole),
+                        "DeltaAggregatedResources": self._stream(self._delta),
+                    },
+                ),
+                _handlers(
+                    lrs_pb2.DESCRIPTOR.services_by_name["LoadReportingService"].full_name,
+                    {"StreamLoadStats": self._stream(self._load)},
+                ),
+                _handlers(
+                    rlqs_pb2.DESCRIPTOR.services_by_name["RateLimitQuotaService"].full_name,
+                    {"StreamRateLimitQuotas": self._stream(self._quota)},
+                ),
+            ]
+        )
         try:
-            port = self._server.add_insecure_port(self._options.listen) if self._keys is None else \
-                self._server.add_secure_port(self._options.listen, self._keys.credentials())
+            port = (
+                self._server.add_insecure_port(self._options.listen)
+                if self._keys is None
+                else self._server.add_secure_port(self._options.listen, self._keys.credentials())
+            )
         except RuntimeError:
             port = 0
         if not port:
@@ -158,10 +189,19 @@
         out = self.service.configure(fleet, _now())
         self._index = reports.Index(fleet.entries)
         self._send(out)
-        log.info("resources in force: generation %d, %d endpoints on %d routes", self.service.catalog.generation,
-                 len(fleet.entries), len(fleet.routes), extra={"fields": {
-                     "generation": self.service.catalog.generation, "endpoints": len(fleet.entries),
-                     "routes": len(fleet.routes)}})
+        log.info(
+            "resources in force: generation %d, %d endpoints on %d routes",
+            self.service.catalog.generation,
+            len(fleet.entries),
+            len(fleet.routes),
+            extra={
+                "fields": {
+                    "generation": self.service.catalog.generation,
+                    "endpoints": len(fleet.entries),
+                    "routes": len(fleet.routes),
+                }
+            },
+        )
         self._say()
 
     # -- who grants, and what outlasts the process
@@ -180,9 +220,12 @@
                 events = []
             self.service.reported(events, now)
             self.granting = True
-            log.info("granting: from number %d, in %.1f s", first,
-                     (self._options.lease_us + self._options.delay_us) / 1e6,
-                     extra={"fields": {"epoch": first, "recalled": len(events)}})
+            log.info(
+                "granting: from number %d, in %.1f s",
+                first,
+                (self._options.lease_us + self._options.delay_us) / 1e6,
+                extra={"fields": {"epoch": first, "recalled": len(events)}},
+            )
             self._plan()
 
     async def _take_over(self) -> None:
@@ -229,7 +272,7 @@
         at = self.service.next_turn(now)
         if self._timer is not None:
             if self._armed <= at:
-                return          # it comes early enough, and plans anew then
+                return  # it comes early enough, and plans anew then
             self._timer.cancel()
         self._armed = at
         self._timer = asyncio.get_running_loop().call_later((at - now) / 1e6, self._turn)
@@ -251,8 +294,12 @@
         for row in told:
             level = logging.DEBUG if row.fine else logging.INFO
             if log.isEnabledFor(level):
-                log.log(level, f"{row.event}: %s", " ".join(f"{key}={value}" for key, value in row.fields.items()),
-                        extra={"fields": row.fields})
+                log.log(
+                    level,
+                    f"{row.event}: %s",
+                    " ".join(f"{key}={value}" for key, value in row.fields.items()),
+                    extra={"fields": row.fields},
+                )
 
     # -- what goes out
 
@@ -268,9 +315,13 @@
                 if bucket is not None and self.granting:
                     self._put(peer, wire.grant(action, *bucket).SerializeToString())
             elif isinstance(action, Rejected):
-                log.warning("rejected: %s keeps what it had of %s: %s", peer.node, ", ".join(action.names),
-                            action.text, extra={"fields": {"node": peer.node, "type": action.type,
-                                                           "names": action.names}})
+                log.warning(
+                    "rejected: %s keeps what it had of %s: %s",
+                    peer.node,
+                    ", ".join(action.names),
+                    action.text,
+                    extra={"fields": {"node": peer.node, "type": action.type, "names": action.names}},
+                )
             elif isinstance(action, Close):
                 self._cut(peer, Code.INVALID_ARGUMENT, action.reason)
 
@@ -296,6 +347,7 @@
 
     def _stream(self, serve: Callable[[Peer], Awaitable[None]]) -> Callable:
         """A handler of one kind of stream: its writer, and how it ends."""
+
         async def handle(_: object, context: grpc.aio.ServicerContext) -> None:
             peer = self._admit(context)
             if isinstance(peer, Ended):
@@ -311,7 +363,7 @@
                     raise
                 ended = Ended(*peer.closing)
             except (grpc.aio.BaseError, grpc.RpcError):
-                pass            # it is gone
+                pass  # it is gone
             finally:
                 writer.cancel()
                 self._peers.pop(peer.number, None)
@@ -321,10 +373,15 @@
                 if self._timer is not None:
                     self._plan()
             if ended is not None:
-                log.warning("stream ended: %s at %s: %s", peer.node or "a client that did not say who it is",
-                            context.peer(), ended.text,
-                            extra={"fields": {"node": peer.node, "status": ended.code.name}})
+                log.warning(
+                    "stream ended: %s at %s: %s",
+                    peer.node or "a client that did not say who it is",
+                    context.peer(),
+                    ended.text,
+                    extra={"fields": {"node": peer.node, "status": ended.code.name}},
+                )
                 await context.abort(ended.code, ended.text)
+
         return handle
 
     def _admit(self, context: grpc.aio.ServicerContext) -> Peer | Ended:
@@ -438,7 +495,8 @@
 
 def _handlers(service: str, methods: dict[str, Callable]) -> grpc.GenericRpcHandler:
     return grpc.method_handlers_generic_handler(
-        service, {name: grpc.stream_stream_rpc_method_handler(serve) for name, serve in methods.items()})
+        service, {name: grpc.stream_stream_rpc_method_handler(serve) for name, serve in methods.items()}
+    )
 
 
 def _now() -> int:
--- a/scalefall/control/edge/state.py
+++ b/scalefall/control/edge/state.py
@@ -4,6 +4,7 @@
 away the moment its process ends). Others that share the folder stand by. The one that takes over waits delay + lease,
 as after any start, and numbers its grants above all that were given (`epoch`, written and synced before use).
 """
+
 from __future__ import annotations
 
 import fcntl
@@ -11,7 +12,7 @@
 import os
 from typing import Any
 
-BLOCK = 1_000_000           # grant numbers that are taken at a time
+BLOCK = 1_000_000  # grant numbers that are taken at a time
 MOST_BYTES = 16_000_000
 
 
@@ -23,7 +24,7 @@
     def __init__(self, path: str) -> None:
         self._path = path
         self._lock: int | None = None
-        self.reserved = 0       # numbers below this may be given
+        self.reserved = 0  # numbers below this may be given
 
     def take(self) -> bool:
         """Try to be the one that grants."""
--- a/scalefall/control/edge/wire.py
+++ b/scalefall/control/edge/wire.py
@@ -3,6 +3,7 @@
 A response is put together from two serialized messages, which protobuf reads as one: the resources, that are the same
 for every client, and the nonce and version that are its own. So an endpoint's change is serialized once for all.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -18,21 +19,25 @@
 from scalefall.control.judge import MOST, UNLIMITED
 from scalefall.control.streams import Request, Response
 
-MOST_PARTS = 256            # serialized sets of resources that are kept for the next client
-FILL_US = 10_000            # the shortest time between fills of a token bucket
+MOST_PARTS = 256  # serialized sets of resources that are kept for the next client
+FILL_US = 10_000  # the shortest time between fills of a token bucket
 IDENTIFIER = "scalefall"
-TTL_FEATURE = "xds.config.supports-resource-ttl"        # as the protocol's specification names it
+TTL_FEATURE = "xds.config.supports-resource-ttl"  # as the protocol's specification names it
 
 
 def request(message: discovery_pb2.DiscoveryRequest) -> Request:
-    return Request(message.type_url, message.response_nonce, tuple(message.resource_names),
-                   error=_error(message))
+    return Request(message.type_url, message.response_nonce, tuple(message.resource_names), error=_error(message))
 
 
 def delta_request(message: discovery_pb2.DeltaDiscoveryRequest) -> Request:
-    return Request(message.type_url, message.response_nonce, tuple(message.resource_names_subscribe),
-                   tuple(message.resource_names_unsubscribe), tuple(message.initial_resource_versions.items()),
-                   _error(message))
+    return Request(
+        message.type_url,
+        message.response_nonce,
+        tuple(message.resource_names_subscribe),
+        tuple(message.resource_names_unsubscribe),
+        tuple(message.initial_resource_versions.items()),
+        _error(message),
+    )
 
 
 def _error(message: object) -> str | None:
@@ -65,7 +70,7 @@
     made = discovery_pb2.DiscoveryResponse(type_url=response.type)
     made.control_plane.identifier = IDENTIFIER
     for resource in response.resources:
-        if resource.ttl_us and leased:      # wrapped, as only so it can say how long it holds
+        if resource.ttl_us and leased:  # wrapped, as only so it can say how long it holds
             made.resources.add().Pack(_wrapped(resource, response.beat, leased))
         else:
             made.resources.append(resource.body)
@@ -114,7 +119,9 @@
     action = rlqs_pb2.RateLimitQuotaResponse.BucketAction(
         bucket_id=rlqs_pb2.BucketId(bucket=bucket),
         quota_assignment_action=rlqs_pb2.RateLimitQuotaResponse.BucketAction.QuotaAssignmentAction(
-            assignment_time_to_live=duration(given.lease_us), rate_limit_strategy=_strategy(given.amount)))
+            assignment_time_to_live=duration(given.lease_us), rate_limit_strategy=_strategy(given.amount)
+        ),
+    )
     return rlqs_pb2.RateLimitQuotaResponse(bucket_action=[action])
 
 
@@ -122,7 +129,8 @@
     """There is no such route."""
     action = rlqs_pb2.RateLimitQuotaResponse.BucketAction(
         bucket_id=rlqs_pb2.BucketId(bucket=bucket),
-        abandon_action=rlqs_pb2.RateLimitQuotaResponse.BucketAction.AbandonAction())
+        abandon_action=rlqs_pb2.RateLimitQuotaResponse.BucketAction.AbandonAction(),
+    )
     return rlqs_pb2.RateLimitQuotaResponse(bucket_action=[action])
 
 
@@ -134,8 +142,11 @@
         return ratelimit_strategy_pb2.RateLimitStrategy(blanket_rule=ratelimit_strategy_pb2.RateLimitStrategy.ALLOW_ALL)
     tokens = max(1, amount * FILL_US // (CALLS * 1_000_000))
     every = -(-tokens * CALLS * 1_000_000 // amount)
-    return ratelimit_strategy_pb2.RateLimitStrategy(token_bucket=token_bucket_pb2.TokenBucket(
-        max_tokens=tokens, tokens_per_fill=wrappers_pb2.UInt32Value(value=tokens), fill_interval=duration(every)))
+    return ratelimit_strategy_pb2.RateLimitStrategy(
+        token_bucket=token_bucket_pb2.TokenBucket(
+            max_tokens=tokens, tokens_per_fill=wrappers_pb2.UInt32Value(value=tokens), fill_interval=duration(every)
+        )
+    )
 
 
 def amount_of(strategy: ratelimit_strategy_pb2.RateLimitStrategy) -> int:
--- a/scalefall/control/grants.py
+++ b/scalefall/control/grants.py
@@ -27,6 +27,7 @@
 References: Gray and Cheriton, "Leases" (SOSP 1989), for the two bounds; max-min fairness as in Bertsekas and Gallager,
 Data Networks, 6.5.2.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -35,15 +36,16 @@
 
 from scalefall.net.checks import holds
 
-LEAST = 200             # a share below this is not split: one call in 5 s is the least that is of use
-CHANGED = 0.1           # a share that differs by less from what is granted waits for the renewal
-CALLS = 1000            # amounts in one call a second
+LEAST = 200  # a share below this is not split: one call in 5 s is the least that is of use
+CHANGED = 0.1  # a share that differs by less from what is granted waits for the renewal
+CALLS = 1000  # amounts in one call a second
 NEVER = 1 << 62
 
 
 @dataclass(slots=True, frozen=True)
 class Grant:
     """To be sent to its holder: amount until lease_us after it gets there; 0 withdraws what it has."""
+
     holder: str
     destination: int
     number: int
@@ -54,6 +56,7 @@
 @dataclass(slots=True)
 class _Out:
     """A grant as the service has to count it."""
+
     number: int
     amount: int
     until: int
@@ -62,10 +65,11 @@
 @dataclass(slots=True)
 class _Share:
     """What one holder may use of one destination."""
-    wanted: int = 0                 # its demand, as it last told
-    out: list[_Out] = field(default_factory=list)   # that may be in use, by number
-    sent: int = -1                  # when the last one went out
-    turn: int = 0                   # when it last had its turn, where holders take turns
+
+    wanted: int = 0  # its demand, as it last told
+    out: list[_Out] = field(default_factory=list)  # that may be in use, by number
+    sent: int = -1  # when the last one went out
+    turn: int = 0  # when it last had its turn, where holders take turns
 
     @property
     def in_use(self) -> int:
@@ -86,7 +90,7 @@
     allowance: int = 0
     falls: list[tuple[int, int]] = field(default_factory=list)  # highest number given before each late fall, and when
     shares: dict[str, _Share] = field(default_factory=dict)
-    turns: int = 0                  # how often the turn has gone on
+    turns: int = 0  # how often the turn has gone on
     turn_until: int = 0
 
     def in_use(self) -> int:
@@ -102,10 +106,10 @@
         self.quiet_until = now + lease_us + delay_us
         self._number = 0
         self._destinations: dict[int, _Destination] = {}
-        self._of: dict[str, set[int]] = {}      # destinations of each holder
-        self._live: set[str] = set()            # holders that can be heard
+        self._of: dict[str, set[int]] = {}  # destinations of each holder
+        self._live: set[str] = set()  # holders that can be heard
         self._touched: set[int] = set()
-        self._wakes: list[tuple[int, int]] = []     # when a destination is to be looked at again
+        self._wakes: list[tuple[int, int]] = []  # when a destination is to be looked at again
 
     @property
     def number(self) -> int:
@@ -201,8 +205,11 @@
     def in_use(self, destination: int, now: int) -> int:
         """What all holders together may use there at the most, by what the service knows."""
         place = self._destinations.get(destination)
-        return sum(max((out.amount for out in share.out if out.until > now), default=0)
-                   for share in place.shares.values()) if place else 0
+        return (
+            sum(max((out.amount for out in share.out if out.until > now), default=0) for share in place.shares.values())
+            if place
+            else 0
+        )
 
     def _share(self, holder: str, destination: int) -> _Share | None:
         place = self._destinations.get(destination)
@@ -235,8 +242,11 @@
         targets, grants = self._targets(place, now), []
         holds(sum(targets.values()) <= place.allowance, "shares are no more than the allowance")
         before = place.in_use()
-        place.falls = [(fall, now if at == NEVER else at) for fall, at in place.falls
-                       if at == NEVER or at > now - self.lease - self.delay]
+        place.falls = [
+            (fall, now if at == NEVER else at)
+            for fall, at in place.falls
+            if at == NEVER or at > now - self.lease - self.delay
+        ]
         marks = [0, *(fall for fall, _ in place.falls)]
         rooms = {mark: place.allowance - sum(share.since(mark) for share in place.shares.values()) for mark in marks}
 
@@ -248,6 +258,7 @@
             for mark in marks:
                 rooms[mark] -= max(0, amount - share.since(mark))
             grants.append(self._grant(number, holder, share, amount, now))
+
         for holder in [holder for holder in place.shares if holder in self._live]:
             share, target = place.shares[holder], targets.get(holder, 0)
             if target < share.granted * (1 - CHANGED) or target < share.granted and rooms[0] < 0:
@@ -286,8 +297,9 @@
             place.turns += 1
             place.turn_until = now + 2 * (self.lease + self.delay)
         theirs = [] if going_on else [holder for holder in asking if place.shares[holder].turn == place.turns]
-        theirs += sorted((holder for holder in asking if holder not in theirs),
-                         key=lambda holder: place.shares[holder].turn)[:max(0, most - len(theirs))]
+        theirs += sorted(
+            (holder for holder in asking if holder not in theirs), key=lambda holder: place.shares[holder].turn
+        )[: max(0, most - len(theirs))]
         for holder in theirs[:most]:
             place.shares[holder].turn = place.turns
         return theirs[:most]
--- a/scalefall/control/members.py
+++ b/scalefall/control/members.py
@@ -15,6 +15,7 @@
 of one node id at once are both held, each with grants of its own out of the same allowance, and told of: it may be a
 restart (the older one falls silent and its grants run out) or two processes under one name.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -23,7 +24,7 @@
 
 from scalefall.net.checks import holds
 
-MOST_INSTANCES = 8          # of one node id, whose grants may be in use at a time: more are turned away
+MOST_INSTANCES = 8  # of one node id, whose grants may be in use at a time: more are turned away
 
 
 class State(Enum):
@@ -35,6 +36,7 @@
 
 class Sign(Enum):
     """What can happen to a holder."""
+
     HEARD = "heard"
     ENDED = "stream ended"
     QUIET = "silence"
@@ -43,10 +45,16 @@
 
 
 TABLE: dict[tuple[State, Sign], State] = {
-    (State.LIVE, Sign.HEARD): State.LIVE, (State.LIVE, Sign.ENDED): State.CUT, (State.LIVE, Sign.QUIET): State.SILENT,
-    (State.LIVE, Sign.STREAM): State.LIVE, (State.SILENT, Sign.HEARD): State.LIVE,
-    (State.SILENT, Sign.ENDED): State.CUT, (State.SILENT, Sign.TIME): State.GONE,
-    (State.SILENT, Sign.STREAM): State.LIVE, (State.CUT, Sign.TIME): State.GONE, (State.CUT, Sign.STREAM): State.LIVE,
+    (State.LIVE, Sign.HEARD): State.LIVE,
+    (State.LIVE, Sign.ENDED): State.CUT,
+    (State.LIVE, Sign.QUIET): State.SILENT,
+    (State.LIVE, Sign.STREAM): State.LIVE,
+    (State.SILENT, Sign.HEARD): State.LIVE,
+    (State.SILENT, Sign.ENDED): State.CUT,
+    (State.SILENT, Sign.TIME): State.GONE,
+    (State.SILENT, Sign.STREAM): State.LIVE,
+    (State.CUT, Sign.TIME): State.GONE,
+    (State.CUT, Sign.STREAM): State.LIVE,
 }
 
 
@@ -55,28 +63,31 @@
     holder: str
     node: str
     state: State
-    stream: int             # its stream now, or its last one
-    heard: int              # the last sign of it
+    stream: int  # its stream now, or its last one
+    heard: int  # the last sign of it
 
 
 @dataclass(slots=True, frozen=True)
 class Joined:
     """A stream belongs to a holder from now on."""
+
     holder: str
-    came_back: bool         # it is known, and what it was granted may be in use
-    close: int | None       # the stream that it takes the place of
-    twin: bool              # another instance of its node id may still be in use
+    came_back: bool  # it is known, and what it was granted may be in use
+    close: int | None  # the stream that it takes the place of
+    twin: bool  # another instance of its node id may still be in use
 
 
 @dataclass(slots=True, frozen=True)
 class Refused:
     """Too many instances of one node id."""
+
     node: str
 
 
 @dataclass(slots=True, frozen=True)
 class Change:
     """A holder that is heard no more, or forgotten."""
+
     holder: str
     node: str
     state: State
@@ -86,7 +97,7 @@
     def __init__(self, silence_us: int, forget_us: int) -> None:
         holds(0 < silence_us <= forget_us, "silence comes before forgetting")
         self._silence, self._forget = silence_us, forget_us
-        self._members: OrderedDict[str, Member] = OrderedDict()     # the one heard longest ago first
+        self._members: OrderedDict[str, Member] = OrderedDict()  # the one heard longest ago first
         self._streams: dict[int, str] = {}
         self._nodes: dict[str, set[str]] = {}
 
@@ -125,7 +136,7 @@
         if member is None:
             return None
         del self._streams[stream]
-        member.state = TABLE[member.state, Sign.ENDED]      # no sign of life: its place among them stays
+        member.state = TABLE[member.state, Sign.ENDED]  # no sign of life: its place among them stays
         return Change(member.holder, member.node, State.CUT)
 
     def turn(self, now: int) -> list[Change]:
@@ -133,7 +144,7 @@
         changes = []
         for member in list(self._members.values()):
             if member.state is State.LIVE and member.heard > now - self._silence:
-                break       # all behind it were heard later
+                break  # all behind it were heard later
             if member.state is State.LIVE:
                 member.state = TABLE[member.state, Sign.QUIET]
                 changes.append(Change(member.holder, member.node, member.state))
@@ -148,7 +159,7 @@
         for member in self._members.values():
             times.append(member.heard + (self._silence if member.state is State.LIVE else self._forget))
             if member.state is State.LIVE:
-                break       # those behind it were heard later, and silence comes before forgetting
+                break  # those behind it were heard later, and silence comes before forgetting
         return max(now, min(times)) if times else None
 
     def holder(self, stream: int) -> str | None:
--- a/scalefall/control/service.py
+++ b/scalefall/control/service.py
@@ -10,6 +10,7 @@
 
 A holder of grants is a process (members.py) heard on its quota stream; resource streams hold none, and need no member.
 """
+
 from __future__ import annotations
 
 import heapq
@@ -27,20 +28,21 @@
 from scalefall.net.farm import Entry
 from scalefall.policy import Sender
 
-SETTLE = 10_000             # us from the first news to the turn that answers them
-WATCHED = 100_000           # between turns while a wait, a guard or a pace may end by itself
-RESTS = 1_000_000           # between turns otherwise
-GRID = 25_000               # heartbeats are sent at multiples of it
-HEADROOM = 1.25             # a holder's demand by what it used
+SETTLE = 10_000  # us from the first news to the turn that answers them
+WATCHED = 100_000  # between turns while a wait, a guard or a pace may end by itself
+RESTS = 1_000_000  # between turns otherwise
+GRID = 25_000  # heartbeats are sent at multiples of it
+HEADROOM = 1.25  # a holder's demand by what it used
 
-Out = tuple[int, Action | Grant]        # to a stream
-Rows = dict[int, list[Entry]]           # the endpoints of each route
+Out = tuple[int, Action | Grant]  # to a stream
+Rows = dict[int, list[Entry]]  # the endpoints of each route
 
 
 @dataclass(slots=True, frozen=True)
 class Builder:
     """fixed: endpoints by route and the routes' rules to resources; endpoints: route, its entries, the module's rows
     and now to one resource."""
+
     fixed: Callable[[Rows, dict[int, RouteRules]], list[Resource]]
     endpoints: Callable[[int, list[Entry], list[i.Allowed], int], Resource]
 
@@ -48,15 +50,17 @@
 @dataclass(slots=True, frozen=True)
 class Told:
     """For the log: an event's name, its fields; fine: of interest to the audit, not to a person."""
+
     event: str
     fields: dict[str, object]
     fine: bool = False
 
 
 class Service:
-    def __init__(self, now: int, settings: i.Settings, seed: int, builder: Builder, lease_us: int, delay_us: int,
-                 silence_us: int) -> None:
-        settings.probes = False         # control makes no calls of its own
+    def __init__(
+        self, now: int, settings: i.Settings, seed: int, builder: Builder, lease_us: int, delay_us: int, silence_us: int
+    ) -> None:
+        settings.probes = False  # control makes no calls of its own
         self.module = Sender(settings, seed)
         self.ledger = Ledger(now, lease_us, delay_us)
         self.judge = Judge(self.module, self.ledger)
@@ -66,8 +70,8 @@
         self._fleet = Fleet([], {})
         self._build = builder
         self._streams: dict[int, Stream] = {}
-        self._beats: list[tuple[int, int]] = []     # when a stream's next heartbeat may be due
-        self._planned: set[int] = set()             # streams that are there
+        self._beats: list[tuple[int, int]] = []  # when a stream's next heartbeat may be due
+        self._planned: set[int] = set()  # streams that are there
         self._judge_at = now
         self._rows: Rows = {}
         self._events: list[i.Event] = []
@@ -89,8 +93,14 @@
         places = {entry.endpoint.id: entry.address for entry in (*self._fleet.entries, *fleet.entries)}
         for end in changes:
             if _status(was.get(end.id)) != _status(end):
-                self._tell("endpoint", endpoint=end.id, address="{}:{}".format(*places[end.id]),
-                           route=end.destination, was=_status(was.get(end.id)), now=_status(end))
+                self._tell(
+                    "endpoint",
+                    endpoint=end.id,
+                    address="{}:{}".format(*places[end.id]),
+                    route=end.destination,
+                    was=_status(was.get(end.id)),
+                    now=_status(end),
+                )
         self.module.handle(now, [i.Listed(i.ListKind.CHANGES, changes)] if changes else [])
         allowed = self.judge.look()
         made += [self._build.endpoints(number, rows[number], allowed.get(number, []), now) for number in fleet.routes]
@@ -170,9 +180,17 @@
             member = self.members.get(grant.holder)
             if member is not None and member.state is State.LIVE:
                 out.append((member.stream, grant))
-                self._tell("granted", fine=True, clock=now, holder=grant.holder, route=grant.destination,
-                           number=grant.number, amount=grant.amount, lease_ms=grant.lease_us // 1000,
-                           delay_ms=self.ledger.delay // 1000)
+                self._tell(
+                    "granted",
+                    fine=True,
+                    clock=now,
+                    holder=grant.holder,
+                    route=grant.destination,
+                    number=grant.number,
+                    amount=grant.amount,
+                    lease_ms=grant.lease_us // 1000,
+                    delay_ms=self.ledger.delay // 1000,
+                )
         out += self._beat(now)
         return out
 
@@ -183,8 +201,11 @@
         for line in self.judge.said:
             self._tell("judged", text=line)
         allowed = self.judge.by_route()
-        made = [self._build.endpoints(number, self._rows[number], allowed.get(number, []), now)
-                for number in self.judge.unsettled if number in self._rows]
+        made = [
+            self._build.endpoints(number, self._rows[number], allowed.get(number, []), now)
+            for number in self.judge.unsettled
+            if number in self._rows
+        ]
         self._judge_at = now + (WATCHED if self.judge.unsettled else RESTS)
         return self._changed(self.catalog.update(made)) if made else [], grants
 
--- a/scalefall/control/streams.py
+++ b/scalefall/control/streams.py
@@ -16,6 +16,7 @@
      the rejected one is held back for that client alone. A client rejects a whole response: where several resources in
      it were new, they go out again one by one, so that the good ones aren't held back with the bad one.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -25,18 +26,19 @@
 
 from scalefall.control.catalog import CDS, LDS, TYPES, Catalog, Key, Resource
 
-WINDOW = 4                  # responses of one type without an answer
-MOST_NAMES = 20_000         # that one client may ask for by name
-MOST_LENGTH = 512           # of a name
-MOST_TEXT = 500             # of a rejection's text that is kept for the log
+WINDOW = 4  # responses of one type without an answer
+MOST_NAMES = 20_000  # that one client may ask for by name
+MOST_LENGTH = 512  # of a name
+MOST_TEXT = 500  # of a rejection's text that is kept for the log
 WILDCARD = "*"
-BEATS = 2                   # heartbeats in the shortest time to live
+BEATS = 2  # heartbeats in the shortest time to live
 
 
 @dataclass(slots=True, frozen=True)
 class Request:
     """State of the world: names are all that is asked for. Incremental: names are added, less are taken away, and known
     are the versions that a client has from before."""
+
     type: str
     nonce: str = ""
     names: tuple[str, ...] = ()
@@ -51,13 +53,14 @@
     nonce: str
     version: str
     resources: tuple[Resource, ...]
-    removed: tuple[str, ...] = ()           # incremental only
-    beat: bool = False                      # a heartbeat: names, versions and times to live, without bodies
+    removed: tuple[str, ...] = ()  # incremental only
+    beat: bool = False  # a heartbeat: names, versions and times to live, without bodies
 
 
 @dataclass(slots=True, frozen=True)
 class Rejected:
     """For the log: the client keeps what it had."""
+
     type: str
     names: tuple[str, ...]
     text: str
@@ -66,6 +69,7 @@
 @dataclass(slots=True, frozen=True)
 class Close:
     """The client breaks the protocol or asks for too much; the stream ends with this reason."""
+
     reason: str
 
 
@@ -82,23 +86,24 @@
 @dataclass(slots=True)
 class Watch:
     """One type on one stream."""
+
     type: str
     wildcard: bool = False
     names: set[str] = field(default_factory=set)
-    said: tuple[str, ...] | None = None     # the names of the last request, where each has them all
-    sent: dict[str, Resource] = field(default_factory=dict)     # what the client has, or will have when it has read all
-    since: dict[str, int] = field(default_factory=dict)         # the response from which on it is with the client
-    good: dict[str, Resource] = field(default_factory=dict)     # what it has acknowledged
-    bad: dict[str, str] = field(default_factory=dict)           # versions that it has rejected
+    said: tuple[str, ...] | None = None  # the names of the last request, where each has them all
+    sent: dict[str, Resource] = field(default_factory=dict)  # what the client has, or will have when it has read all
+    since: dict[str, int] = field(default_factory=dict)  # the response from which on it is with the client
+    good: dict[str, Resource] = field(default_factory=dict)  # what it has acknowledged
+    bad: dict[str, str] = field(default_factory=dict)  # versions that it has rejected
     out: deque[_Out] = field(default_factory=deque)
-    dirty: dict[str, None] = field(default_factory=dict)        # names to look at, in the order of the news
-    alone: set[str] = field(default_factory=set)                # were in a response that was rejected
-    again: set[str] = field(default_factory=set)                # to be sent even if nothing changed: asked for anew
-    absent: set[str] = field(default_factory=set)               # asked for by name, and told that there is none
-    answered: bool = False          # the first answer has gone out
-    last: str = ""                  # the nonce of the last one
+    dirty: dict[str, None] = field(default_factory=dict)  # names to look at, in the order of the news
+    alone: set[str] = field(default_factory=set)  # were in a response that was rejected
+    again: set[str] = field(default_factory=set)  # to be sent even if nothing changed: asked for anew
+    absent: set[str] = field(default_factory=set)  # asked for by name, and told that there is none
+    answered: bool = False  # the first answer has gone out
+    last: str = ""  # the nonce of the last one
     beaten: float = -inf
-    ttl: int = 0                    # the shortest time to live of what was sent; 0: nothing has one
+    ttl: int = 0  # the shortest time to live of what was sent; 0: nothing has one
 
     def wants(self, name: str) -> bool:
         return self.wildcard or name in self.names
@@ -113,7 +118,7 @@
         self._watches: dict[str, Watch] = {}
         self._nonce = 0
         self.closed = False
-        self.repeats = False        # the last request said the names again that the one before it had
+        self.repeats = False  # the last request said the names again that the one before it had
 
     # -- what comes
 
@@ -132,7 +137,7 @@
         if request.nonce:
             answered = self._answered(watch, request)
             if answered is None:
-                return []           # an answer to what was answered before: the client has seen later ones since
+                return []  # an answer to what was answered before: the client has seen later ones since
             actions += answered
         self._subscribe(watch, request, new)
         if len(watch.names) > MOST_NAMES:
@@ -163,8 +168,18 @@
 
     def next_beat(self, now: int) -> float:
         """inf while nothing has one, or an answer is waited for: then it is to be asked again with that."""
-        return min((max(now, watch.beaten + watch.ttl // BEATS) for watch in self._watches.values()
-                    if watch.ttl and not watch.out), default=inf) if self._leased else inf
+        return (
+            min(
+                (
+                    max(now, watch.beaten + watch.ttl // BEATS)
+                    for watch in self._watches.values()
+                    if watch.ttl and not watch.out
+                ),
+                default=inf,
+            )
+            if self._leased
+            else inf
+        )
 
     def has(self, key: Key) -> Resource | None:
         """What the client is known to have of a resource, as it said itself."""
@@ -181,16 +196,16 @@
     def _answered(self, watch: Watch, request: Request) -> list[Action] | None:
         """Takes in an acknowledgement or a rejection; None if its nonce is of no response that is out."""
         at = next((at for at, out in enumerate(watch.out) if out.nonce == request.nonce), None)
-        if at is None:      # state of the world: a change of names bears the last nonce, which was answered before
+        if at is None:  # state of the world: a change of names bears the last nonce, which was answered before
             return [] if self._incremental or request.nonce == watch.last and request.error is None else None
-        for _ in range(at):         # an answer answers all before it
+        for _ in range(at):  # an answer answers all before it
             self._accept(watch, watch.out.popleft())
         out = watch.out.popleft()
         if request.error is None:
             self._accept(watch, out)
             return []
         if out.beat:
-            watch.beaten = inf      # it does not take heartbeats, whatever it said
+            watch.beaten = inf  # it does not take heartbeats, whatever it said
             return [Rejected(watch.type, (), request.error[:MOST_TEXT])]
         suspects = [name for name, resource in out.resources.items() if watch.good.get(name) != resource]
         for name in suspects:
@@ -199,7 +214,7 @@
                 watch.alone.discard(name)
             else:
                 watch.alone.add(name)
-            later = any(name in other.resources for other in watch.out)     # on its way once more
+            later = any(name in other.resources for other in watch.out)  # on its way once more
             if watch.sent.get(name) == out.resources[name] and not later:
                 watch.dirty[name] = None
                 del watch.sent[name]
@@ -210,7 +225,7 @@
     def _accept(self, watch: Watch, out: _Out) -> None:
         for name, resource in out.resources.items():
             watch.alone.discard(name)
-            if name in watch.sent and int(out.nonce) >= watch.since.get(name, 0):   # else it was away meanwhile
+            if name in watch.sent and int(out.nonce) >= watch.since.get(name, 0):  # else it was away meanwhile
                 watch.good[name] = resource
 
     def _subscribe(self, watch: Watch, request: Request, new: bool) -> None:
@@ -219,11 +234,12 @@
             return
         self.repeats = request.names == watch.said and not new
         if self.repeats:
-            return                  # an acknowledgement
+            return  # an acknowledgement
         watch.said = request.names
         asked = set(request.names) - {WILDCARD}
-        wildcard = WILDCARD in request.names or (watch.type in (LDS, CDS) and not request.names and
-                                                 (new or watch.wildcard and not watch.names))
+        wildcard = WILDCARD in request.names or (
+            watch.type in (LDS, CDS) and not request.names and (new or watch.wildcard and not watch.names)
+        )
         self._set(watch, asked, wildcard)
 
     def _more_or_less(self, watch: Watch, request: Request, new: bool) -> None:
@@ -250,7 +266,7 @@
         watch.names, watch.wildcard = names, wildcard
         if not wildcard:
             less = less | {name for name in watch.sent if name not in names}
-            for name in less:       # the client drops what it does not ask for any more
+            for name in less:  # the client drops what it does not ask for any more
                 for held in (watch.sent, watch.good, watch.bad, watch.dirty):
                     held.pop(name, None)
                 for held in (watch.again, watch.absent, watch.alone):
@@ -275,9 +291,10 @@
         for name in list(watch.dirty):
             resource = self._catalog.get((watch.type, name), self._holder)
             if resource is None:
-                continue            # taken away below
+                continue  # taken away below
             if watch.bad.get(name) == resource.version or (
-                    name in watch.sent and watch.sent[name].version == resource.version and name not in watch.again):
+                name in watch.sent and watch.sent[name].version == resource.version and name not in watch.again
+            ):
                 del watch.dirty[name]
             elif all(self._with_client(key) for key in resource.needs):
                 ready.append(resource)
@@ -286,7 +303,7 @@
         if alone and not ready and not watch.out:
             ready = alone[:1]
         if not ready and (watch.answered or watch.dirty or not watch.wildcard):
-            return []       # an empty set is told too, once
+            return []  # an empty set is told too, once
         for resource in ready:
             del watch.dirty[resource.name]
             watch.bad.pop(resource.name, None)
@@ -305,7 +322,7 @@
             needed = self._needed()
             gone = [name for name in gone if (watch.type, name) not in needed]
         if not self._incremental and watch.type not in (LDS, CDS):
-            for name in gone:       # this form cannot say so: the client has it until it asks for it no more
+            for name in gone:  # this form cannot say so: the client has it until it asks for it no more
                 del watch.dirty[name]
             return []
         told = [name for name in gone if name in watch.sent or name in watch.names and name not in watch.absent]
@@ -326,11 +343,18 @@
 
     def _needed(self) -> set[Key]:
         """What the resources that the client has, or may have, refer to."""
-        return set().union(*(resource.needs for watch in self._watches.values()
-                             for held in (watch.sent, watch.good) for resource in held.values()))
-
-    def _respond(self, watch: Watch, resources: list[Resource], removed: tuple[str, ...],
-                 beat: bool = False) -> Response:
+        return set().union(
+            *(
+                resource.needs
+                for watch in self._watches.values()
+                for held in (watch.sent, watch.good)
+                for resource in held.values()
+            )
+        )
+
+    def _respond(
+        self, watch: Watch, resources: list[Resource], removed: tuple[str, ...], beat: bool = False
+    ) -> Response:
         """State of the world sends all listeners or clusters whenever one of them changes; the rest, what changed."""
         self._nonce += 1
         nonce = f"{self._nonce}"
--- a/scalefall/interface.py
+++ b/scalefall/interface.py
@@ -1,4 +1,5 @@
 """The types that policy.py speaks: settings at the start, events in, actions out. Times are whole microseconds."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass, field
@@ -8,6 +9,7 @@
 
 class Effect(Enum):
     """What repeating a message of a class may do."""
+
     SAFE = "safe"
     KEYED = "keyed"
     UNSAFE = "unsafe"
@@ -15,6 +17,7 @@
 
 class Outcome(Enum):
     """How an attempt or a probe ended."""
+
     OK = "ok"
     ERROR = "error"
     FULL = "full"
@@ -23,7 +26,7 @@
     RESET = "reset"
     CANCELLED = "cancelled"
     NOT_SENT = "not_sent"
-    CROWDED = "crowded"         # the endpoint is up, and turned the connection away, as it holds as many as it takes
+    CROWDED = "crowded"  # the endpoint is up, and turned the connection away, as it holds as many as it takes
 
 
 NEVER_RAN = frozenset((Outcome.FULL, Outcome.CONNECT_FAILED, Outcome.NOT_SENT, Outcome.CROWDED))
@@ -31,6 +34,7 @@
 
 class Status(Enum):
     """What the directory says of an endpoint; nothing about its health."""
+
     GONE = 0
     READY = 1
     DRAINING = 2
@@ -38,6 +42,7 @@
 
 class ListKind(Enum):
     """How a directory event is to be read."""
+
     CHANGES = 0
     WHOLE = 1
     CACHED = 2
@@ -96,8 +101,8 @@
     fall_multiple: float
     turn_gap_us: int
     tick_us: int
-    attempts: dict[int, int] = field(default_factory=dict)     # by destination, where not max_attempts
-    answers_report: bool = False    # every answer to a call tells the fields of a report
+    attempts: dict[int, int] = field(default_factory=dict)  # by destination, where not max_attempts
+    answers_report: bool = False  # every answer to a call tells the fields of a report
 
 
 @dataclass(slots=True)
@@ -108,13 +113,14 @@
     destination: int
     status: Status
     weight: float
-    most_calls: int = 0     # at once, from this sender; 0: as many as its slots
+    most_calls: int = 0  # at once, from this sender; 0: as many as its slots
 
 
 @dataclass(slots=True)
 class Message:
     """A message handed in: the sender owes it one final answer by due_us. One that was taken on before a restart
     comes again with its history: attempts used, and when and where one first may have run."""
+
     id: str
     destination: int
     class_name: str
@@ -122,21 +128,23 @@
     tenant: str | None = None
     key: str | None = None
     attempts: int = 0
-    ran_us: int | None = None       # may lie before the start
+    ran_us: int | None = None  # may lie before the start
     ran_zone: str = ""
-    restored: bool = False          # taken on before a restart: never turned away for want of room
-    cls: MessageClass | None = None     # the rules that it was taken on under, where not the settings' of now
+    restored: bool = False  # taken on before a restart: never turned away for want of room
+    cls: MessageClass | None = None  # the rules that it was taken on under, where not the settings' of now
 
 
 @dataclass(slots=True)
 class Dropped:
     """The client withdrew the message; nothing more is owed."""
+
     id: str
 
 
 @dataclass(slots=True)
 class Attempted:
     """The one outcome of an attempt."""
+
     id: str
     attempt: int
     endpoint: str
@@ -150,8 +158,9 @@
 @dataclass(slots=True)
 class Reported:
     """A call that another proxy made under a grant of ours, as it told."""
+
     endpoint: str
-    sent_us: int            # by our clock
+    sent_us: int  # by our clock
     outcome: Outcome
     wait_us: int = 0
     report: dict[str, float] = field(default_factory=dict)
@@ -180,25 +189,28 @@
 @dataclass(slots=True)
 class Known:
     """What an earlier process of this sender knew of a route, shortly before: comes after the cached list."""
+
     destination: int
     route: str
-    part: float         # calls a second that this sender was served with
-    limit: float        # the limit that answers told; 0 if none
+    part: float  # calls a second that this sender was served with
+    limit: float  # the limit that answers told; 0 if none
 
 
 @dataclass(slots=True)
 class Allowed:
     """What all proxies together may send on a route now, in calls a second; inf: as much as they like."""
+
     destination: int
     route: str
-    endpoints: dict[str, float]     # those that may have fresh work, each with what its own guard leaves it
-    rate: float                     # the route's pace, or its guard's budget
-    silent_until: int               # nothing before: a wait that was told
+    endpoints: dict[str, float]  # those that may have fresh work, each with what its own guard leaves it
+    rate: float  # the route's pace, or its guard's budget
+    silent_until: int  # nothing before: a wait that was told
 
 
 @dataclass(slots=True)
 class Closing:
     """The process ends at until_us, on purpose: a call still out then may have run."""
+
     until_us: int
 
 
@@ -218,6 +230,7 @@
 @dataclass(slots=True)
 class Refuse:
     """Final answer: handed back, a repeat does no harm; come again after retry_after_us."""
+
     id: str
     retry_after_us: int
 
@@ -225,6 +238,7 @@
 @dataclass(slots=True)
 class Fail:
     """Final answer: given up, no promise about its effect."""
+
     id: str
 
 
@@ -242,6 +256,7 @@
 @dataclass(slots=True)
 class Close:
     """Close the idle connections to an endpoint."""
+
     endpoint: str
 
 
--- a/scalefall/lab/link.py
+++ b/scalefall/lab/link.py
@@ -1,10 +1,11 @@
 """A link between two sockets that can fail: `python -m scalefall.lab.link TO`, then a word a line on standard input.
 
-    silence         nothing passes, and both ends think that it stands
-    heal            what was held goes on
-    reset           every connection through it is reset
-    delay MS        each piece is held for that long
+silence         nothing passes, and both ends think that it stands
+heal            what was held goes on
+reset           every connection through it is reset
+delay MS        each piece is held for that long
 """
+
 from __future__ import annotations
 
 import asyncio
--- a/scalefall/lab/proxy/contract.py
+++ b/scalefall/lab/proxy/contract.py
@@ -1,15 +1,16 @@
 """What a proxy may do, by what it was told: the contract, as a state machine. No I/O, no clock, no protobuf.
 
-    endpoints   Trusted until `ttl` after this proxy said something that the service has certainly heard. A heartbeat
-                goes out only when all that went before was answered, so it proves the last acknowledgement; the first
-                list proves the question. An unproved list, a drained endpoint and an unhealthy one get no fresh work.
-    grants      One a route, the highest number. It ends `lease` after the report that it was given upon was sent.
-                Calls go out at its pace, one at once; none is saved up beyond one.
-    waits       A told wait binds this proxy at once, whatever it was granted.
-    repeats     What may have run goes out again only as its class allows; without a connection it wasn't sent.
-    the end     With no endpoint or no grant to go by, a message goes to the sender itself (fallback), or is refused
-                with when to come back (stop), or goes out at a share of the last grant (floor): at_end chooses.
+endpoints   Trusted until `ttl` after this proxy said something that the service has certainly heard. A heartbeat
+            goes out only when all that went before was answered, so it proves the last acknowledgement; the first
+            list proves the question. An unproved list, a drained endpoint and an unhealthy one get no fresh work.
+grants      One a route, the highest number. It ends `lease` after the report that it was given upon was sent.
+            Calls go out at its pace, one at once; none is saved up beyond one.
+waits       A told wait binds this proxy at once, whatever it was granted.
+repeats     What may have run goes out again only as its class allows; without a connection it wasn't sent.
+the end     With no endpoint or no grant to go by, a message goes to the sender itself (fallback), or is refused
+            with when to come back (stop), or goes out at a share of the last grant (floor): at_end chooses.
 """
+
 from __future__ import annotations
 
 from collections import OrderedDict
@@ -19,10 +20,10 @@
 
 SECOND = 1_000_000
 CALLS = 1000
-KEPT = 64               # reports whose times are remembered
-FLOOR = 0.1             # of the last grant, where at_end is floor
-ATTEMPTS = 3            # of one message
-ASK_US = 250_000        # between reports of use
+KEPT = 64  # reports whose times are remembered
+FLOOR = 0.1  # of the last grant, where at_end is floor
+ATTEMPTS = 3  # of one message
+ASK_US = 250_000  # between reports of use
 
 
 @dataclass(slots=True, frozen=True)
@@ -42,7 +43,7 @@
 
 @dataclass(slots=True)
 class _Route:
-    endpoints: dict[str, str] = field(default_factory=dict)     # id to state: ready, draining, resting
+    endpoints: dict[str, str] = field(default_factory=dict)  # id to state: ready, draining, resting
     blocked: bool = False
     ttl: int = 0
     number: int = 0
@@ -50,8 +51,8 @@
     until: int = -1
     silent: int = -1
     next: int = 0
-    at: int = 0                 # the next endpoint's turn
-    allowed: int = 0            # since the last report of use
+    at: int = 0  # the next endpoint's turn
+    allowed: int = 0  # since the last report of use
     denied: int = 0
     reported: int = 0
 
@@ -60,10 +61,10 @@
     def __init__(self, routes: list[int], at_end: str = "fallback") -> None:
         self._at_end = at_end
         self._routes = {number: _Route() for number in routes}
-        self._said = 0                                          # the number of the last report of use
-        self._times: OrderedDict[int, int] = OrderedDict()      # when each went out
-        self._word = -1         # when it last answered a list, on this stream
-        self._proved = -1       # what it said at that time has been heard
+        self._said = 0  # the number of the last report of use
+        self._times: OrderedDict[int, int] = OrderedDict()  # when each went out
+        self._word = -1  # when it last answered a list, on this stream
+        self._proved = -1  # what it said at that time has been heard
 
     # -- resources
 
--- a/scalefall/lang/diff.py
+++ b/scalefall/lang/diff.py
@@ -3,6 +3,7 @@
 The comparison is total: every leaf in which the two meanings differ has a sentence, but for a route's value that
 changes with its policy, which has one there.
 """
+
 from __future__ import annotations
 
 import json
@@ -18,8 +19,8 @@
 
 DANGEROUS, NOTABLE, PLAIN = "dangerous", "notable", "plain"
 ORDER = (DANGEROUS, NOTABLE, PLAIN)
-MOST_RAISE = 2              # times that a limit may be raised without danger
-MOST_TIMES = 50             # times that any time may change before a wrong unit is more likely
+MOST_RAISE = 2  # times that a limit may be raised without danger
+MOST_TIMES = 50  # times that any time may change before a wrong unit is more likely
 EFFECTS = ("never", "keyed", "freely")
 Table = dict[str, Any]
 
@@ -29,7 +30,7 @@
     level: str
     code: str
     text: str
-    subject: str            # what it is about: "policy careful"
+    subject: str  # what it is about: "policy careful"
     word: str = ""
     old: str = ""
     new: str = ""
@@ -54,10 +55,26 @@
 
 def as_json(changes: list[Change]) -> str:
     """One object: version, same, dangerous, and the changes with old and new in the language's own words."""
-    rows = [{"level": c.level, "code": c.code, "text": c.text, "subject": c.subject, "word": c.word, "old": c.old,
-             "new": c.new, "place": c.place._asdict() if c.place else None} for c in changes]
-    return json.dumps({"version": 1, "same": not rows, "dangerous": any(c.level == DANGEROUS for c in changes),
-                       "changes": rows}, indent=1) + "\n"
+    rows = [
+        {
+            "level": c.level,
+            "code": c.code,
+            "text": c.text,
+            "subject": c.subject,
+            "word": c.word,
+            "old": c.old,
+            "new": c.new,
+            "place": c.place._asdict() if c.place else None,
+        }
+        for c in changes
+    ]
+    return (
+        json.dumps(
+            {"version": 1, "same": not rows, "dangerous": any(c.level == DANGEROUS for c in changes), "changes": rows},
+            indent=1,
+        )
+        + "\n"
+    )
 
 
 class _Compare:
@@ -65,8 +82,11 @@
         self._old, self._new = old, new
         self._was, self._is = old.meaning(), new.meaning()
         self._grace = units.say_duration(self._is["rules"]["drain-grace"])
-        self._homes = {row["address"]: (pool, name) for pool, table in self._is["pool"].items()
-                       for name, row in table["endpoints"].items()}
+        self._homes = {
+            row["address"]: (pool, name)
+            for pool, table in self._is["pool"].items()
+            for name, row in table["endpoints"].items()
+        }
 
     def changes(self) -> Iterator[Change]:
         for block in ("sender", "rules"):
@@ -82,8 +102,9 @@
         was, now = self._was[block], self._is[block]
         for name in was.keys() - now.keys():
             after = ": its messages are turned away" if block == "class" else ""
-            yield self._change(NOTABLE if block == "class" else PLAIN, "gone", f"{block} {name} disappears{after}",
-                               block, name, False)
+            yield self._change(
+                NOTABLE if block == "class" else PLAIN, "gone", f"{block} {name} disappears{after}", block, name, False
+            )
         for name in now.keys() - was.keys():
             yield self._change(PLAIN, "new", f"{block} {name} appears", block, name)
         for name in was.keys() & now.keys():
@@ -111,15 +132,22 @@
     def _pools(self) -> Iterator[Change]:
         was, now = self._was["pool"], self._is["pool"]
         for name in sorted(was.keys() - now.keys()):
-            yield self._change(NOTABLE, "gone", f"pool {name} disappears, and with it "
-                               f"{_number(was[name]['endpoints'])}: no fresh work {self._grace} after it is applied",
-                               "pool", name, False)
+            yield self._change(
+                NOTABLE,
+                "gone",
+                f"pool {name} disappears, and with it "
+                f"{_number(was[name]['endpoints'])}: no fresh work {self._grace} after it is applied",
+                "pool",
+                name,
+                False,
+            )
             for each, row in was[name]["endpoints"].items():
                 if row["address"] in self._homes:
                     yield self._gone(name, each, row)
         for name in sorted(now.keys() - was.keys()):
-            yield self._change(PLAIN, "new", f"pool {name} appears with {_number(now[name]['endpoints'])}",
-                               "pool", name)
+            yield self._change(
+                PLAIN, "new", f"pool {name} appears with {_number(now[name]['endpoints'])}", "pool", name
+            )
         for name in sorted(was.keys() & now.keys()):
             yield from self._values("pool", name, was[name], now[name], f"pool {name}")
             yield from self._endpoints(name, was[name]["endpoints"], now[name]["endpoints"])
@@ -128,14 +156,21 @@
         for name in was.keys() - now.keys():
             yield self._gone(pool, name, was[name])
         for name in now.keys() - was.keys():
-            yield self._change(PLAIN, "endpoint-new", f"endpoint {name} of {pool} appears at {now[name]['address']}",
-                               "endpoint", name, pool=pool)
+            yield self._change(
+                PLAIN,
+                "endpoint-new",
+                f"endpoint {name} of {pool} appears at {now[name]['address']}",
+                "endpoint",
+                name,
+                pool=pool,
+            )
         for name in was.keys() & now.keys():
             if was[name] != now[name]:
                 yield from self._endpoint(pool, name, was[name], now[name])
         if _ready(was) and not _ready(now):
-            yield self._change(DANGEROUS, "empty", f"pool {pool} has no endpoint left that may have fresh work",
-                               "pool", pool)
+            yield self._change(
+                DANGEROUS, "empty", f"pool {pool} has no endpoint left that may have fresh work", "pool", pool
+            )
 
     def _gone(self, pool: str, name: str, row: Table) -> Change:
         home, new_name = self._homes.get(row["address"], ("", ""))
@@ -145,32 +180,55 @@
             text = f"endpoint {name} of {pool} ({row['address']}) is called {new_name} from now on"
         else:
             text = f"endpoint {name} of {pool} disappears"
-        return self._change(NOTABLE, "endpoint-gone", f"{text}: no fresh work {self._grace} after it is applied",
-                            "endpoint", name, False, pool=pool)
+        return self._change(
+            NOTABLE,
+            "endpoint-gone",
+            f"{text}: no fresh work {self._grace} after it is applied",
+            "endpoint",
+            name,
+            False,
+            pool=pool,
+        )
 
     def _endpoint(self, pool: str, name: str, was: Table, now: Table) -> Iterator[Change]:
         subject = f"endpoint {name} of {pool}"
         if was["address"] != now["address"]:
-            yield self._change(NOTABLE, "endpoint-moved", f"{subject} moves from {was['address']} to {now['address']}: "
-                               f"the old address gets no fresh work {self._grace} after it is applied", "endpoint",
-                               name, pool=pool)
+            yield self._change(
+                NOTABLE,
+                "endpoint-moved",
+                f"{subject} moves from {was['address']} to {now['address']}: "
+                f"the old address gets no fresh work {self._grace} after it is applied",
+                "endpoint",
+                name,
+                pool=pool,
+            )
         if was["state"] != now["state"]:
-            told = f"drains: no fresh work {self._grace} after it is applied" if now["state"] == "draining" \
+            told = (
+                f"drains: no fresh work {self._grace} after it is applied"
+                if now["state"] == "draining"
                 else "is ready again"
+            )
             yield self._change(NOTABLE, "endpoint-state", f"{subject} {told}", "endpoint", name, pool=pool)
         for word in ("zone", "weight"):
             if was[word] != now[word]:
                 show = BLOCKS["endpoint"][word].show
-                yield self._change(PLAIN, "value", f"{word} of {subject}: {show(was[word])} -> {show(now[word])}",
-                                   "endpoint", name, pool=pool)
+                yield self._change(
+                    PLAIN,
+                    "value",
+                    f"{word} of {subject}: {show(was[word])} -> {show(now[word])}",
+                    "endpoint",
+                    name,
+                    pool=pool,
+                )
 
     # -- routes
 
     def _routes(self) -> Iterator[Change]:
         was, now = self._was["route"], self._is["route"]
         for name in sorted(was.keys() - now.keys(), key=int):
-            yield self._change(DANGEROUS, "gone", f"route {name} disappears: its messages are turned away", "route",
-                               name, False)
+            yield self._change(
+                DANGEROUS, "gone", f"route {name} disappears: its messages are turned away", "route", name, False
+            )
         for name in sorted(now.keys() - was.keys(), key=int):
             yield self._change(PLAIN, "new", f"route {name} appears, to pool {now[name]['pool']}", "route", name)
             if not self._served(self._is, name):
@@ -181,14 +239,33 @@
     def _route(self, name: str, was: Table, now: Table) -> Iterator[Change]:
         subject = f"route {name}"
         if was["pool"] != now["pool"]:
-            yield self._change(NOTABLE, "pool", f"{subject} goes to pool {now['pool']} instead of {was['pool']}",
-                               "route", name, True, "pool", was["pool"], now["pool"])
+            yield self._change(
+                NOTABLE,
+                "pool",
+                f"{subject} goes to pool {now['pool']} instead of {was['pool']}",
+                "route",
+                name,
+                True,
+                "pool",
+                was["pool"],
+                now["pool"],
+            )
         if self._served(self._was, name) and not self._served(self._is, name):
-            yield self._change(DANGEROUS, "empty", f"{subject} has no endpoint left that may have fresh work",
-                               "route", name)
+            yield self._change(
+                DANGEROUS, "empty", f"{subject} has no endpoint left that may have fresh work", "route", name
+            )
         if was["policy"] != now["policy"]:
-            yield self._change(PLAIN, "policy", f"{subject} follows policy {now['policy']} instead of {was['policy']}",
-                               "route", name, True, "policy", was["policy"], now["policy"])
+            yield self._change(
+                PLAIN,
+                "policy",
+                f"{subject} follows policy {now['policy']} instead of {was['policy']}",
+                "route",
+                name,
+                True,
+                "policy",
+                was["policy"],
+                now["policy"],
+            )
         for cls in sorted(set(was["classes"]) - set(now["classes"])):
             yield self._change(NOTABLE, "classes", f"{subject} carries {cls} no more", "route", name, True, "classes")
         for cls in sorted(set(now["classes"]) - set(was["classes"])):
@@ -201,19 +278,38 @@
     def _by_policy(self, was: Table, now: Table, word: str) -> bool:
         """Whether the policy's own sentence tells this change."""
         old, new = self._was["policy"], self._is["policy"]
-        return was["policy"] == now["policy"] and was["policy"] in old and was["policy"] in new \
+        return (
+            was["policy"] == now["policy"]
+            and was["policy"] in old
+            and was["policy"] in new
             and (old[was["policy"]][word], new[now["policy"]][word]) == (was[word], now[word])
+        )
 
     @staticmethod
     def _served(meaning: Table, route: str) -> bool:
         return _ready(meaning["pool"].get(meaning["route"][route]["pool"], {}).get("endpoints", {}))
 
-    def _change(self, level: str, code: str, text: str, block: str, name: str, there: bool = True, word: str = "",
-                old: str = "", new: str = "", subject: str = "", pool: str = "") -> Change:
+    def _change(
+        self,
+        level: str,
+        code: str,
+        text: str,
+        block: str,
+        name: str,
+        there: bool = True,
+        word: str = "",
+        old: str = "",
+        new: str = "",
+        subject: str = "",
+        pool: str = "",
+    ) -> Change:
         site = self._new if there else self._old
         if block == "endpoint":
-            place = next((row.place for row in site.endpoints.get(pool, ()) if row.name == name), None) \
-                if len(site.endpoints.get(pool, ())) <= 100 else site.of("pool")[pool].place
+            place = (
+                next((row.place for row in site.endpoints.get(pool, ()) if row.name == name), None)
+                if len(site.endpoints.get(pool, ())) <= 100
+                else site.of("pool")[pool].place
+            )
             subject = f"endpoint {pool}/{name}"
         else:
             each = getattr(site, block) if block in ("sender", "rules") else site.of(block).get(name)
@@ -225,8 +321,11 @@
     """How bad a changed value is, its code, and by how much it changed."""
     setting = BLOCKS[block][word]
     if word == "repeat":
-        return (DANGEROUS, "repeat-widened", "wider: more messages may take effect twice") if _wider(old, new) \
+        return (
+            (DANGEROUS, "repeat-widened", "wider: more messages may take effect twice")
+            if _wider(old, new)
             else (NOTABLE, "repeat-narrowed", "narrower")
+        )
     if setting.kind is RATE:
         return _judge_rate(word, old, new)
     if word == "dial-within":
@@ -238,8 +337,13 @@
         far = times >= MOST_TIMES
         how = "" if not times else f"{_round(times)} times {'shorter' if new < old else 'longer'}"
         return (DANGEROUS, "unit", f"{how}: a wrong unit?") if far else (PLAIN, "value", how)
-    words = ("smaller", "larger") if setting.kind.name == "a size" else ("fewer", "more") if isinstance(old, int) else \
-        ("less", "more")
+    words = (
+        ("smaller", "larger")
+        if setting.kind.name == "a size"
+        else ("fewer", "more")
+        if isinstance(old, int)
+        else ("less", "more")
+    )
     return PLAIN, "value", f"{_round(times)} times {words[new > old]}" if times >= MOST_RAISE else ""
 
 
--- a/scalefall/lang/explain.py
+++ b/scalefall/lang/explain.py
@@ -1,4 +1,5 @@
 """What is in force on one route, each value with the place that it comes from. No I/O."""
+
 from __future__ import annotations
 
 import json
@@ -11,10 +12,10 @@
 
 
 class Row(NamedTuple):
-    part: str               # route, policy, pool, endpoint, class, rules
-    text: str               # as it would be written
+    part: str  # route, policy, pool, endpoint, class, rules
+    text: str  # as it would be written
     origin: str
-    place: Place | None     # None: built in
+    place: Place | None  # None: built in
 
 
 def explain(site: Site, name: str) -> list[Row]:
@@ -35,8 +36,12 @@
     classes = route.own("classes")
     for name in site.classes_of(route):
         cls = site.of("class")[name]
-        yield Row("class", f"class {name}", f"route {route.name}" if classes.place else "every class",
-                  classes.place or cls.place)
+        yield Row(
+            "class",
+            f"class {name}",
+            f"route {route.name}" if classes.place else "every class",
+            classes.place or cls.place,
+        )
         for word, setting in BLOCKS["class"].items():
             value, place = cls.own(word)
             yield Row("class", f"  {setting.line(value)}", f"class {name}" if place else "built in", place)
@@ -55,8 +60,9 @@
             yield Row("pool", setting.line(value), f"pool {pool.name}" if place else "built in", place)
     for each in site.endpoints.get(pool.name, ()):
         state = "" if each.ready else ", draining"
-        yield Row("endpoint", f"{each.name} at {each.address}, zone {each.zone}{state}", f"pool {pool.name}",
-                  each.place)
+        yield Row(
+            "endpoint", f"{each.name} at {each.address}, zone {each.zone}{state}", f"pool {pool.name}", each.place
+        )
 
 
 def as_text(name: str, rows: list[Row]) -> str:
@@ -73,7 +79,23 @@
 
 
 def as_json(name: str, rows: list[Row]) -> str:
-    return json.dumps({"version": 1, "route": name, "rows": [
-        {"part": row.part, "text": row.text.strip(), "origin": row.origin,
-         "file": row.place.file if row.place else None, "line": row.place.line if row.place else None}
-        for row in rows]}, indent=1) + "\n"
+    return (
+        json.dumps(
+            {
+                "version": 1,
+                "route": name,
+                "rows": [
+                    {
+                        "part": row.part,
+                        "text": row.text.strip(),
+                        "origin": row.origin,
+                        "file": row.place.file if row.place else None,
+                        "line": row.place.line if row.place else None,
+                    }
+                    for row in rows
+                ],
+            },
+            indent=1,
+        )
+        + "\n"
+    )
--- a/scalefall/lang/files.py
+++ b/scalefall/lang/files.py
@@ -1,11 +1,12 @@
 """The one module of the language that reads files: folders on disk, and revisions in a git repository."""
+
 from __future__ import annotations
 
 import os
 import stat
 import subprocess
 
-ROOT_FILE = "site.scale"        # what is read where a folder is named
+ROOT_FILE = "site.scale"  # what is read where a folder is named
 GIT_SECONDS = 60
 
 
@@ -54,7 +55,7 @@
         for row in self._git("ls-tree", "-r", "-z", "--full-tree", revision).decode(errors="replace").split("\0"):
             head, _, path = row.partition("\t")
             if path.startswith(self._prefix):
-                self._kinds[path[len(self._prefix):]] = head.split(" ")[0]
+                self._kinds[path[len(self._prefix) :]] = head.split(" ")[0]
         self._folders: dict[str, set[str]] = {}
         for path in self._kinds:
             while path:
@@ -79,7 +80,7 @@
             raise OSError(0, f"revision {self._revision} has no such file")
         if self._kinds[path] == "120000":
             raise OSError(0, "it is a link, and links in a revision are not followed")
-        return self._git("cat-file", "blob", f"{self._revision}:{self._prefix}{path}")[:most + 1]
+        return self._git("cat-file", "blob", f"{self._revision}:{self._prefix}{path}")[: most + 1]
 
     def names(self, folder: str) -> list[str]:
         return list(self._folders.get(folder, ()))
--- a/scalefall/lang/format.py
+++ b/scalefall/lang/format.py
@@ -3,6 +3,7 @@
 Two blanks a level; one statement a line, but statements that shared a line, and blocks that stood on one, stay so while
 they fit; at most one empty line in a row, and none at the ends of a block.
 """
+
 from __future__ import annotations
 
 from collections import deque
@@ -25,8 +26,8 @@
         self._statements = document.statements
         self._comments = deque(document.comments)
         self._rows: list[str] = []
-        self._fresh = True          # nothing has been written in this block yet
-        self._line = 0              # the last line of the source that is written
+        self._fresh = True  # nothing has been written in this block yet
+        self._line = 0  # the last line of the source that is written
 
     def text(self) -> str:
         self._body(self._statements, 0)
@@ -67,7 +68,7 @@
         self._fresh = True
         self._body(statement.body, level + 1)
         self._comments_before(statement.end_line, level + 1)
-        self._fresh = True          # no empty line before the brace
+        self._fresh = True  # no empty line before the brace
         self._write(f"{indent}}}", statement.end_line, statement.end_line)
 
     def _comments_before(self, line: int | None, level: int) -> None:
