--- a/scalefall/lang/include.py
+++ b/scalefall/lang/include.py
@@ -2,6 +2,7 @@
 
 Paths are relative to the folder of the first file, the root, and never lead out of it. Each file is read once.
 """
+
 from __future__ import annotations
 
 import fnmatch
@@ -13,7 +14,7 @@
 from scalefall.lang.syntax import Document, Statement, parse, value_of
 from scalefall.lang.text import Place, Problems, near
 
-MOST_DEPTH = 16             # files that include files
+MOST_DEPTH = 16  # files that include files
 MOST_FILE = 4 * 1024 * 1024
 MOST_TOTAL = 32 * 1024 * 1024
 MOST_FILES = 10_000
@@ -39,6 +40,7 @@
 @dataclass(slots=True, frozen=True)
 class _Step:
     """One file on the way to the one being read, and where it was included."""
+
     path: str
     place: Place | None
 
@@ -51,7 +53,7 @@
         self._read: dict[str, Place | None] = {}
         self._total = 0
         self.documents: list[Document] = []
-        self.raw = b""          # of the file read last
+        self.raw = b""  # of the file read last
 
     def load(self, path: str) -> list[Document]:
         self._load([_Step(posixpath.normpath(path), None)])
@@ -81,17 +83,27 @@
             data = self._files.read(step.path, MOST_FILE)
         except OSError as error:
             why = error.strerror or str(error)
-            self._problems.error("unreadable", place, f"{shown} cannot be read: {why}", self._neighbour(step),
-                                 fatal=step.place is None)
+            self._problems.error(
+                "unreadable", place, f"{shown} cannot be read: {why}", self._neighbour(step), fatal=step.place is None
+            )
             return None
         self._total += len(data)
         if len(data) > MOST_FILE:
-            self._problems.error("large", place, f"{shown} is larger than {MOST_FILE // 2**20} MiB",
-                                 "split it into files and include them", fatal=step.place is None)
+            self._problems.error(
+                "large",
+                place,
+                f"{shown} is larger than {MOST_FILE // 2**20} MiB",
+                "split it into files and include them",
+                fatal=step.place is None,
+            )
             return None
         if self._total > MOST_TOTAL:
-            self._problems.error("large", place, f"with {shown} all files together are larger than "
-                                 f"{MOST_TOTAL // 2**20} MiB", fatal=step.place is None)
+            self._problems.error(
+                "large",
+                place,
+                f"with {shown} all files together are larger than {MOST_TOTAL // 2**20} MiB",
+                fatal=step.place is None,
+            )
             return None
         return data
 
@@ -106,9 +118,13 @@
             return data.decode()
         except UnicodeDecodeError as error:
             line = data.count(b"\n", 0, error.start) + 1
-            column = len(data[data.rfind(b"\n", 0, error.start) + 1:error.start].decode(errors="replace")) + 1
-            self._problems.error("encoding", Place(shown, line, column),
-                                 f"byte {data[error.start]:#04x} is not UTF-8", "save the file as UTF-8")
+            column = len(data[data.rfind(b"\n", 0, error.start) + 1 : error.start].decode(errors="replace")) + 1
+            self._problems.error(
+                "encoding",
+                Place(shown, line, column),
+                f"byte {data[error.start]:#04x} is not UTF-8",
+                "save the file as UTF-8",
+            )
             return data.decode(errors="replace")
 
     def _include(self, document: Document, statement: Statement, chain: list[_Step]) -> None:
@@ -116,14 +132,19 @@
         if len(words) != 1 or words[0].type not in ("STRING", "WORD"):
             at = words[1] if len(words) > 1 else statement.words[0]
             if not words or words[0].type != "BADSTRING":
-                self._problems.error("include", document.place(at), "include takes one path",
-                                     'write include "partners/*.scale"')
+                self._problems.error(
+                    "include", document.place(at), "include takes one path", 'write include "partners/*.scale"'
+                )
             return
         place, wanted = document.place(words[0]), value_of(words[0])
         why = _leads_out(wanted)
         if why:
-            self._problems.error("include", place, f"{wanted!r} {why}", "includes are relative and stay below the "
-                                 "folder of the first file")
+            self._problems.error(
+                "include",
+                place,
+                f"{wanted!r} {why}",
+                "includes are relative and stay below the folder of the first file",
+            )
             return
         if len(chain) >= MOST_DEPTH:
             self._problems.error("include", place, f"includes more than {MOST_DEPTH} deep")
@@ -137,8 +158,9 @@
 
     def _one(self, path: str, place: Place, chain: list[_Step]) -> None:
         if not self._files.inside(path):
-            self._problems.error("include", place, f"{self._files.shown(path)} leads out of the configuration's folder "
-                                 "over a link")
+            self._problems.error(
+                "include", place, f"{self._files.shown(path)} leads out of the configuration's folder over a link"
+            )
             return
         step = _Step(path, place)
         at = next((n for n, one in enumerate(chain) if one.path == path), None)
@@ -146,16 +168,26 @@
             self._loop([*chain[at:], step])
         elif path in self._read:
             first = self._read[path]
-            self._problems.warn("include", place, f"{self._files.shown(path)} is included already; it is read once",
-                                "", [(first, "first here")] if first else [])
+            self._problems.warn(
+                "include",
+                place,
+                f"{self._files.shown(path)} is included already; it is read once",
+                "",
+                [(first, "first here")] if first else [],
+            )
         else:
             self._load([*chain, step])
 
     def _loop(self, chain: list[_Step]) -> None:
         """The whole way round, each step with the line that takes it."""
         steps = [f"{step.place.file}:{step.place.line} includes {self._files.shown(step.path)}" for step in chain[1:]]
-        self._problems.error("loop", chain[-1].place, "includes in a loop: " + ", ".join(steps), "take one of them out",
-                             [(step.place, f"includes {self._files.shown(step.path)}") for step in chain[1:-1]])
+        self._problems.error(
+            "loop",
+            chain[-1].place,
+            "includes in a loop: " + ", ".join(steps),
+            "take one of them out",
+            [(step.place, f"includes {self._files.shown(step.path)}") for step in chain[1:-1]],
+        )
 
     def _matching(self, pattern: str) -> list[str]:
         """Paths that match, in the order of their names, folder by folder."""
@@ -165,8 +197,12 @@
             if not GLOB.search(part):
                 found = [posixpath.join(folder, part) for folder in found]
                 continue
-            found = [posixpath.join(folder, name) for folder in found for name in sorted(self._files.names(folder))
-                     if fnmatch.fnmatchcase(name, part) and not name.startswith(".")]
+            found = [
+                posixpath.join(folder, name)
+                for folder in found
+                for name in sorted(self._files.names(folder))
+                if fnmatch.fnmatchcase(name, part) and not name.startswith(".")
+            ]
             if n < len(parts) - 1:
                 found = [folder for folder in found if self._files.names(folder)]
         return found
--- a/scalefall/lang/load.py
+++ b/scalefall/lang/load.py
@@ -1,4 +1,5 @@
 """A configuration from its files to its meaning, in one call. The files come from whoever calls."""
+
 from __future__ import annotations
 
 from dataclasses import dataclass
@@ -13,11 +14,12 @@
 @dataclass(slots=True)
 class Loaded:
     """site is whole and may be used only where usable is true."""
+
     site: Site
     documents: list[Document]
     problems: list[Problem]
     errors: int
-    raw: bytes = b""            # as it was read, where it is a single file
+    raw: bytes = b""  # as it was read, where it is a single file
 
     @property
     def usable(self) -> bool:
@@ -63,7 +65,7 @@
     def read(self, path: str, most: int) -> bytes:
         if path != self._name:
             raise FileNotFoundError(0, "there is no other file")
-        return self._data[:most + 1]
+        return self._data[: most + 1]
 
     def names(self, folder: str) -> list[str]:
         return []
--- a/scalefall/lang/meaning.py
+++ b/scalefall/lang/meaning.py
@@ -4,6 +4,7 @@
 are held against each other (addresses, references). What could not be read is left out of the later steps, so that one
 mistake is one error.
 """
+
 from __future__ import annotations
 
 import re
@@ -19,7 +20,7 @@
 
 ROUTE = re.compile(r"(0|[1-9][0-9]{0,8})\Z")
 MOST_ENDPOINTS = 200_000
-REPORTED = "reported"       # of a value whose shape has its error already
+REPORTED = "reported"  # of a value whose shape has its error already
 
 
 def understand(file: str, documents: list[Document], problems: Problems) -> Site:
@@ -41,13 +42,17 @@
     def __init__(self, file: str, problems: Problems) -> None:
         nowhere = Place(file, 1)
         self.problems = problems
-        self.site = Site(file, Def("sender", "", nowhere), Def("rules", "", nowhere),
-                         {block: {} for block in TOP if block not in SINGLE})
-        self.torn = False       # a definition is missing or in part: what seems unused or empty may not be
+        self.site = Site(
+            file,
+            Def("sender", "", nowhere),
+            Def("rules", "", nowhere),
+            {block: {} for block in TOP if block not in SINGLE},
+        )
+        self.torn = False  # a definition is missing or in part: what seems unused or empty may not be
         self._seen: dict[tuple[str, str], Place] = {}
         self._spans: list[tuple[Def, str, Span, Place]] = []
         self._pools: list[tuple[Def, Document, list[Statement]]] = []
-        self._number = 0        # of endpoints
+        self._number = 0  # of endpoints
 
     # -- definitions
 
@@ -56,7 +61,7 @@
         if block == "include":
             if statement.body is not None:
                 self._error("block", place, "include has no block")
-            return      # done by whoever loads the files
+            return  # done by whoever loads the files
         if block not in TOP:
             self.torn = True
             if block in ("endpoint", "endpoints"):
@@ -88,8 +93,12 @@
         """The definition's name; empty for those that have none; None if it can't be had."""
         place, words = document.place(statement.words[0]), statement.words[1:]
         if statement.body is None:
-            self._error("block", place, f"{block} needs a block in braces",
-                        f"write {block} {'' if block in SINGLE else 'NAME '}{{ ... }}")
+            self._error(
+                "block",
+                place,
+                f"{block} needs a block in braces",
+                f"write {block} {'' if block in SINGLE else 'NAME '}{{ ... }}",
+            )
             return None
         if block in SINGLE:
             if words:
@@ -101,21 +110,33 @@
             return None
         name = value_of(words[0])
         if block == "route" and not ROUTE.match(name):
-            self._error("name", document.place(words[0]), f"{name!r} is not a route: routes are numbers of up to nine "
-                        "digits, as X-Route-To names them")
+            self._error(
+                "name",
+                document.place(words[0]),
+                f"{name!r} is not a route: routes are numbers of up to nine digits, as X-Route-To names them",
+            )
             return None
-        free = block in ("class", "kind", "zone", "tenant")    # named by others: any text, in quotes
+        free = block in ("class", "kind", "zone", "tenant")  # named by others: any text, in quotes
         if not (NAME.match(name) or free and words[0].type == "STRING" and name.isprintable() and 0 < len(name) <= 200):
-            self._error("name", document.place(words[0]), f"{name!r} is not a name",
-                        "letters, digits, dots, dashes and underscores")
+            self._error(
+                "name",
+                document.place(words[0]),
+                f"{name!r} is not a name",
+                "letters, digits, dots, dashes and underscores",
+            )
             return None
         return name
 
     def _first(self, block: str, name: str, place: Place) -> bool:
         first = self._seen.setdefault((block, name), place)
         if first is not place:
-            self._error("twice", place, f"{block} {name} is defined twice".replace("  ", " "),
-                        "keep one of them", [(first, "first here")])
+            self._error(
+                "twice",
+                place,
+                f"{block} {name} is defined twice".replace("  ", " "),
+                "keep one of them",
+                [(first, "first here")],
+            )
         return first is place
 
     # -- settings
@@ -134,15 +155,24 @@
                 each.broken = True
                 self._error("block", place, f"{word} has no block", f"write {word} and its value")
             elif word in each.values:
-                self._error("twice", place, f"{word} stands twice in this {each.block}", "keep one of them",
-                            [(each.values[word].place, "first here")])
+                self._error(
+                    "twice",
+                    place,
+                    f"{word} stands twice in this {each.block}",
+                    "keep one of them",
+                    [(each.values[word].place, "first here")],
+                )
             else:
                 self._setting(document, statement, table[word], each)
         for word, setting in table.items():
             if setting.default == "" and word not in each.values and not each.broken:
                 each.broken = True
-                self._error("missing", each.place, f"{each.block} {each.name} has no {word}",
-                            f"write {word} {setting.lead} and {setting.kind.name} ({setting.doc})".replace("  ", " "))
+                self._error(
+                    "missing",
+                    each.place,
+                    f"{each.block} {each.name} has no {word}",
+                    f"write {word} {setting.lead} and {setting.kind.name} ({setting.doc})".replace("  ", " "),
+                )
         if each.broken:
             self.torn = True
         return endpoints
@@ -150,8 +180,12 @@
     def _unknown(self, document: Document, statement: Statement, each: Def) -> None:
         word, place = statement.name, document.place(statement.words[0])
         if statement.body is not None and word in TOP:
-            self._error("misplaced", place, f"{word} inside {each.block} {each.name}".rstrip(),
-                        f"is the closing brace of the {each.block} at line {each.place.line} missing?")
+            self._error(
+                "misplaced",
+                place,
+                f"{word} inside {each.block} {each.name}".rstrip(),
+                f"is the closing brace of the {each.block} at line {each.place.line} missing?",
+            )
             return
         homes = [block for block in (*TOP, "endpoint") if word in BLOCKS[block]]
         if word in ("endpoint", "endpoints"):
@@ -166,8 +200,11 @@
         try:
             if setting.lead:
                 if not words or str(words[0]) != setting.lead:
-                    raise Wrong(f"{setting.word} is followed by {setting.lead}",
-                                f"write {setting.word} {setting.lead} and {setting.kind.name}", code="lead")
+                    raise Wrong(
+                        f"{setting.word} is followed by {setting.lead}",
+                        f"write {setting.word} {setting.lead} and {setting.kind.name}",
+                        code="lead",
+                    )
                 words = words[1:]
             value = self._read(setting, words)
             each.values[setting.word] = Value(value, document.place(statement.words[0]))
@@ -189,8 +226,11 @@
             return setting.kind.read([value_of(word) for word in words])
         for at, word in enumerate(words):
             if (word.type == "COMMA") != bool(at % 2):
-                raise Wrong("a comma with nothing before it" if word.type == "COMMA" else
-                            f"a comma is missing before {word}", "write a, b, c", at)
+                raise Wrong(
+                    "a comma with nothing before it" if word.type == "COMMA" else f"a comma is missing before {word}",
+                    "write a, b, c",
+                    at,
+                )
         if words[-1].type == "COMMA":
             raise Wrong("a comma with nothing after it", "take it out", len(words) - 1)
         try:
@@ -224,8 +264,13 @@
                 name = each.name if each.block == "endpoint" else f"{each.name}-{number}"
                 first = names.setdefault(name, each.place)
                 if first is not each.place:
-                    self._error("twice", each.place, f"endpoint {name} of {pool.name} is defined twice",
-                                "give one of them another name", [(first, "first here")])
+                    self._error(
+                        "twice",
+                        each.place,
+                        f"endpoint {name} of {pool.name} is defined twice",
+                        "give one of them another name",
+                        [(first, "first here")],
+                    )
                     break
                 found.append(Endpoint(name, pool.name, host, span.port, zone, state, weight, each.place))
         self.site.endpoints[pool.name] = found
@@ -240,18 +285,32 @@
             return None
         span, place = each.values["at"]
         if each.block == "endpoint" and span.first != span.last:
-            self._error("range", place, f"endpoint {name} has one address, not {span.last - span.first + 1}",
-                        f"write endpoints {name} for a range")
+            self._error(
+                "range",
+                place,
+                f"endpoint {name} has one address, not {span.last - span.first + 1}",
+                f"write endpoints {name} for a range",
+            )
             return None
         within = pool.values.get("dial-within")
         networks = within.value if within is not None and within.value is not None else None
         if networks is not None and not any(net.first <= span.first and span.last <= net.last for net in networks):
-            outside = next(h for h in range(span.first, span.last + 1)
-                           if not any(net.first <= h <= net.last for net in networks)) \
-                if len(networks) == 1 else span.first
-            self._error("outside", place, f"{netaddr.IPAddress(outside, 4)} of {name} lies outside "
-                        f"{listed(map(str, networks))}", "move it, or widen dial-within",
-                        [(within.place, f"dial-within of pool {pool.name}")])
+            outside = (
+                next(
+                    h
+                    for h in range(span.first, span.last + 1)
+                    if not any(net.first <= h <= net.last for net in networks)
+                )
+                if len(networks) == 1
+                else span.first
+            )
+            self._error(
+                "outside",
+                place,
+                f"{netaddr.IPAddress(outside, 4)} of {name} lies outside {listed(map(str, networks))}",
+                "move it, or widen dial-within",
+                [(within.place, f"dial-within of pool {pool.name}")],
+            )
         return each
 
     def addresses(self) -> None:
@@ -261,7 +320,7 @@
             ports.setdefault(row[2].port, []).append(row)
         for rows in ports.values():
             order = sorted(range(len(rows)), key=lambda at: rows[at][2].first)
-            reach: tuple[int, int] | None = None       # the furthest end so far, and whose it is
+            reach: tuple[int, int] | None = None  # the furthest end so far, and whose it is
             for at in order:
                 span = rows[at][2]
                 if reach is not None and span.first <= reach[0]:
@@ -273,10 +332,18 @@
         (pool, name, span, place), (other_pool, other_name, other, other_place) = first, second
         both = Span(max(span.first, other.first), min(span.last, other.last), span.port)
         word = "is" if both.first == both.last else "are"
-        where = f"in two pools, {pool.name} and {other_pool.name}" if pool is not other_pool \
+        where = (
+            f"in two pools, {pool.name} and {other_pool.name}"
+            if pool is not other_pool
             else f"twice in pool {pool.name}"
-        self._error("address-twice", other_place, f"{both} {word} {where} ({name} and {other_name})",
-                    "one address belongs to one endpoint", [(place, f"{name} of {pool.name}")])
+        )
+        self._error(
+            "address-twice",
+            other_place,
+            f"{both} {word} {where} ({name} and {other_name})",
+            "one address belongs to one endpoint",
+            [(place, f"{name} of {pool.name}")],
+        )
 
     # -- references
 
@@ -295,15 +362,23 @@
             self._refers(route, "policy")
             for name in route.get("classes") or ():
                 if name not in site.of("class") and not self._was_tried("class", name):
-                    self._error("reference", route.values["classes"].place, f"route {route.name} carries class {name}, "
-                                "which is not defined", meant(name, site.of("class"), "defined are"))
+                    self._error(
+                        "reference",
+                        route.values["classes"].place,
+                        f"route {route.name} carries class {name}, which is not defined",
+                        meant(name, site.of("class"), "defined are"),
+                    )
             pool = route.values.get("pool")
             if pool is not None and pool.value in site.of("pool"):
                 first = carried.setdefault(pool.value, route)
                 if first is not route:
-                    self._error("shared", pool.place, f"pool {pool.value} belongs to route {first.name} already",
-                                "give each route a pool of its own: limits are kept by route",
-                                [(first.values["pool"].place, f"route {first.name}")])
+                    self._error(
+                        "shared",
+                        pool.place,
+                        f"pool {pool.value} belongs to route {first.name} already",
+                        "give each route a pool of its own: limits are kept by route",
+                        [(first.values["pool"].place, f"route {first.name}")],
+                    )
 
     def _was_tried(self, block: str, name: str) -> bool:
         return (block, name) in self._seen
@@ -314,17 +389,26 @@
             return
         if block == "policy" and value.value == DEFAULT:
             return
-        self._error("reference", value.place, f"route {route.name} names {block} {value.value}, which is not defined",
-                    meant(value.value, self.site.of(block), "defined are"))
+        self._error(
+            "reference",
+            value.place,
+            f"route {route.name} names {block} {value.value}, which is not defined",
+            meant(value.value, self.site.of(block), "defined are"),
+        )
 
     def _declared(self, pool: Def | None, block: str, value: Value | None) -> None:
         """Kinds and zones need no definition; but where some are defined, an unknown one may be a slip."""
         known = self.site.of(block)
         if value is None or not known or value.value in known or self._was_tried(block, value.value):
             return
-        self.problems.warn("undeclared", value.place, f"{block} {value.value} is not defined, and counts as a plain "
-                           "one", meant(value.value, known, "defined are"))
+        self.problems.warn(
+            "undeclared",
+            value.place,
+            f"{block} {value.value} is not defined, and counts as a plain one",
+            meant(value.value, known, "defined are"),
+        )
 
-    def _error(self, code: str, place: Place, text: str, instead: str = "",
-               also: list[tuple[Place, str]] | None = None) -> None:
+    def _error(
+        self, code: str, place: Place, text: str, instead: str = "", also: list[tuple[Place, str]] | None = None
+    ) -> None:
         self.problems.error(code, place, text, instead, also or ())
--- a/scalefall/lang/model.py
+++ b/scalefall/lang/model.py
@@ -2,6 +2,7 @@
 
 `meaning` gives the same as plain values without places: two configurations mean the same if these are equal.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -18,17 +19,18 @@
 
 class Value(NamedTuple):
     value: Any
-    place: Place | None         # None: built in
+    place: Place | None  # None: built in
 
 
 @dataclass(slots=True)
 class Def:
     """One definition; values hold what is written in it."""
+
     block: str
     name: str
     place: Place
     values: dict[str, Value] = field(default_factory=dict)
-    broken: bool = False        # a value of it could not be read, so what is missing says nothing
+    broken: bool = False  # a value of it could not be read, so what is missing says nothing
 
     def own(self, word: str) -> Value:
         """What is written, or else the built-in default."""
@@ -40,13 +42,14 @@
 
 class Endpoint(NamedTuple):
     """One endpoint; those of a range are numbered from 1."""
+
     name: str
     pool: str
-    host: int                   # the IPv4 address as a number
+    host: int  # the IPv4 address as a number
     port: int
     zone: str
     state: str
-    weight: Any                 # None: not said
+    weight: Any  # None: not said
     place: Place
 
     @property
@@ -60,6 +63,7 @@
 
 class Effective(NamedTuple):
     """A value in force on a route, and whose it is."""
+
     word: str
     value: Any
     place: Place | None
@@ -71,7 +75,7 @@
     file: str
     sender: Def
     rules: Def
-    blocks: dict[str, dict[str, Def]] = field(default_factory=dict)     # by block, then by name
+    blocks: dict[str, dict[str, Def]] = field(default_factory=dict)  # by block, then by name
     endpoints: dict[str, list[Endpoint]] = field(default_factory=dict)  # by pool, in the file's order
 
     def of(self, block: str) -> dict[str, Def]:
@@ -91,8 +95,9 @@
         own = pool.values.get("idle-close")
         if own is not None:
             return Effective("idle-close", *own, f"pool {pool.name}")
-        return Effective("idle-close", *self.sender.own("idle-close"),
-                         "sender" if "idle-close" in self.sender.values else "built in")
+        return Effective(
+            "idle-close", *self.sender.own("idle-close"), "sender" if "idle-close" in self.sender.values else "built in"
+        )
 
     def classes_of(self, route: Def) -> tuple[str, ...]:
         own = route.get("classes")
@@ -113,14 +118,19 @@
         result: dict[str, Any] = {"sender": _filled(self.sender), "rules": _filled(self.rules)}
         for block in ("class", "kind", "zone", "tenant"):
             result[block] = {name: _filled(each) for name, each in self.of(block).items()}
-        result["policy"] = {name: {row.word: self._of_policy(name, row.word) for row in POLICY}
-                            for name in {DEFAULT, *self.of("policy")}}
-        result["pool"] = {name: _filled(each) | {"idle-close": self.idle_close(each).value}
-                          for name, each in self.of("pool").items()}
+        result["policy"] = {
+            name: {row.word: self._of_policy(name, row.word) for row in POLICY}
+            for name in {DEFAULT, *self.of("policy")}
+        }
+        result["pool"] = {
+            name: _filled(each) | {"idle-close": self.idle_close(each).value} for name, each in self.of("pool").items()
+        }
         for name, pool in result["pool"].items():
             pool["dial-within"] = pool["dial-within"] and tuple(sorted(pool["dial-within"]))
-            pool["endpoints"] = {each.name: {"address": each.address, "zone": each.zone, "state": each.state,
-                                             "weight": each.weight} for each in self.endpoints.get(name, ())}
+            pool["endpoints"] = {
+                each.name: {"address": each.address, "zone": each.zone, "state": each.state, "weight": each.weight}
+                for each in self.endpoints.get(name, ())
+            }
         result["route"] = {name: self._of_route(each) for name, each in self.of("route").items()}
         return result
 
@@ -131,9 +141,11 @@
         return BLOCKS["policy"][word].built_in
 
     def _of_route(self, route: Def) -> dict[str, Any]:
-        return {"pool": route.get("pool"), "policy": route.get("policy"),
-                "classes": tuple(sorted(self.classes_of(route)))} | {
-                    row.word: self.policy(route, row.word).value for row in POLICY}
+        return {
+            "pool": route.get("pool"),
+            "policy": route.get("policy"),
+            "classes": tuple(sorted(self.classes_of(route))),
+        } | {row.word: self.policy(route, row.word).value for row in POLICY}
 
 
 def _filled(each: Def) -> dict[str, Any]:
--- a/scalefall/lang/render.py
+++ b/scalefall/lang/render.py
@@ -1,4 +1,5 @@
 """Problems as text for people and as JSON for editors. No I/O; colours are the caller's choice."""
+
 from __future__ import annotations
 
 import json
@@ -6,8 +7,8 @@
 
 from scalefall.lang.text import ERROR, Place, Problem, count
 
-Paint = Callable[[str, str], str]       # a text and what it is: error, warning, place, caret, help
-MOST_SHOWN = 160                        # columns of a source line
+Paint = Callable[[str, str], str]  # a text and what it is: error, warning, place, caret, help
+MOST_SHOWN = 160  # columns of a source line
 
 
 def no_paint(text: str, what: str) -> str:
@@ -32,11 +33,10 @@
         return []
     text, column = "".join(c if c.isprintable() else " " for c in source[place.line - 1]), place.column - 1
     start = max(0, column - MOST_SHOWN // 2) if len(text) > MOST_SHOWN else 0
-    shown = text[start:start + MOST_SHOWN].rstrip()
+    shown = text[start : start + MOST_SHOWN].rstrip()
     length = max(1, min(place.length, len(shown) - (column - start)))
     number = str(place.line)
-    return [f"  {number} | {shown}",
-            f"  {' ' * len(number)} | {' ' * (column - start)}{paint('^' * length, what)}"]
+    return [f"  {number} | {shown}", f"  {' ' * len(number)} | {' ' * (column - start)}{paint('^' * length, what)}"]
 
 
 def text(problems: list[Problem], sources: dict[str, list[str]], paint: Paint = no_paint) -> str:
@@ -59,9 +59,19 @@
 
 def as_json(problems: list[Problem]) -> str:
     """One object: version, problems (places with lines and columns from 1), and their numbers."""
-    rows = [{"severity": each.severity, "code": each.code, **each.place._asdict(), "text": each.text,
-             "instead": each.instead, "also": [{**place._asdict(), "text": part} for place, part in each.also]}
-            for each in problems]
+    rows = [
+        {
+            "severity": each.severity,
+            "code": each.code,
+            **each.place._asdict(),
+            "text": each.text,
+            "instead": each.instead,
+            "also": [{**place._asdict(), "text": part} for place, part in each.also],
+        }
+        for each in problems
+    ]
     errors = sum(problem.severity == ERROR for problem in problems)
-    return json.dumps({"version": 1, "errors": errors, "warnings": len(problems) - errors, "problems": rows},
-                      indent=1) + "\n"
+    return (
+        json.dumps({"version": 1, "errors": errors, "warnings": len(problems) - errors, "problems": rows}, indent=1)
+        + "\n"
+    )
--- a/scalefall/lang/schema.py
+++ b/scalefall/lang/schema.py
@@ -3,6 +3,7 @@
 Everything that needs to know a setting (reading, explaining, comparing, writing one from JSON) reads it off BLOCKS, so
 a new setting is one row here and one line where it takes effect.
 """
+
 from __future__ import annotations
 
 import functools
@@ -18,7 +19,7 @@
 from scalefall.lang.text import Wrong, listed, meant
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,99}\Z")
-MOST_RANGE = 4096           # addresses that one range may hold
+MOST_RANGE = 4096  # addresses that one range may hold
 MOST_SCORE = 1_000_000
 
 
@@ -32,6 +33,7 @@
 
 class Span(NamedTuple):
     """Addresses from first to last, as numbers, at one port; a single one where both are the same."""
+
     first: int
     last: int
     port: int
@@ -43,6 +45,7 @@
 
 class Repeat(NamedTuple):
     """What repeating a message of a class may do; keyed: dropped by its key for ttl_us, in one zone or everywhere."""
+
     effect: str
     ttl_us: int = 0
     in_zone: bool = False
@@ -56,6 +59,7 @@
 @dataclass(frozen=True)
 class Kind:
     """How a setting's words are read (they raise Wrong) and shown; a list is words between commas."""
+
     name: str
     read: Callable[[list[str]], Any]
     show: Callable[[Any], str] = str
@@ -67,10 +71,10 @@
     word: str
     kind: Kind
     doc: str
-    default: str | None = ""        # in the language; "": the block must have it; None: it has none and needs none
-    lead: str = ""                  # a word that stands between the setting's name and its value
-    brief: bool = False             # a duration that may well be under 50 ms
-    absent: str = "none"            # how to write that there is none, where the default is None; "": not at all
+    default: str | None = ""  # in the language; "": the block must have it; None: it has none and needs none
+    lead: str = ""  # a word that stands between the setting's name and its value
+    brief: bool = False  # a duration that may well be under 50 ms
+    absent: str = "none"  # how to write that there is none, where the default is None; "": not at all
 
     @functools.cached_property
     def built_in(self) -> Any:
@@ -91,19 +95,27 @@
 
 def _one(read: Callable[[str], Any], dimension: str = "") -> Callable[[list[str]], Any]:
     """A reader of exactly one word."""
+
     def reader(words: list[str]) -> Any:
         if len(words) == 1:
             return read(words[0])
-        if dimension and len(words) == 2 and units.PLAIN.match(words[0]) and words[1].isalpha() \
-                and words[1] not in ("per", "of"):
+        if (
+            dimension
+            and len(words) == 2
+            and units.PLAIN.match(words[0])
+            and words[1].isalpha()
+            and words[1] not in ("per", "of")
+        ):
             unit = units.SPELLED.get(words[1].lower(), words[1])
             raise Wrong(f"a blank between {words[0]} and its unit {words[1]}", f"write {words[0]}{unit}", code="unit")
         if dimension and len(words) == 3 and words[1] == "per" and dimension != "a rate":
-            raise Wrong(f"{' '.join(words)} is a rate where {dimension} belongs", f"write {dimension}",
-                        code="unit-kind")
+            raise Wrong(
+                f"{' '.join(words)} is a rate where {dimension} belongs", f"write {dimension}", code="unit-kind"
+            )
         if not words:
             raise Wrong("a value is missing", code="missing")
         raise Wrong(f"one value belongs here, not {len(words)}", "a statement ends with its line or with ;", 1)
+
     return reader
 
 
@@ -127,8 +139,9 @@
     if ":" in text or text.startswith("["):
         raise Wrong(f"{text} is not an IPv4 address", "the sender dials IPv4 only", code="address")
     if re.search("[A-Za-z]", text):
-        raise Wrong(f"{text} is a name, and names are not looked up", "write its address, like 10.3.0.18:8081",
-                    code="address")
+        raise Wrong(
+            f"{text} is a name, and names are not looked up", "write its address, like 10.3.0.18:8081", code="address"
+        )
     raise Wrong(f"{text} is not an IPv4 address", "write four numbers up to 255, like 10.3.0.18", code="address")
 
 
@@ -144,8 +157,11 @@
     if not colon:
         kind = units.looks_like(value)
         if "-" not in value and kind in ("a duration", "a rate", "a share", "a size", "a bare number", "a network"):
-            raise Wrong(f"{value} is {kind} where an address belongs", "write an address and a port, like "
-                        "10.3.0.18:8081", code="unit-kind")
+            raise Wrong(
+                f"{value} is {kind} where an address belongs",
+                "write an address and a port, like 10.3.0.18:8081",
+                code="unit-kind",
+            )
         _host(value.partition("-")[0])
         raise Wrong(f"{value} has no port", f"write {value}:8081, with the port that it listens on", code="address")
     first, dash, last = hosts.partition("-")
@@ -153,8 +169,11 @@
     if not dash:
         return Span(start, start, _port(port, 1))
     if last.isdigit():
-        raise Wrong(f"{value} is not how a range is written",
-                    f"write {first}-{first.rpartition('.')[0]}.{last}:{port}", code="address")
+        raise Wrong(
+            f"{value} is not how a range is written",
+            f"write {first}-{first.rpartition('.')[0]}.{last}:{port}",
+            code="address",
+        )
     end = _host(last)
     try:
         netaddr.IPRange(start, end)
@@ -196,8 +215,9 @@
             return Repeat("keyed", units.duration(words[2]), len(words) > 3)
         except Wrong as wrong:
             raise Wrong(wrong.text, wrong.instead, 2, wrong.code) from None
-    raise Wrong(f"{' '.join(words) or 'nothing'} is not a way to repeat",
-                "write never, freely or keyed for 6s", code="choice")
+    raise Wrong(
+        f"{' '.join(words) or 'nothing'} is not a way to repeat", "write never, freely or keyed for 6s", code="choice"
+    )
 
 
 def _number_of(words: list[str]) -> tuple[int, int]:
@@ -212,6 +232,7 @@
         if word not in words:
             raise Wrong(f"{word} is not {listed(words).replace(' and ', ' or ')}", meant(word, words), code="choice")
         return word
+
     return Kind(" or ".join(words), _one(read))
 
 
@@ -231,6 +252,7 @@
         if value < least:
             raise Wrong(f"{word} is too little", f"write at least {units.show_size(least)}", code="range")
         return value
+
     return Kind("a size", _one(read, "a size"), units.show_size)
 
 
@@ -258,6 +280,7 @@
             if values[-1] in values[:-1]:
                 raise Wrong(f"{word} stands here twice", "", at, "twice")
         return tuple(values)
+
     return reader
 
 
@@ -280,80 +303,93 @@
     Setting("wait", DURATION, "the longest time after which a refused client is told to come back", "3s", "at-most"),
     Setting("dial", DURATION, "how long a connection may take to come up", "1500ms", "within"),
 )
-BLOCKS: dict[str, dict[str, Setting]] = {block: {row.word: row for row in rows} for block, rows in {
-    "sender": (
-        Setting("name", TEXT, "what it calls itself in its log", "scalefall"),
-        Setting("listen", PLACE, "where clients connect", "127.0.0.1:8080"),
-        Setting("discovery", PLACE, "the platform's discovery; `run` has none", None),
-        Setting("reports", PLACE, "where the ends of messages that were given up are told; else in the log", None),
-        Setting("seed", Kind("a hexadecimal number", _one(_seed)), "for random numbers", "0"),
-        Setting("number", Kind("a place in a row", _number_of, lambda v: f"{v[0]} of {v[1]}"),
-                "which of how many senders this is; they share the limits", "0 of 1"),
-        Setting("cores", SCORE, "what it may use of the processor", "1"),
-        Setting("memory", _size(16 * 10**6), "what it may use of the memory", "192MB"),
-        Setting("sockets", _count(64, 1_000_000), "descriptors it may hold", "1024"),
-        Setting("disk", _size(100_000), "how large its folder may grow", "3MB"),
-        Setting("slots", _count(1, 100_000), "calls that may be out at once", "12"),
-        Setting("hold", _count(1, 1_000_000), "messages that may be open at once", "200"),
-        Setting("idle-close", DURATION, "an idle connection is closed before this", "10s"),
-        Setting("tick", DURATION, "events are gathered for so long before they are decided on", "5ms", brief=True),
-        Setting("late", _choice("linear", "line", "halving"), "how a message loses worth after its aim", "linear"),
-        Setting("cancel", FLAG, "calls may be given up", "yes"),
-        Setting("probe", FLAG, "endpoints may be asked how they are", "no"),
-        Setting("tell-wait", FLAG, "refused clients may be told when to come back", "yes"),
-        Setting("streams", _count(1, 1000), "calls at once on a connection", "1"),
-        Setting("list", _choice("ask", "push"), "how discovery's list comes", "ask"),
-        Setting("weights", _choice("none", "nominal", "rough", "live"), "what discovery's weights mean", "none"),
-        Setting("load-report", _list(text, "names"), "fields of the load reports that answers carry", "x0, x1"),
-        Setting("over-share", SHARE, "what a message beyond its tenant's share is worth", "10%"),
-        Setting("turn-gap", DURATION, "between two messages of one key", "0s", brief=True),
-    ),
-    "rules": (
-        Setting("drain-grace", DURATION, "no fresh work for a draining endpoint later than this", "1s"),
-        Setting("cold", DURATION, "how long a partner that comes back stays cold", "10s"),
-        Setting("cold-from", SHARE, "what a cold partner takes at first", "20%"),
-        Setting("fall", DURATION, "a cold partner that is flooded for so long falls over", "2s"),
-        Setting("fall-multiple", SCORE, "flooded: so many times what it takes", "2"),
-        Setting("ask-within", DURATION, "discovery is asked again within this", "10s"),
-        Setting("answer-slack", DURATION, "by how much a final answer may be late", "20ms", brief=True),
-    ),
-    "class": (
-        Setting("aim", DURATION, "a delivery within it keeps its whole worth"),
-        Setting("deadline", DURATION, "when its final answer is due"),
-        Setting("repeat", REPEAT, "whether a message that may have run may be sent again"),
-        Setting("worth", SCORE, "against other classes", "1"),
-        Setting("late-worth", SHARE, "what of it is left at the deadline", "0%"),
-        Setting("in-order", FLAG, "messages of one key go one after the other", "no"),
-    ),
-    "kind": (
-        Setting("per-call", _count(1, 10_000), "messages that one call may carry", "1"),
-        Setting("limits", _choice("together", "apart"), "whether endpoints share their pool's limit", "together"),
-    ),
-    "zone": (Setting("fee", SCORE, "what sending there costs, against other zones", "0"),),
-    "tenant": (Setting("quota", RATE, "its share"),),
-    "policy": POLICY,
-    "pool": (
-        Setting("kind", TEXT, "the kind of its endpoints", "partner"),
-        Setting("limit", RATE, "what all senders together may send there", None),
-        Setting("connections", _count(1, 100_000), "calls at once to each endpoint", None),
-        Setting("idle-close", DURATION, "an idle connection is closed before this; else as the sender says", None,
-                absent=""),
-        Setting("dial-within", _list(network, "networks"), "networks that its endpoints must lie in", None),
-    ),
-    "endpoint": (
-        Setting("at", Kind("an address", _one(span, "an address")), "its address"),
-        Setting("zone", TEXT, "where it stands", "here"),
-        Setting("state", _choice("ready", "draining"), "draining: finishes what it has, and gets nothing new",
-                "ready"),
-        Setting("weight", SCORE, "as the sender's weights say", None, absent=""),
-    ),
-    "route": (
-        Setting("pool", NAMED, "where its messages go"),
-        Setting("policy", NAMED, "the rules for them", "default"),
-        Setting("classes", _list(text, "classes"), "what it carries; else every class", None, absent="every"),
-        *POLICY,
-    ),
-}.items()}
+BLOCKS: dict[str, dict[str, Setting]] = {
+    block: {row.word: row for row in rows}
+    for block, rows in {
+        "sender": (
+            Setting("name", TEXT, "what it calls itself in its log", "scalefall"),
+            Setting("listen", PLACE, "where clients connect", "127.0.0.1:8080"),
+            Setting("discovery", PLACE, "the platform's discovery; `run` has none", None),
+            Setting("reports", PLACE, "where the ends of messages that were given up are told; else in the log", None),
+            Setting("seed", Kind("a hexadecimal number", _one(_seed)), "for random numbers", "0"),
+            Setting(
+                "number",
+                Kind("a place in a row", _number_of, lambda v: f"{v[0]} of {v[1]}"),
+                "which of how many senders this is; they share the limits",
+                "0 of 1",
+            ),
+            Setting("cores", SCORE, "what it may use of the processor", "1"),
+            Setting("memory", _size(16 * 10**6), "what it may use of the memory", "192MB"),
+            Setting("sockets", _count(64, 1_000_000), "descriptors it may hold", "1024"),
+            Setting("disk", _size(100_000), "how large its folder may grow", "3MB"),
+            Setting("slots", _count(1, 100_000), "calls that may be out at once", "12"),
+            Setting("hold", _count(1, 1_000_000), "messages that may be open at once", "200"),
+            Setting("idle-close", DURATION, "an idle connection is closed before this", "10s"),
+            Setting("tick", DURATION, "events are gathered for so long before they are decided on", "5ms", brief=True),
+            Setting("late", _choice("linear", "line", "halving"), "how a message loses worth after its aim", "linear"),
+            Setting("cancel", FLAG, "calls may be given up", "yes"),
+            Setting("probe", FLAG, "endpoints may be asked how they are", "no"),
+            Setting("tell-wait", FLAG, "refused clients may be told when to come back", "yes"),
+            Setting("streams", _count(1, 1000), "calls at once on a connection", "1"),
+            Setting("list", _choice("ask", "push"), "how discovery's list comes", "ask"),
+            Setting("weights", _choice("none", "nominal", "rough", "live"), "what discovery's weights mean", "none"),
+            Setting("load-report", _list(text, "names"), "fields of the load reports that answers carry", "x0, x1"),
+            Setting("over-share", SHARE, "what a message beyond its tenant's share is worth", "10%"),
+            Setting("turn-gap", DURATION, "between two messages of one key", "0s", brief=True),
+        ),
+        "rules": (
+            Setting("drain-grace", DURATION, "no fresh work for a draining endpoint later than this", "1s"),
+            Setting("cold", DURATION, "how long a partner that comes back stays cold", "10s"),
+            Setting("cold-from", SHARE, "what a cold partner takes at first", "20%"),
+            Setting("fall", DURATION, "a cold partner that is flooded for so long falls over", "2s"),
+            Setting("fall-multiple", SCORE, "flooded: so many times what it takes", "2"),
+            Setting("ask-within", DURATION, "discovery is asked again within this", "10s"),
+            Setting("answer-slack", DURATION, "by how much a final answer may be late", "20ms", brief=True),
+        ),
+        "class": (
+            Setting("aim", DURATION, "a delivery within it keeps its whole worth"),
+            Setting("deadline", DURATION, "when its final answer is due"),
+            Setting("repeat", REPEAT, "whether a message that may have run may be sent again"),
+            Setting("worth", SCORE, "against other classes", "1"),
+            Setting("late-worth", SHARE, "what of it is left at the deadline", "0%"),
+            Setting("in-order", FLAG, "messages of one key go one after the other", "no"),
+        ),
+        "kind": (
+            Setting("per-call", _count(1, 10_000), "messages that one call may carry", "1"),
+            Setting("limits", _choice("together", "apart"), "whether endpoints share their pool's limit", "together"),
+        ),
+        "zone": (Setting("fee", SCORE, "what sending there costs, against other zones", "0"),),
+        "tenant": (Setting("quota", RATE, "its share"),),
+        "policy": POLICY,
+        "pool": (
+            Setting("kind", TEXT, "the kind of its endpoints", "partner"),
+            Setting("limit", RATE, "what all senders together may send there", None),
+            Setting("connections", _count(1, 100_000), "calls at once to each endpoint", None),
+            Setting(
+                "idle-close",
+                DURATION,
+                "an idle connection is closed before this; else as the sender says",
+                None,
+                absent="",
+            ),
+            Setting("dial-within", _list(network, "networks"), "networks that its endpoints must lie in", None),
+        ),
+        "endpoint": (
+            Setting("at", Kind("an address", _one(span, "an address")), "its address"),
+            Setting("zone", TEXT, "where it stands", "here"),
+            Setting(
+                "state", _choice("ready", "draining"), "draining: finishes what it has, and gets nothing new", "ready"
+            ),
+            Setting("weight", SCORE, "as the sender's weights say", None, absent=""),
+        ),
+        "route": (
+            Setting("pool", NAMED, "where its messages go"),
+            Setting("policy", NAMED, "the rules for them", "default"),
+            Setting("classes", _list(text, "classes"), "what it carries; else every class", None, absent="every"),
+            *POLICY,
+        ),
+    }.items()
+}
 BLOCKS["endpoints"] = BLOCKS["endpoint"]
-SINGLE = ("sender", "rules")            # blocks with no name, at most one each
+SINGLE = ("sender", "rules")  # blocks with no name, at most one each
 TOP = tuple(block for block in BLOCKS if block not in ("endpoint", "endpoints"))
--- a/scalefall/lang/sender.py
+++ b/scalefall/lang/sender.py
@@ -3,6 +3,7 @@
 Endpoints are known to the module by name, pool and address together: one that moves is another endpoint, whose guards,
 waits and figures start anew, and one that comes back where it was is the one it was.
 """
+
 from __future__ import annotations
 
 from typing import Any
@@ -18,7 +19,7 @@
 from scalefall.settings import read_settings
 
 STATES = {"ready": i.Status.READY, "draining": i.Status.DRAINING}
-LIVE = {"pool", "policy", "route"}          # whatever changes in these takes effect at once
+LIVE = {"pool", "policy", "route"}  # whatever changes in these takes effect at once
 
 
 def config(site: Site, state: str, seed: int) -> Config:
@@ -28,9 +29,19 @@
     settings.ask, settings.weights = False, "told"
     fleet = Fleet(entries(site), routes(site))
     return Config(
-        name=sender.get("name"), listen=tuple(sender.get("listen")), discovery=None, state=state, seed=seed,
-        sockets=sender.get("sockets"), disk_bytes=sender.get("disk"), memory_bytes=sender.get("memory"),
-        settings=settings, known=Roll(1, True, fleet.entries), reports=sender.get("reports"), fleet=fleet)
+        name=sender.get("name"),
+        listen=tuple(sender.get("listen")),
+        discovery=None,
+        state=state,
+        seed=seed,
+        sockets=sender.get("sockets"),
+        disk_bytes=sender.get("disk"),
+        memory_bytes=sender.get("memory"),
+        settings=settings,
+        known=Roll(1, True, fleet.entries),
+        reports=sender.get("reports"),
+        fleet=fleet,
+    )
 
 
 def entries(site: Site) -> list[Entry]:
@@ -42,8 +53,9 @@
         idle, limit = site.idle_close(pool).value, pool.get("limit")
         most, weight = pool.get("connections") or 0, pace(limit) if limit is not None else 0.0
         for each in site.endpoints.get(pool.name, ()):
-            end = i.Endpoint(endpoint_id(each), each.zone, pool.get("kind"), int(route.name), STATES[each.state],
-                             weight, most)
+            end = i.Endpoint(
+                endpoint_id(each), each.zone, pool.get("kind"), int(route.name), STATES[each.state], weight, most
+            )
             host, _, port = each.address.rpartition(":")
             rows.append(Entry(end, (host, int(port)), each.address, dial, idle))
     return rows
@@ -54,8 +66,12 @@
 
 
 def routes(site: Site) -> dict[int, RouteRules]:
-    return {int(route.name): RouteRules(frozenset(site.classes_of(route)), site.policy(route, "attempts").value,
-                                        site.policy(route, "wait").value) for route in site.of("route").values()}
+    return {
+        int(route.name): RouteRules(
+            frozenset(site.classes_of(route)), site.policy(route, "attempts").value, site.policy(route, "wait").value
+        )
+        for route in site.of("route").values()
+    }
 
 
 def pace(limit: Rate) -> float:
@@ -91,7 +107,7 @@
             rows.append(f"{_at(new.of(block)[name])}: {block} {name} is new")
         for name in sorted(was[block].keys() & will[block].keys()):
             rows += _values(block, f"{block} {name}", was[block][name], will[block][name], new, name)
-        if block != "class":    # a class that goes is carried by no route any more, which takes effect
+        if block != "class":  # a class that goes is carried by no route any more, which takes effect
             rows += [f"{new.file}: {block} {name} is gone" for name in sorted(was[block].keys() - will[block].keys())]
     return rows
 
@@ -101,8 +117,10 @@
     for word, setting in BLOCKS[block].items():
         if was[word] != will[word]:
             each: Def = getattr(new, block) if not name else new.of(block)[name]
-            rows.append(f"{_at(each, word)}: {word} of {title} is {setting.show(will[word])} in the file, and stays "
-                        f"{setting.show(was[word])}")
+            rows.append(
+                f"{_at(each, word)}: {word} of {title} is {setting.show(will[word])} in the file, and stays "
+                f"{setting.show(was[word])}"
+            )
     return rows
 
 
--- a/scalefall/lang/suspicious.py
+++ b/scalefall/lang/suspicious.py
@@ -1,4 +1,5 @@
 """What is legal but suspicious: warnings on a Site that has been read whole. No I/O."""
+
 from __future__ import annotations
 
 from scalefall.lang import units
@@ -31,8 +32,12 @@
         if setting.kind is not DURATION or setting.brief or place is None:
             continue
         if value < SHORT_US:
-            problems.warn("short", place, f"{setting.line(value)} is under 50 ms",
-                          f"was {units.show_duration(value * 1000)} meant?" if value else "")
+            problems.warn(
+                "short",
+                place,
+                f"{setting.line(value)} is under 50 ms",
+                f"was {units.show_duration(value * 1000)} meant?" if value else "",
+            )
         elif value > LONG_US:
             problems.warn("long", place, f"{setting.line(value)} is over an hour")
 
@@ -42,12 +47,22 @@
         return
     aim, deadline = cls.own("aim"), cls.own("deadline")
     if deadline.value < aim.value:
-        problems.warn("deadline", deadline.place, f"the deadline of {cls.name} ({units.say_duration(deadline.value)}) "
-                      f"is shorter than its aim ({units.say_duration(aim.value)})", "", [(aim.place, "its aim")])
+        problems.warn(
+            "deadline",
+            deadline.place,
+            f"the deadline of {cls.name} ({units.say_duration(deadline.value)}) "
+            f"is shorter than its aim ({units.say_duration(aim.value)})",
+            "",
+            [(aim.place, "its aim")],
+        )
     repeat = cls.own("repeat")
     if repeat.value.effect == "keyed" and repeat.value.ttl_us < SHORT_US:
-        problems.warn("short", repeat.place, f"keys of {cls.name} are known for under 50 ms",
-                      f"was {units.show_duration(repeat.value.ttl_us * 1000)} meant?")
+        problems.warn(
+            "short",
+            repeat.place,
+            f"keys of {cls.name} are known for under 50 ms",
+            f"was {units.show_duration(repeat.value.ttl_us * 1000)} meant?",
+        )
 
 
 def _policies(site: Site, problems: Problems) -> None:
@@ -64,8 +79,13 @@
     rows = site.endpoints.get(pool.name, [])
     if not any(row.ready for row in rows):
         draining = f": {count(len(rows), 'endpoint')}, all draining" if rows else f": pool {pool.name} is empty"
-        problems.warn("empty", route.place, f"route {route.name} has no endpoint left{draining}", "",
-                      [(pool.place, f"pool {pool.name}")])
+        problems.warn(
+            "empty",
+            route.place,
+            f"route {route.name} has no endpoint left{draining}",
+            "",
+            [(pool.place, f"pool {pool.name}")],
+        )
     if route.get("classes") == ():
         problems.warn("empty", route.place, f"route {route.name} carries no class")
 
--- a/scalefall/lang/syntax.py
+++ b/scalefall/lang/syntax.py
@@ -5,6 +5,7 @@
 every text, so that only braces can go wrong. A text that does so is taken apart again token by token and mended: a
 missing brace is put in where the next definition starts, and an idle one is left out, each with its error.
 """
+
 from __future__ import annotations
 
 import threading
@@ -16,7 +17,7 @@
 
 from scalefall.lang.text import Place, Problems, count
 
-MOST_DEPTH = 16             # blocks within blocks: the language itself needs two
+MOST_DEPTH = 16  # blocks within blocks: the language itself needs two
 TOP_WORDS = ("class", "include", "kind", "policy", "pool", "route", "rules", "sender", "tenant", "zone")
 GRAMMAR = r"""
 start: _items? statement?
@@ -43,10 +44,11 @@
 @dataclass(slots=True)
 class Statement:
     """Words as tokens of the kinds WORD, STRING and COMMA; body is None where there is no block."""
+
     words: list[Token]
     body: list[Statement] | None = None
-    end_line: int = 0           # of the closing brace, or of the last word
-    depth: int = 0              # levels of blocks within it
+    end_line: int = 0  # of the closing brace, or of the last word
+    depth: int = 0  # levels of blocks within it
 
     @property
     def line(self) -> int:
@@ -72,11 +74,12 @@
 @dataclass(slots=True)
 class Document:
     """One file, taken apart."""
+
     file: str
     lines: list[str]
     statements: list[Statement] = field(default_factory=list)
     comments: list[Token] = field(default_factory=list)
-    broken: bool = False        # its shape had to be mended
+    broken: bool = False  # its shape had to be mended
 
     def place(self, word: Token) -> Place:
         return Place(self.file, word.line, word.column, max(1, len(word.rstrip())))
@@ -132,8 +135,14 @@
 
     def __init__(self) -> None:
         self.comments: list[Token] = []
-        self._lark = Lark(GRAMMAR, parser="lalr", lexer="basic", transformer=_Build(), maybe_placeholders=False,
-                          lexer_callbacks={"COMMENT": self._comment})
+        self._lark = Lark(
+            GRAMMAR,
+            parser="lalr",
+            lexer="basic",
+            transformer=_Build(),
+            maybe_placeholders=False,
+            lexer_callbacks={"COMMENT": self._comment},
+        )
 
     def _comment(self, token: Token) -> Token:
         self.comments.append(token)
@@ -155,7 +164,7 @@
 
 
 _parser: _Parser | None = None
-_lock = threading.Lock()        # a reload may be read in a thread of its own
+_lock = threading.Lock()  # a reload may be read in a thread of its own
 
 
 def parse(text: str, file: str, problems: Problems) -> Document:
@@ -173,8 +182,11 @@
         document.comments = _parser.comments
     for statement in document.statements:
         if statement.depth > MOST_DEPTH:
-            problems.error("depth", document.place(statement.words[0]),
-                           f"blocks {count(statement.depth, 'level')} deep; {MOST_DEPTH} is the most")
+            problems.error(
+                "depth",
+                document.place(statement.words[0]),
+                f"blocks {count(statement.depth, 'level')} deep; {MOST_DEPTH} is the most",
+            )
             statement.body, statement.depth, document.broken = [], 1, True
     _strings(document, document.statements, problems)
     return document
@@ -187,15 +199,17 @@
         problems.warn("bom", Place(file, 1), "the file starts with a byte order mark", "`scalefall fmt` takes it out")
     if "\r" in text:
         line = text.count("\n", 0, text.index("\r")) + 1
-        problems.warn("line-ends", Place(file, line), "lines end as on Windows (CR LF)",
-                      "`scalefall fmt` writes plain ones")
+        problems.warn(
+            "line-ends", Place(file, line), "lines end as on Windows (CR LF)", "`scalefall fmt` writes plain ones"
+        )
         text = text.replace("\r\n", "\n").replace("\r", "\n")
     if "\t" in text:
         line, column = _at(text, text.index("\t"))
         problems.warn("tab", Place(file, line, column), "a tab", "`scalefall fmt` indents with blanks")
         text = text.replace("\t", " ")
-    bad = next((at for at, char in enumerate(text) if char < " " and char != "\n"), -1) if not text.isprintable() \
-        else -1
+    bad = (
+        next((at for at, char in enumerate(text) if char < " " and char != "\n"), -1) if not text.isprintable() else -1
+    )
     if bad >= 0:
         line, column = _at(text, bad)
         what = "a NUL byte" if text[bad] == "\0" else f"a control character (code {ord(text[bad])})"
@@ -216,14 +230,19 @@
     for token in tokens:
         if token.type == "OPEN":
             if last not in ("WORD", "STRING", "COMMA", "BADSTRING"):
-                problems.error("brace", document.place(token), "a block with no name before its brace",
-                               "write what it is first, like pool name {")
+                problems.error(
+                    "brace",
+                    document.place(token),
+                    "a block with no name before its brace",
+                    "write what it is first, like pool name {",
+                )
                 yield _made("WORD", "?", token)
             opened.append(token)
         elif token.type == "CLOSE":
             if not opened:
-                problems.error("brace", document.place(token), "a closing brace that no block is open for",
-                               "take it out")
+                problems.error(
+                    "brace", document.place(token), "a closing brace that no block is open for", "take it out"
+                )
                 continue
             opened.pop()
         elif never_closed and opened and token in TOP_WORDS and token.column == 1 and last in ("_SEP", "CLOSE"):
@@ -255,8 +274,9 @@
     for statement in statements:
         for word in statement.words:
             if word.type == "BADSTRING":
-                problems.error("string", document.place(word), "this string does not end on its line",
-                               "write its closing quote")
+                problems.error(
+                    "string", document.place(word), "this string does not end on its line", "write its closing quote"
+                )
                 document.broken = True
             elif word.type == "STRING":
                 _escapes(document, word, problems)
@@ -267,5 +287,4 @@
     rest = iter(word[1:-1])
     for char in rest:
         if char == "\\" and (follows := next(rest)) not in ESCAPES:
-            problems.error("escape", document.place(word), f"\\{follows} is no escape",
-                           'write \\n, \\t, \\" or \\\\')
+            problems.error("escape", document.place(word), f"\\{follows} is no escape", 'write \\n, \\t, \\" or \\\\')
--- a/scalefall/lang/text.py
+++ b/scalefall/lang/text.py
@@ -1,4 +1,5 @@
 """Places in files and problems found there: what every other part of the language reports with. No I/O."""
+
 from __future__ import annotations
 
 import difflib
@@ -11,6 +12,7 @@
 
 class Place(NamedTuple):
     """Where something stands: lines and columns count from 1, length is in characters."""
+
     file: str
     line: int
     column: int = 1
@@ -23,13 +25,14 @@
 @dataclass(slots=True, frozen=True)
 class Problem:
     """One thing that is wrong (ERROR) or legal but suspicious (WARNING)."""
+
     severity: str
-    code: str                       # a stable word for editors and tests
+    code: str  # a stable word for editors and tests
     place: Place
-    text: str                       # what is wrong
-    instead: str = ""               # what to write instead
-    also: tuple[tuple[Place, str], ...] = ()    # other places that belong to it, each with a word on its part
-    fatal: bool = False             # the file asked for itself cannot be read: nothing was checked
+    text: str  # what is wrong
+    instead: str = ""  # what to write instead
+    also: tuple[tuple[Place, str], ...] = ()  # other places that belong to it, each with a word on its part
+    fatal: bool = False  # the file asked for itself cannot be read: nothing was checked
 
     def sort_key(self) -> tuple[str, int, int, str, str]:
         return self.place.file, self.place.line, self.place.column, self.severity, self.text
@@ -46,14 +49,23 @@
 @dataclass(slots=True)
 class Problems:
     """Gathers problems; the same one at the same place is kept once."""
+
     found: dict[tuple[str, Place, str], Problem] = field(default_factory=dict)
 
-    def error(self, code: str, place: Place, text: str, instead: str = "",
-              also: Iterable[tuple[Place, str]] = (), fatal: bool = False) -> None:
+    def error(
+        self,
+        code: str,
+        place: Place,
+        text: str,
+        instead: str = "",
+        also: Iterable[tuple[Place, str]] = (),
+        fatal: bool = False,
+    ) -> None:
         self.add(Problem(ERROR, code, place, text, instead, tuple(also), fatal))
 
-    def warn(self, code: str, place: Place, text: str, instead: str = "",
-             also: Iterable[tuple[Place, str]] = ()) -> None:
+    def warn(
+        self, code: str, place: Place, text: str, instead: str = "", also: Iterable[tuple[Place, str]] = ()
+    ) -> None:
         self.add(Problem(WARNING, code, place, text, instead, tuple(also)))
 
     def add(self, problem: Problem) -> None:
--- a/scalefall/lang/units.py
+++ b/scalefall/lang/units.py
@@ -3,6 +3,7 @@
 Durations are whole microseconds, sizes whole bytes, shares and plain numbers Decimals, rates a count per duration.
 Every reader raises Wrong, which says what is wrong and what to write instead.
 """
+
 from __future__ import annotations
 
 import re
@@ -17,9 +18,26 @@
 MOST_DURATION = 366 * 24 * HOUR
 MOST_SIZE = 2**50
 MOST_COUNT = 10**9
-SPELLED = {"sec": "s", "secs": "s", "second": "s", "seconds": "s", "msec": "ms", "msecs": "ms", "millis": "ms",
-           "milliseconds": "ms", "minute": "min", "minutes": "min", "mins": "min", "hour": "h", "hours": "h",
-           "hr": "h", "usec": "us", "\u00b5s": "us", "\u03bcs": "us", "micros": "us"}
+SPELLED = {
+    "sec": "s",
+    "secs": "s",
+    "second": "s",
+    "seconds": "s",
+    "msec": "ms",
+    "msecs": "ms",
+    "millis": "ms",
+    "milliseconds": "ms",
+    "minute": "min",
+    "minutes": "min",
+    "mins": "min",
+    "hour": "h",
+    "hours": "h",
+    "hr": "h",
+    "usec": "us",
+    "\u00b5s": "us",
+    "\u03bcs": "us",
+    "micros": "us",
+}
 QUANTITY = re.compile(r"([+-]?)([0-9]{1,15}(?:\.[0-9]{1,9})?)([^0-9.].*)?\Z", re.DOTALL)
 PLAIN = re.compile(r"[0-9]{1,15}(?:\.[0-9]{1,9})?\Z")
 ADDRESS = re.compile(r"[0-9.]+(-[0-9.]+)?:[0-9]+\Z")
@@ -28,6 +46,7 @@
 
 class Rate(NamedTuple):
     """count calls in each span of per_us microseconds."""
+
     count: int
     per_us: int
 
@@ -77,8 +96,11 @@
         raise Wrong(f"{what} has no sign: {text}", f"write {number}{unit}")
     if not unit:
         *first, last = (number + each for each in meant)
-        raise Wrong(f"{text} has no unit where {what} belongs ({', '.join(units)})",
-                    f"write {', '.join(first)} or {last}, whichever you mean", code="no-unit")
+        raise Wrong(
+            f"{text} has no unit where {what} belongs ({', '.join(units)})",
+            f"write {', '.join(first)} or {last}, whichever you mean",
+            code="no-unit",
+        )
     return number, unit
 
 
@@ -92,8 +114,11 @@
     if right not in DURATIONS:
         raise _other_kind(text, "a duration", example)
     if right != unit:
-        raise Wrong(f"{unit} is not how a unit is written (us, ms, s, min, h; lower case)", f"write {number}{right}",
-                    code="unit")
+        raise Wrong(
+            f"{unit} is not how a unit is written (us, ms, s, min, h; lower case)",
+            f"write {number}{right}",
+            code="unit",
+        )
     value = Decimal(number) * DURATIONS[unit]
     if value != int(value):
         raise Wrong(f"{text} is finer than a microsecond")
@@ -124,11 +149,15 @@
         slash = re.match(r"([0-9]+)/(?:([0-9]*)(s|sec|min|h))\Z", words[0])
         if slash:
             unit = SPELLED.get(slash[3], slash[3])
-            raise Wrong(f"{words[0]} is not how a rate is written", f"write {slash[1]} per {slash[2] or 1}{unit}",
-                        code="unit")
+            raise Wrong(
+                f"{words[0]} is not how a rate is written", f"write {slash[1]} per {slash[2] or 1}{unit}", code="unit"
+            )
         if looks_like(words[0]) == "a bare number":
-            raise Wrong(f"{words[0]} has no span where a rate belongs", f"write {words[0]} per 1s or "
-                        f"{words[0]} per 1min, whichever you mean", code="no-unit")
+            raise Wrong(
+                f"{words[0]} has no span where a rate belongs",
+                f"write {words[0]} per 1s or {words[0]} per 1min, whichever you mean",
+                code="no-unit",
+            )
         raise _other_kind(words[0], "a rate", example)
     if len(words) != 3 or words[1] != "per":
         raise Wrong(f"{joined!r} is not a rate", example)
@@ -149,8 +178,9 @@
     if unit not in SIZES:
         right = next((known for known in SIZES if known.lower() in (unit.lower(), unit.lower() + "b")), "")
         if right:
-            raise Wrong(f"{unit} is not how a unit is written ({', '.join(SIZES)})", f"write {number}{right}",
-                        code="unit")
+            raise Wrong(
+                f"{unit} is not how a unit is written ({', '.join(SIZES)})", f"write {number}{right}", code="unit"
+            )
         raise _other_kind(text, "a size", example)
     value = Decimal(number) * SIZES[unit]
     if value != int(value) or value > MOST_SIZE:
@@ -170,8 +200,11 @@
     parts = QUANTITY.match(text)
     if parts is None or parts[3] != "%" or parts[1]:
         if PLAIN.match(text):
-            raise Wrong(f"{text} has no unit where a share belongs", f"write {show_share(Decimal(text))}" if
-                        Decimal(text) <= 1 else f"write {text}%", code="no-unit")
+            raise Wrong(
+                f"{text} has no unit where a share belongs",
+                f"write {show_share(Decimal(text))}" if Decimal(text) <= 1 else f"write {text}%",
+                code="no-unit",
+            )
         raise _other_kind(text, "a share", "write a share in per cent, like 40%")
     value = Decimal(parts[2]) / 100
     if value > 1:
@@ -189,8 +222,9 @@
             raise Wrong(f"{text} is not a whole number of at least {least}")
         raise _other_kind(text, "a count", "write a whole number")
     if not least <= int(text) <= most:
-        raise Wrong(f"{text} is out of range", f"write a whole number from {least} to {most:,}".replace(",", " "),
-                    code="range")
+        raise Wrong(
+            f"{text} is out of range", f"write a whole number from {least} to {most:,}".replace(",", " "), code="range"
+        )
     return int(text)
 
 
--- a/scalefall/lang/wire.py
+++ b/scalefall/lang/wire.py
@@ -3,6 +3,7 @@
 The two forms hold the same Settings. What only the language can say (per-route policies, connection caps, networks)
 has no place in the JSON; `compiled` names it, so that nothing is lost in silence.
 """
+
 from __future__ import annotations
 
 from collections.abc import Iterator
@@ -30,10 +31,17 @@
     table: dict[str, Any] = {"name": sender.get("name"), "listen": str(sender.get("listen"))}
     if sender.get("discovery") is not None:
         table["discovery"] = str(sender.get("discovery"))
-    table |= {"seed": sender.get("seed"),
-              "limits": {"cores": float(sender.get("cores")), "memory_mb": sender.get("memory") / 1e6,
-                         "sockets": sender.get("sockets"), "disk_mb": sender.get("disk") / 1e6},
-              "known": {"seq": 1, "whole": True, "hosts": list(_hosts(site))}, "settings": settings_table(site)}
+    table |= {
+        "seed": sender.get("seed"),
+        "limits": {
+            "cores": float(sender.get("cores")),
+            "memory_mb": sender.get("memory") / 1e6,
+            "sockets": sender.get("sockets"),
+            "disk_mb": sender.get("disk") / 1e6,
+        },
+        "known": {"seq": 1, "whole": True, "hosts": list(_hosts(site))},
+        "settings": settings_table(site),
+    }
     return table, list(_lost(site))
 
 
@@ -43,35 +51,63 @@
     kinds, zones = _names(site, "kind"), _names(site, "zone")
     index, siblings = sender.get("number")
     return {
-        "index": index, "siblings": siblings, "tick": _ms(sender.get("tick")), "weights": sender.get("weights"),
-        "registryMode": sender.get("list"), "overShareWorth": float(sender.get("over-share")),
-        "areas": zones, "shapes": kinds, "turnGap": _ms(sender.get("turn-gap")),
+        "index": index,
+        "siblings": siblings,
+        "tick": _ms(sender.get("tick")),
+        "weights": sender.get("weights"),
+        "registryMode": sender.get("list"),
+        "overShareWorth": float(sender.get("over-share")),
+        "areas": zones,
+        "shapes": kinds,
+        "turnGap": _ms(sender.get("turn-gap")),
         "report": {"fields": list(sender.get("load-report")), "how": "answers"},
-        "caps": {"cancelling": sender.get("cancel"), "probes": sender.get("probe"),
-                 "retryAfter": sender.get("tell-wait"), "maxStreams": sender.get("streams"),
-                 "maxOpen": sender.get("hold"), "idleClose": _ms(sender.get("idle-close")),
-                 "maxAttempts": policy["attempts"], "maxRetryAfter": _ms(policy["wait"]),
-                 "dialTimeout": _ms(policy["dial"])},
-        "familyInfo": {"workers": sender.get("slots"), "late": sender.get("late"),
-                       "perCall": [_setting(site, "kind", name, "per-call") for name in kinds],
-                       "kindApart": [_setting(site, "kind", name, "limits") == "apart" for name in kinds],
-                       "zoneFee": [float(_setting(site, "zone", name, "fee")) for name in zones]},
-        "guarantees": {"answerSlack": _ms(rules.get("answer-slack")), "askWithin": _ms(rules.get("ask-within")),
-                       "cold": _ms(rules.get("cold")), "coldFrom": float(rules.get("cold-from")),
-                       "drainGrace": _ms(rules.get("drain-grace")), "fall": _ms(rules.get("fall")),
-                       "fallMultiple": float(rules.get("fall-multiple"))},
-        "tenants": [{"name": each.name, "quotaPerS": float(each.get("quota").a_second)}
-                    for each in site.of("tenant").values()],
+        "caps": {
+            "cancelling": sender.get("cancel"),
+            "probes": sender.get("probe"),
+            "retryAfter": sender.get("tell-wait"),
+            "maxStreams": sender.get("streams"),
+            "maxOpen": sender.get("hold"),
+            "idleClose": _ms(sender.get("idle-close")),
+            "maxAttempts": policy["attempts"],
+            "maxRetryAfter": _ms(policy["wait"]),
+            "dialTimeout": _ms(policy["dial"]),
+        },
+        "familyInfo": {
+            "workers": sender.get("slots"),
+            "late": sender.get("late"),
+            "perCall": [_setting(site, "kind", name, "per-call") for name in kinds],
+            "kindApart": [_setting(site, "kind", name, "limits") == "apart" for name in kinds],
+            "zoneFee": [float(_setting(site, "zone", name, "fee")) for name in zones],
+        },
+        "guarantees": {
+            "answerSlack": _ms(rules.get("answer-slack")),
+            "askWithin": _ms(rules.get("ask-within")),
+            "cold": _ms(rules.get("cold")),
+            "coldFrom": float(rules.get("cold-from")),
+            "drainGrace": _ms(rules.get("drain-grace")),
+            "fall": _ms(rules.get("fall")),
+            "fallMultiple": float(rules.get("fall-multiple")),
+        },
+        "tenants": [
+            {"name": each.name, "quotaPerS": float(each.get("quota").a_second)} for each in site.of("tenant").values()
+        ],
         "grades": [_grade(each) for each in site.of("class").values()],
     }
 
 
 def _grade(each: Def) -> dict[str, Any]:
     repeat: Repeat = each.get("repeat")
-    return {"name": each.name, "aim": _ms(each.get("aim")), "deadline": _ms(each.get("deadline")),
-            "effect": EFFECTS[repeat.effect], "keyScope": "zone" if repeat.in_zone else "all",
-            "keyTtl": _ms(repeat.ttl_us), "worth": float(each.get("worth")),
-            "lateWorth": float(each.get("late-worth")), "fifoByKey": each.get("in-order")}
+    return {
+        "name": each.name,
+        "aim": _ms(each.get("aim")),
+        "deadline": _ms(each.get("deadline")),
+        "effect": EFFECTS[repeat.effect],
+        "keyScope": "zone" if repeat.in_zone else "all",
+        "keyTtl": _ms(repeat.ttl_us),
+        "worth": float(each.get("worth")),
+        "lateWorth": float(each.get("late-worth")),
+        "fifoByKey": each.get("in-order"),
+    }
 
 
 def _default_policy(site: Site) -> dict[str, Any]:
@@ -83,8 +119,11 @@
     """Those that are defined, or else those in use."""
     if site.of(block):
         return list(site.of(block))
-    used = [each.get("kind") for each in site.of("pool").values()] if block == "kind" else \
-        [each.zone for each in site.all_endpoints()]
+    used = (
+        [each.get("kind") for each in site.of("pool").values()]
+        if block == "kind"
+        else [each.zone for each in site.all_endpoints()]
+    )
     return list(dict.fromkeys(used))
 
 
@@ -102,8 +141,10 @@
     seen: dict[str, int] = {}
     for each in site.all_endpoints():
         seen[each.name] = seen.get(each.name, 0) + 1
-    return {(each.pool, each.name): each.name if seen[each.name] == 1 else f"{each.name}.{each.pool}"
-            for each in site.all_endpoints()}
+    return {
+        (each.pool, each.name): each.name if seen[each.name] == 1 else f"{each.name}.{each.pool}"
+        for each in site.all_endpoints()
+    }
 
 
 def _hosts(site: Site) -> Iterator[dict[str, Any]]:
@@ -111,9 +152,16 @@
     for route in site.of("route").values():
         pool = site.pool_of(route)
         for each in site.endpoints.get(pool.name, ()) if pool else ():
-            yield {"host": names[each.pool, each.name], "dial": each.address, "site": each.zone,
-                   "class": pool.get("kind"), "block": int(route.name), "health": HEALTH[each.state],
-                   "share": weight(pool, each, nominal), "born_ms": 0}
+            yield {
+                "host": names[each.pool, each.name],
+                "dial": each.address,
+                "site": each.zone,
+                "class": pool.get("kind"),
+                "block": int(route.name),
+                "health": HEALTH[each.state],
+                "share": weight(pool, each, nominal),
+                "born_ms": 0,
+            }
 
 
 def weight(pool: Def, each: Endpoint, limited: bool) -> float:
@@ -149,6 +197,7 @@
 
 # -- from the platform's JSON
 
+
 def imported(table: Any) -> tuple[str, list[str]]:
     """The language's text for a configuration object, and what of it has no place there; ValueError says what is
     wrong with the object."""
@@ -159,10 +208,20 @@
     limits = table.get("limits", {})
     if not isinstance(limits, dict):
         raise ValueError("limits must be an object")
-    rows = ["# Written by `scalefall import` from the platform's JSON.", "",
-            *_block("sender", "", _sender(table, limits, settings)), "", *_block("rules", "", _rules(settings)), "",
-            *_block("policy", DEFAULT, {"attempts": settings.max_attempts, "wait": settings.max_retry_after_us,
-                                        "dial": settings.dial_timeout_us}), ""]
+    rows = [
+        "# Written by `scalefall import` from the platform's JSON.",
+        "",
+        *_block("sender", "", _sender(table, limits, settings)),
+        "",
+        *_block("rules", "", _rules(settings)),
+        "",
+        *_block(
+            "policy",
+            DEFAULT,
+            {"attempts": settings.max_attempts, "wait": settings.max_retry_after_us, "dial": settings.dial_timeout_us},
+        ),
+        "",
+    ]
     for cls in settings.classes.values():
         rows += _block("class", cls.name, _class(cls))
     for name, per_call in settings.per_call.items():
@@ -193,23 +252,45 @@
         if key in limits:
             values[word] = int(_decimal(limits[key]) * 10**6)
     return values | {
-        "slots": s.slots, "hold": s.max_held, "idle-close": s.idle_close_us, "tick": s.tick_us,
-        "late": "halving" if s.halving else "linear", "cancel": s.cancelling, "probe": s.probes,
-        "tell-wait": s.retry_after, "streams": s.streams, "list": "ask" if s.ask else "push", "weights": s.weights,
-        "load-report": tuple(s.report_fields), "over-share": _decimal(s.over_share_worth), "turn-gap": s.turn_gap_us}
+        "slots": s.slots,
+        "hold": s.max_held,
+        "idle-close": s.idle_close_us,
+        "tick": s.tick_us,
+        "late": "halving" if s.halving else "linear",
+        "cancel": s.cancelling,
+        "probe": s.probes,
+        "tell-wait": s.retry_after,
+        "streams": s.streams,
+        "list": "ask" if s.ask else "push",
+        "weights": s.weights,
+        "load-report": tuple(s.report_fields),
+        "over-share": _decimal(s.over_share_worth),
+        "turn-gap": s.turn_gap_us,
+    }
 
 
 def _rules(s: i.Settings) -> dict[str, Any]:
-    return {"drain-grace": s.drain_grace_us, "cold": s.cold_us, "cold-from": _decimal(s.cold_from),
-            "fall": s.fall_us, "fall-multiple": _decimal(s.fall_multiple), "ask-within": s.ask_within_us,
-            "answer-slack": s.answer_slack_us}
+    return {
+        "drain-grace": s.drain_grace_us,
+        "cold": s.cold_us,
+        "cold-from": _decimal(s.cold_from),
+        "fall": s.fall_us,
+        "fall-multiple": _decimal(s.fall_multiple),
+        "ask-within": s.ask_within_us,
+        "answer-slack": s.answer_slack_us,
+    }
 
 
 def _class(cls: i.MessageClass) -> dict[str, Any]:
     effect = next(word for word, effect in EFFECTS.items() if effect == cls.effect.value)
-    return {"aim": cls.aim_us, "deadline": cls.deadline_us,
-            "repeat": Repeat(effect, cls.key_ttl_us if effect == "keyed" else 0, cls.key_scope_zone),
-            "worth": _decimal(cls.worth), "late-worth": _decimal(cls.late_worth), "in-order": cls.in_order}
+    return {
+        "aim": cls.aim_us,
+        "deadline": cls.deadline_us,
+        "repeat": Repeat(effect, cls.key_ttl_us if effect == "keyed" else 0, cls.key_scope_zone),
+        "worth": _decimal(cls.worth),
+        "late-worth": _decimal(cls.late_worth),
+        "in-order": cls.in_order,
+    }
 
 
 def _pools(known: Roll) -> Iterator[str]:
@@ -224,20 +305,30 @@
         state = "" if end.status is i.Status.READY else "state draining; "
         host, port = entry.address
         pools.setdefault((end.destination, end.kind), []).append(
-            f"endpoint {_named(end.id)} {{ at {host}:{port}; {weight}{state}zone {_named(end.zone)} }}")
+            f"endpoint {_named(end.id)} {{ at {host}:{port}; {weight}{state}zone {_named(end.zone)} }}"
+        )
     kinds: dict[int, str] = {}
     for (number, kind), rows in sorted(pools.items()):
         if kinds.setdefault(number, kind) != kind:
             raise ValueError(f"destination {number} has endpoints of two kinds, {kinds[number]} and {kind}")
-        yield from (f"pool dest-{number} {{", f"kind {_named(kind)}", *rows, "}",
-                    f"route {number} {{ pool dest-{number} }}", "")
+        yield from (
+            f"pool dest-{number} {{",
+            f"kind {_named(kind)}",
+            *rows,
+            "}",
+            f"route {number} {{ pool dest-{number} }}",
+            "",
+        )
 
 
 def _block(block: str, name: str, values: dict[str, Any]) -> Iterator[str]:
     """A definition with those values that are not the built-in ones."""
     settings = BLOCKS[block]
-    rows = [_line(settings[word], value) for word, value in values.items()
-            if value != settings[word].built_in or settings[word].default == ""]
+    rows = [
+        _line(settings[word], value)
+        for word, value in values.items()
+        if value != settings[word].built_in or settings[word].default == ""
+    ]
     head = f"{block} {_named(name)}".strip() if name else block
     if block in ("sender", "rules", "policy"):
         if rows:
--- a/scalefall/net/checks.py
+++ b/scalefall/net/checks.py
@@ -1,4 +1,5 @@
 """What must hold: asserted in debug builds, counted in release builds (python -O)."""
+
 from __future__ import annotations
 
 import logging
@@ -33,6 +34,10 @@
 
 def log_to_standard_error(debug: bool) -> None:
     """Set up the platform sender's log; debug logs every message and attempt. A log that nobody reads is no error."""
-    logging.basicConfig(level=logging.DEBUG if debug else logging.INFO, stream=sys.stderr, datefmt="%H:%M:%S",
-                        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s")
+    logging.basicConfig(
+        level=logging.DEBUG if debug else logging.INFO,
+        stream=sys.stderr,
+        datefmt="%H:%M:%S",
+        format="%(asctime)s.%(msecs)03d %(levelname)s %(message)s",
+    )
     logging.raiseExceptions = False
--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -1,4 +1,5 @@
 """What a sender is told at its start: the configuration, read once into the values that the program uses."""
+
 from __future__ import annotations
 
 import json
@@ -12,7 +13,7 @@
 from scalefall.settings import read_settings
 
 Address = tuple[str, int]
-LIMITS = {"sockets": (1024, 64), "disk_mb": (3, 0.1), "memory_mb": (192, 16)}   # where it is missing; the least
+LIMITS = {"sockets": (1024, 64), "disk_mb": (3, 0.1), "memory_mb": (192, 16)}  # where it is missing; the least
 
 
 class ConfigError(Exception):
@@ -22,14 +23,16 @@
 @dataclass(slots=True, frozen=True)
 class RouteRules:
     """What holds on one route, where a file of the operator's own says so."""
-    classes: frozenset[str]     # what it carries
+
+    classes: frozenset[str]  # what it carries
     attempts: int
-    most_wait_us: int           # the longest time after which a client is told to come back
+    most_wait_us: int  # the longest time after which a client is told to come back
 
 
 @dataclass(slots=True, frozen=True)
 class Fleet:
     """Endpoints and routes as a file of the operator's own has them, instead of discovery."""
+
     entries: list[Entry]
     routes: dict[int, RouteRules]
 
@@ -38,7 +41,7 @@
 class Config:
     name: str
     listen: Address
-    discovery: Address | None       # None: the fleet is the list, and nothing else is asked
+    discovery: Address | None  # None: the fleet is the list, and nothing else is asked
     state: str
     seed: int
     sockets: int
@@ -48,9 +51,9 @@
     known: Roll
     reports: Address | None = None  # where notices go if there is no discovery; None: to the log
     fleet: Fleet | None = None
-    left: tuple[str, ...] = ()      # read again: what differs from the running sender and takes a restart
-    admin: Address | None = None    # where the operators call; None: nowhere
-    doubts: tuple[str, ...] = ()    # what can be used though its parts disagree, and how it is taken
+    left: tuple[str, ...] = ()  # read again: what differs from the running sender and takes a restart
+    admin: Address | None = None  # where the operators call; None: nowhere
+    doubts: tuple[str, ...] = ()  # what can be used though its parts disagree, and how it is taken
 
 
 def read_address(value: Any, name: str) -> Address:
@@ -83,20 +86,31 @@
         settings, doubts = _settled(read_settings(table.get("settings")), table.get("peers"))
         known = read_roll(table.get("known") or {"seq": 0, "whole": True, "hosts": []}, strict=False)
         if known.unread:
-            doubts += (f"known: {len(known.unread)} endpoints cannot be read and are left out, the first "
-                       f"{known.unread[0]!r}",)
-        doubts += tuple(f"limits.{key} is missing: {default} it is" for key, (default, _) in LIMITS.items()
-                        if key not in limits)
+            doubts += (
+                f"known: {len(known.unread)} endpoints cannot be read and are left out, the first {known.unread[0]!r}",
+            )
+        doubts += tuple(
+            f"limits.{key} is missing: {default} it is" for key, (default, _) in LIMITS.items() if key not in limits
+        )
         return Config(
-            name=environ.get("RELAY_NAME") or str(table.get("name", "")), state=state,
+            name=environ.get("RELAY_NAME") or str(table.get("name", "")),
+            state=state,
             listen=read_address(environ.get("RELAY_LISTEN") or table.get("listen"), "listen"),
-            discovery=read_address(table.get("discovery") if again and "discovery" in table else
-                                   environ.get("RELAY_DISCOVERY") or table.get("discovery"), "discovery"),
-            seed=_seed(table.get("seed", "0")), sockets=int(_limit(limits, "sockets")),
+            discovery=read_address(
+                table.get("discovery")
+                if again and "discovery" in table
+                else environ.get("RELAY_DISCOVERY") or table.get("discovery"),
+                "discovery",
+            ),
+            seed=_seed(table.get("seed", "0")),
+            sockets=int(_limit(limits, "sockets")),
             disk_bytes=int(_limit(limits, "disk_mb") * 1_000_000),
             memory_bytes=int(_limit(limits, "memory_mb") * 1_000_000),
-            settings=settings, doubts=doubts, admin=_admin(environ.get("RELAY_ADMIN") or table.get("admin")),
-            known=known)
+            settings=settings,
+            doubts=doubts,
+            admin=_admin(environ.get("RELAY_ADMIN") or table.get("admin")),
+            known=known,
+        )
     except (ValueError, TypeError, KeyError, OverflowError) as error:
         raise ConfigError(str(error) or type(error).__name__) from error
 
--- a/scalefall/net/farm.py
+++ b/scalefall/net/farm.py
@@ -1,4 +1,5 @@
 """The farm: discovery's list of endpoints, kept up by a watch. What it learns goes to the host as Listed events."""
+
 from __future__ import annotations
 
 import random
@@ -14,40 +15,48 @@
 from scalefall.net.scheduler import Scheduler, Task
 
 SECOND = 1_000_000
-DIAL_US = SECOND                # a dial to discovery is given up after this
-FIRST_US = 3 * SECOND           # and a watch that has not answered after this
-BEAT_US = 2 * SECOND            # discovery sends a line at least so often
-SILENT_US = 3 * SECOND          # a watch with no line for this long is broken: told counts from 6 s on
-BULK = 64 * 1024                # of an object that is still coming, for each of which it may take so long again
-MOVING_US, MOVING_STEP_US = 3 * SECOND, SECOND // 10    # after a move it is asked again at once for so long
-FORGET_US = 60 * SECOND         # an endpoint gone for so long is forgotten, or for as long as any message may take
-MOST_LIST = 1024 * 1024         # bytes of one object of the list, where the settings' memory allows no more
-ANEW_US = 2 * SECOND            # what a silent watch misses counts as told 6 s on: within this it is opened anew
-AGAIN_US, MOST_AGAIN_US = SECOND // 20, SECOND // 2     # where lists are pushed: pause until a watch is opened anew
-PIECE, MANY = 32 * 1024, 100    # bytes and entries of a list after which the others have their turn
-UNHEARD_US = 2 * SECOND         # and so long after a start the old list is taken as it is, if nothing has been heard
+DIAL_US = SECOND  # a dial to discovery is given up after this
+FIRST_US = 3 * SECOND  # and a watch that has not answered after this
+BEAT_US = 2 * SECOND  # discovery sends a line at least so often
+SILENT_US = 3 * SECOND  # a watch with no line for this long is broken: told counts from 6 s on
+BULK = 64 * 1024  # of an object that is still coming, for each of which it may take so long again
+MOVING_US, MOVING_STEP_US = 3 * SECOND, SECOND // 10  # after a move it is asked again at once for so long
+FORGET_US = 60 * SECOND  # an endpoint gone for so long is forgotten, or for as long as any message may take
+MOST_LIST = 1024 * 1024  # bytes of one object of the list, where the settings' memory allows no more
+ANEW_US = 2 * SECOND  # what a silent watch misses counts as told 6 s on: within this it is opened anew
+AGAIN_US, MOST_AGAIN_US = SECOND // 20, SECOND // 2  # where lists are pushed: pause until a watch is opened anew
+PIECE, MANY = 32 * 1024, 100  # bytes and entries of a list after which the others have their turn
+UNHEARD_US = 2 * SECOND  # and so long after a start the old list is taken as it is, if nothing has been heard
 
 
 class Farm:
-    def __init__(self, scheduler: Scheduler, discovery: tuple[str, int] | None, known: Roll,
-                 tell: Callable[[i.Listed], None], pushed: bool = False, most: int = MOST_LIST, seed: int = 0,
-                 forget_us: int = FORGET_US) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        discovery: tuple[str, int] | None,
+        known: Roll,
+        tell: Callable[[i.Listed], None],
+        pushed: bool = False,
+        most: int = MOST_LIST,
+        seed: int = 0,
+        forget_us: int = FORGET_US,
+    ) -> None:
         """Where lists are pushed, what discovery has counts as told whether or not a watch is open: so one is open all
         the time, and what was known before is told only when discovery has said what of it still holds."""
         self._scheduler, self._discovery, self._tell = scheduler, discovery, tell
         self._pushed, self._most, self._introduced = pushed, max(most, MOST_LIST), not pushed
         self._forget_us, self._random = max(forget_us, FORGET_US), random.Random(seed)
-        self._heard_at, self._silent = -1, False        # when a watch last said anything; it broke by saying nothing
-        self._failed = False                            # the module was told so last
+        self._heard_at, self._silent = -1, False  # when a watch last said anything; it broke by saying nothing
+        self._failed = False  # the module was told so last
         self.entries: dict[str, Entry] = {}
         self._served: Counter[int] = Counter()  # entries by destination
-        self.left_at: dict[str, int] = {}       # when we were told that an endpoint drains or is gone
-        self._out: set[str] = set()             # taken out by the operators: they drain, whatever the list says
-        self._listed: dict[str, Entry] = {}     # what it says of these
-        self._gone: dict[str, int] = {}         # when we were told that it is gone, in this order
-        self._owners: dict[tuple[str, int], str] = {}   # the endpoint in service that was told last at an address
+        self.left_at: dict[str, int] = {}  # when we were told that an endpoint drains or is gone
+        self._out: set[str] = set()  # taken out by the operators: they drain, whatever the list says
+        self._listed: dict[str, Entry] = {}  # what it says of these
+        self._gone: dict[str, int] = {}  # when we were told that it is gone, in this order
+        self._owners: dict[tuple[str, int], str] = {}  # the endpoint in service that was told last at an address
         self.seq, self._watching = known.seq, False
-        self.unread, self._said = 0, ()         # entries that could not be read
+        self.unread, self._said = 0, ()  # entries that could not be read
         self._task: Task | None = None
         self._moved_at = -MOVING_US
         self._keep(known)
@@ -58,7 +67,7 @@
         else:
             self._tell(self.known())
         if self._pushed or not self.entries:
-            self.subscribe()    # nothing can go out before the list comes: not after the others' turns
+            self.subscribe()  # nothing can go out before the list comes: not after the others' turns
 
     def _introduce(self) -> None:
         """Once, where lists are pushed: what was known before goes to the module, ahead of what is new."""
@@ -122,7 +131,7 @@
         self._discovery, self.seq, self._moved_at = discovery, 0, self._scheduler.now()
         if self._watching:
             self._scheduler.wake(self._task, streams.Interrupted("discovery has moved"))
-        elif self._task is not None:    # the module waits to ask again after a failure at the old address
+        elif self._task is not None:  # the module waits to ask again after a failure at the old address
             self.subscribe()
 
     def _keep(self, roll: Roll) -> None:
@@ -130,7 +139,7 @@
         if roll.whole:
             for gone in self.entries.keys() - {entry.endpoint.id for entry in roll.entries} - set(roll.unread):
                 self._listed.pop(gone, None)
-                self.left_at.setdefault(gone, now)      # what is not in the whole list is gone
+                self.left_at.setdefault(gone, now)  # what is not in the whole list is gone
                 self._gone.setdefault(gone, now)
         for entry in roll.entries:
             name = entry.endpoint.id
@@ -181,14 +190,14 @@
             if at != self._discovery:
                 continue
             if now < self._moved_at + MOVING_US:
-                self._scheduler.sleep(MOVING_STEP_US)   # it may come up there a moment later than we were told
+                self._scheduler.sleep(MOVING_STEP_US)  # it may come up there a moment later than we were told
                 continue
             log.info("watch on the farm broken: %s", why)
             if self._pushed:
                 pause = AGAIN_US if self._heard_at >= begun else min(2 * pause, MOST_AGAIN_US)
                 self._scheduler.sleep(int(pause * (0.5 + self._random.random())))
             elif self._silent:
-                self._scheduler.sleep(int(ANEW_US * self._random.random()))     # not all senders in one moment
+                self._scheduler.sleep(int(ANEW_US * self._random.random()))  # not all senders in one moment
             else:
                 break
         self._watching, self._failed = False, True
@@ -208,8 +217,12 @@
         return "ended"
 
     def _follow(self, sock: socket.socket, address: tuple[str, int]) -> None:
-        streams.send(self._scheduler, sock, http.request(
-            "GET", f"/v1/servers?stream=1&index={self.seq}", "discovery", []), self._scheduler.now() + DIAL_US)
+        streams.send(
+            self._scheduler,
+            sock,
+            http.request("GET", f"/v1/servers?stream=1&index={self.seq}", "discovery", []),
+            self._scheduler.now() + DIAL_US,
+        )
         reader, objects, first = http.AnswerReader(self._most), Objects(self._most), True
         said_at, most, coming = self._scheduler.now(), FIRST_US, 0
         while not reader.complete:
@@ -217,7 +230,7 @@
             try:
                 data = streams.receive(self._scheduler, sock, said_at + most * (1 + coming // BULK))
             except streams.TimeUp:
-                self._silent = reader.head_done     # what it would have told counts as told soon, heard or not
+                self._silent = reader.head_done  # what it would have told counts as told soon, heard or not
                 raise
             self._stays(address)
             if not data:
@@ -231,7 +244,7 @@
             tables = objects.feed(data)
             for table in tables:
                 if len(data) >= PIECE:
-                    self._scheduler.sleep(0)    # a long list takes its turns
+                    self._scheduler.sleep(0)  # a long list takes its turns
                 roll = read_roll(table, strict=False)
                 if len(roll.entries) >= MANY:
                     self._scheduler.sleep(0)
@@ -242,9 +255,9 @@
                 self._stays(address)
                 self._learn(roll)
             coming += len(data)
-            if tables or data and between and data.isspace():    # a part of an object is no word: it may drip for good
+            if tables or data and between and data.isspace():  # a part of an object is no word: it may drip for good
                 self._introduce()
-                if self._failed:        # an ask that was heard, whether or not anything is new
+                if self._failed:  # an ask that was heard, whether or not anything is new
                     self._failed = False
                     self._tell(i.Listed(i.ListKind.CHANGES, []))
                 said_at, most, coming = self._scheduler.now(), SILENT_US, 0
@@ -263,7 +276,7 @@
             self._unread(roll)
         self._introduce()
         if not roll.whole and roll.seq <= self.seq:
-            return      # what we have already
+            return  # what we have already
         log.info("farm: version %d, %s %d", roll.seq, "all" if roll.whole else "changed", len(roll.entries))
         self._keep(roll)
         self._failed = False
@@ -276,5 +289,9 @@
         self.unread += len(roll.unread)
         if roll.unread != self._said:
             self._said = roll.unread
-            log.warning("farm: %d entries of version %d cannot be read and stay as they were, the first %r",
-                        len(roll.unread), roll.seq, roll.unread[0])
+            log.warning(
+                "farm: %d entries of version %d cannot be read and stay as they were, the first %r",
+                len(roll.unread),
+                roll.seq,
+                roll.unread[0],
+            )
--- a/scalefall/net/front.py
+++ b/scalefall/net/front.py
@@ -1,4 +1,5 @@
 """The platform's front: clients hand in messages over HTTP, one request each, and GET /healthz."""
+
 from __future__ import annotations
 
 import re
@@ -15,21 +16,21 @@
 from scalefall.net.transaction import Conflict, Failed, NotCarried, Taken, Transaction, Verdict
 
 SECOND = 1_000_000
-REQUEST_US = 2 * SECOND         # from a request's first byte to its last, and to a connection's first byte
-WRITE_US = 2 * SECOND           # an answer that is not read for so long is given up
-IDLE_US = 2050_000             # a connection with no request is closed after this
-SPARE_US = 2 * SECOND           # or after this, if room is wanted
-SILENT_US = SECOND // 4         # a silent one is closed after this if half of the room is taken
-YOUNG_US = SECOND // 20         # and one whose request is not all there yet is not closed for room before this
-WAIT_US = SECOND // 200         # until room is looked for again
-LINGER_US = SECOND // 2         # after the last answer, what still comes is read and dropped for so long
-MOST_LINGER = 256 * 1024        # and so much of it
-BACKLOG, ACCEPTS = 512, 32      # in the listener's queue; accepted in a row before others have their turn
-LINES, LINES_US = 10, 10 * SECOND   # rejected requests that are logged one by one, in each such span
-UNREAD_US = 400_000             # a request may lie unread for as long as its client waits for an answer; its time runs,
-                                # and a start shows nothing of it on this process's clock: so much is kept back,
-UNREAD_PART, UNREAD_MOST = 20, 2    # or this part of its class's deadline; and this part of what is left at most
-LAG_STEPS, LAG_PART = 3, 10     # an end takes a turn, a notice and its answer: each may be late by as much as turns are
+REQUEST_US = 2 * SECOND  # from a request's first byte to its last, and to a connection's first byte
+WRITE_US = 2 * SECOND  # an answer that is not read for so long is given up
+IDLE_US = 2050_000  # a connection with no request is closed after this
+SPARE_US = 2 * SECOND  # or after this, if room is wanted
+SILENT_US = SECOND // 4  # a silent one is closed after this if half of the room is taken
+YOUNG_US = SECOND // 20  # and one whose request is not all there yet is not closed for room before this
+WAIT_US = SECOND // 200  # until room is looked for again
+LINGER_US = SECOND // 2  # after the last answer, what still comes is read and dropped for so long
+MOST_LINGER = 256 * 1024  # and so much of it
+BACKLOG, ACCEPTS = 512, 32  # in the listener's queue; accepted in a row before others have their turn
+LINES, LINES_US = 10, 10 * SECOND  # rejected requests that are logged one by one, in each such span
+UNREAD_US = 400_000  # a request may lie unread for as long as its client waits for an answer; its time runs,
+# and a start shows nothing of it on this process's clock: so much is kept back,
+UNREAD_PART, UNREAD_MOST = 20, 2  # or this part of its class's deadline; and this part of what is left at most
+LAG_STEPS, LAG_PART = 3, 10  # an end takes a turn, a notice and its answer: each may be late by as much as turns are
 UNITS = {"m": 1000, "u": 1}
 DEADLINE = re.compile(r"(\d{1,12})(?:\.(\d{1,6})\d*)?([mu])\Z")
 ROUTE = re.compile(r"(?:^|[,;\s])dest=(\d{1,9})(?:[,;\s]|\Z)")
@@ -38,33 +39,36 @@
 
 class State(IntEnum):
     """Of a client's connection; the first of these are closed first when room is wanted."""
-    LEAVING = 0     # nothing more is said to it, and what still comes is dropped
-    SPARE = 1       # idle for so long that it may be closed (only as a rank)
-    SILENT = 2      # nothing has come yet
-    READING = 3     # part of a request has come
-    ONCE = 4        # idle, and has handed in one message at most (only as a rank)
-    YOUNG = 5       # new, or silent or reading for so short a time that it is given some more
-    IDLE = 6        # a request has been answered, and nothing has come since
-    ASKING = 7      # a request is being answered
+
+    LEAVING = 0  # nothing more is said to it, and what still comes is dropped
+    SPARE = 1  # idle for so long that it may be closed (only as a rank)
+    SILENT = 2  # nothing has come yet
+    READING = 3  # part of a request has come
+    ONCE = 4  # idle, and has handed in one message at most (only as a rank)
+    YOUNG = 5  # new, or silent or reading for so short a time that it is given some more
+    IDLE = 6  # a request has been answered, and nothing has come since
+    ASKING = 7  # a request is being answered
 
 
 @dataclass(slots=True, eq=False)
 class Client:
     """One connection of the client's side."""
+
     sock: socket.socket
     reader: http.RequestReader
     since: int
     task: Task | None = None
-    state: State = State.YOUNG      # until its task has had a look
-    served: int = 0                 # messages handed in
-    quiet_at: int = 0               # what is read next had not come before this
+    state: State = State.YOUNG  # until its task has had a look
+    served: int = 0  # messages handed in
+    quiet_at: int = 0  # what is read next had not come before this
 
     def turn(self, state: State, now: int) -> None:
         self.state, self.since = state, now
 
 
-def read_transaction(reader: http.RequestReader, classes: dict[str, MessageClass], began: int,
-                     unread: int = 0, lag: int = 0) -> Transaction:
+def read_transaction(
+    reader: http.RequestReader, classes: dict[str, MessageClass], began: int, unread: int = 0, lag: int = 0
+) -> Transaction:
     """The request as a transaction; Malformed says what it lacks, and with which status. Its first byte was read at
     began and may have come so much earlier as unread says, and turns are late by lag, in microseconds."""
     path = re.sub(r"\Ahttp://[^/?]*", "", reader.target).partition("?")[0]
@@ -106,15 +110,21 @@
 
 
 class Front:
-    def __init__(self, scheduler: Scheduler, classes: dict[str, MessageClass], most: int,
-                 offer: Callable[[Transaction], object], withdraw: Callable[[Transaction], object]) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        classes: dict[str, MessageClass],
+        most: int,
+        offer: Callable[[Transaction], object],
+        withdraw: Callable[[Transaction], object],
+    ) -> None:
         self._scheduler, self._classes, self._most = scheduler, classes, most
         self._offer, self._withdraw = offer, withdraw
         self._clients: dict[Client, None] = {}
         self._listener: socket.socket | None = None
         self.closing = self.draining = False
         self._lines, self._unsaid, self._lines_until = 0, 0, 0
-        self._quiet_at = 0          # what waits in the listener's queue had not come before this
+        self._quiet_at = 0  # what waits in the listener's queue had not come before this
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
         self._listener = streams.listen(address, BACKLOG)
@@ -156,7 +166,7 @@
                 client.sock.shutdown(socket.SHUT_WR)
             except OSError:
                 continue
-            left = MOST_LINGER      # who floods must not hold up the end
+            left = MOST_LINGER  # who floods must not hold up the end
             while left > 0 and (data := _receive_now(client.sock)):
                 left -= len(data)
 
@@ -184,7 +194,7 @@
                     if self._crowded:
                         self._make_room(State.SILENT)
                     if len(self._clients) >= self._most:
-                        self._make_room()       # one place is free for whoever comes next
+                        self._make_room()  # one place is free for whoever comes next
             except BlockingIOError:
                 behind = False
             except OSError as error:
@@ -210,13 +220,16 @@
         while True:
             found = min(self._clients, key=lambda client: (self._rank(client, now), client.since), default=None)
             rank = State.ASKING if found is None else self._rank(found, now)
-            if rank is State.YOUNG or rank > most or (most is State.SILENT and rank is most and
-                                                       now - found.since < SILENT_US):
+            if (
+                rank is State.YOUNG
+                or rank > most
+                or (most is State.SILENT and rank is most and now - found.since < SILENT_US)
+            ):
                 return False
             if found.state is State.LEAVING or not _pending(found.sock):
                 self._drop(found)
                 return True
-            found.turn(State.READING, now)      # a request, or more of one, has come to it in this very moment
+            found.turn(State.READING, now)  # a request, or more of one, has come to it in this very moment
 
     @staticmethod
     def _rank(client: Client, now: int) -> State:
@@ -244,7 +257,7 @@
             if client in self._clients:
                 self._reject(client, error)
         except OSError:
-            pass        # gone; what it had not been told of has been withdrawn
+            pass  # gone; what it had not been told of has been withdrawn
         finally:
             self._drop(client)
 
@@ -296,14 +309,14 @@
             except streams.TimeUp:
                 if reader.begun:
                     raise http.Malformed(408, "the request took too long") from None
-                data = _receive_now(client.sock)     # it may have come in this very moment
+                data = _receive_now(client.sock)  # it may have come in this very moment
             except streams.Interrupted:
                 data = _receive_now(client.sock) if client in self._clients and not reader.begun else b""
             if not data:
                 return began
             if not reader.begun:
                 began = self._scheduler.now()
-                if looks != self._scheduler.looks:      # nothing was there at first
+                if looks != self._scheduler.looks:  # nothing was there at first
                     client.quiet_at = max(asked_at, self._scheduler.quiet_at)
                 until = min(until, began + REQUEST_US) if client.state is State.SILENT else began + REQUEST_US
                 client.turn(State.READING, began)
@@ -359,7 +372,7 @@
                 if not data:
                     break
                 left -= len(data)
-                self._scheduler.sleep(0)    # who floods must not keep the others from their turn
+                self._scheduler.sleep(0)  # who floods must not keep the others from their turn
         except OSError:
             pass
 
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -1,4 +1,5 @@
 """The host: owns the module, gathers its events, calls it once a tick and does on the sockets what it decides."""
+
 from __future__ import annotations
 
 import gc
@@ -24,24 +25,24 @@
 from scalefall.policy import Sender
 
 MS, SECOND = 1000, 1_000_000
-FULL_US = SECOND                # when to come back, told by a sender that has no room
-CLOSING_US = SECOND // 2        # and by one that is about to end: others will be there
-DRAIN_MARGIN_US = 200 * MS      # a call whose first byte would go out later than the grace less this does not begin
-COLD_SEEN_US = 2 * SECOND       # an endpoint that is put back counts as seen down so long before
-LINGER_US = SECOND              # after SIGTERM new connections still come for a while
-LAST_CALL_US = 2600 * MS        # then with no pass out there is nothing left to wait for
-CLOSED_US = 3000 * MS           # no pass is to be out any more
-END_US = 3200 * MS              # and the process ends, well before SIGKILL at 3.7 s
-ENDED_BY_US = 3270 * MS         # those who came last have their answers by then
+FULL_US = SECOND  # when to come back, told by a sender that has no room
+CLOSING_US = SECOND // 2  # and by one that is about to end: others will be there
+DRAIN_MARGIN_US = 200 * MS  # a call whose first byte would go out later than the grace less this does not begin
+COLD_SEEN_US = 2 * SECOND  # an endpoint that is put back counts as seen down so long before
+LINGER_US = SECOND  # after SIGTERM new connections still come for a while
+LAST_CALL_US = 2600 * MS  # then with no pass out there is nothing left to wait for
+CLOSED_US = 3000 * MS  # no pass is to be out any more
+END_US = 3200 * MS  # and the process ends, well before SIGKILL at 3.7 s
+ENDED_BY_US = 3270 * MS  # those who came last have their answers by then
 REPORT_US = 10 * SECOND
-PACES_US, PACE_US = SECOND, SECOND // 200   # what the module knows of paces is kept for the next process so often,
-                                # and no more than 200 of them a second
-ENDED_US = 30 * SECOND          # a repeat of an id that is over comes within this, or not at all
-ENDED_BYTES = 4096              # of the memory, for each id that may be remembered so long: 192 MB hold 46,875
-OVERDUE_US = 50 * MS            # a message that the module has not ended so long after its time is ended for it
-OWN_SOCKETS = 24                # descriptors that are neither a client's nor an endpoint's
-LIST_PART = 16                  # of the memory, that one object of discovery's list may take
-MOST_CALL = 64 * 1024           # the protocol's limit for any body, so for a call with several messages too
+PACES_US, PACE_US = SECOND, SECOND // 200  # what the module knows of paces is kept for the next process so often,
+# and no more than 200 of them a second
+ENDED_US = 30 * SECOND  # a repeat of an id that is over comes within this, or not at all
+ENDED_BYTES = 4096  # of the memory, for each id that may be remembered so long: 192 MB hold 46,875
+OVERDUE_US = 50 * MS  # a message that the module has not ended so long after its time is ended for it
+OWN_SOCKETS = 24  # descriptors that are neither a client's nor an endpoint's
+LIST_PART = 16  # of the memory, that one object of discovery's list may take
+MOST_CALL = 64 * 1024  # the protocol's limit for any body, so for a call with several messages too
 
 
 class Host:
@@ -52,14 +53,14 @@
         self._module = Sender(settings, config.seed)
         self._events: list[i.Event] = []
         self._planned, self._closing_at = False, 0
-        self._paces: list[i.Known] = []     # what the process before knew, until the list is there
+        self._paces: list[i.Known] = []  # what the process before knew, until the list is there
         self.address, self.admin = config.listen, config.admin
-        self._open: dict[str, Transaction] = {}     # offered or taken on, and not over for the module
-        self._ended: dict[str, tuple[int, int]] = {}    # ids lately taken on and over: when, and what they stood for
-        self._due: list[tuple[int, str]] = []       # when a message taken on has to be over, the first in front
+        self._open: dict[str, Transaction] = {}  # offered or taken on, and not over for the module
+        self._ended: dict[str, tuple[int, int]] = {}  # ids lately taken on and over: when, and what they stood for
+        self._due: list[tuple[int, str]] = []  # when a message taken on has to be over, the first in front
         self._due_timer: Timer | None = None
-        self._waits: dict[int | str, int] = {}      # until when, by destination or route apart
-        self._wall = scheduler.wall() - scheduler.now()     # to add for wall time
+        self._waits: dict[int | str, int] = {}  # until when, by destination or route apart
+        self._wall = scheduler.wall() - scheduler.now()  # to add for wall time
         self._paces_room = paces.room(config.disk_bytes)
         self._out = OutFile(config.state, config.disk_bytes) if config.admin else None
         self._duty = Duty(self._out.load() if self._out else set())
@@ -68,15 +69,23 @@
         self._rules, self._reloading, self._reload_again = None, False, False
         reports = config.discovery or config.reports
         if config.fleet is None:
-            self._farm = Farm(scheduler, config.discovery, config.known, self._listed, not settings.ask,
-                              config.memory_bytes // LIST_PART, config.seed, _listed_for(settings))
+            self._farm = Farm(
+                scheduler,
+                config.discovery,
+                config.known,
+                self._listed,
+                not settings.ask,
+                config.memory_bytes // LIST_PART,
+                config.seed,
+                _listed_for(settings),
+            )
         else:
             self._farm = Roster(scheduler, config.known, self._listed, settings.drain_grace_us)
             self._follow(config.fleet)
-        self._notices = Notices(scheduler, reports, self._journal.over) if reports else \
-            LoggedNotices(self._journal.over)
-        self._passes = Passes(scheduler, settings, share, self._settled, self._may_begin,
-                              self._open.__contains__)
+        self._notices = (
+            Notices(scheduler, reports, self._journal.over) if reports else LoggedNotices(self._journal.over)
+        )
+        self._passes = Passes(scheduler, settings, share, self._settled, self._may_begin, self._open.__contains__)
         clients = min(share, config.memory_bytes // 4 // (http.MOST_HEAD + http.MOST_BODY))
         self.front = Front(scheduler, settings.classes, clients, self.offer, self.withdraw)
         self._operators = Operators(scheduler, self._operated) if config.admin else None
@@ -99,8 +108,9 @@
     def _remember(self) -> None:
         while not self._closing_at:
             rows = self._module.known()
-            paces.save(self._config.state, self._paces_room, rows, self._scheduler.wall(),
-                       lambda: self._scheduler.sleep(0))
+            paces.save(
+                self._config.state, self._paces_room, rows, self._scheduler.wall(), lambda: self._scheduler.sleep(0)
+            )
             self._scheduler.sleep(max(PACES_US, len(rows) * PACE_US))
 
     def _report(self) -> None:
@@ -145,10 +155,10 @@
         owed = self._journal.owed.get(transaction.id)
         if transaction.id in self._open:
             self._again(transaction)
-        elif transaction.id in self._ended:     # ids are fresh: under one that was used no other message goes out
+        elif transaction.id in self._ended:  # ids are fresh: under one that was used no other message goes out
             same = self._ended[transaction.id][1] == transaction.stands_for()
             transaction.decide(Taken() if same else Conflict())
-        elif owed is not None:      # over, and its notice on the way: the same answer here
+        elif owed is not None:  # over, and its notice on the way: the same answer here
             transaction.decide(UnavailableAnswer(owed.after_ms * MS) if owed.end == RETURNED else Failed())
         elif self._closing_at and self._scheduler.now() >= self._closing_at + CLOSED_US:
             transaction.decide(UnavailableAnswer(CLOSING_US, True))
@@ -210,12 +220,15 @@
         events, self._events = self._events, []
         if not events:
             return
-        handed_in = [event.id for event in events if isinstance(event, i.Message) and event.id in self._open
-                     and self._open[event.id].verdict is None]
+        handed_in = [
+            event.id
+            for event in events
+            if isinstance(event, i.Message) and event.id in self._open and self._open[event.id].verdict is None
+        ]
         try:
             self._perform(self._module.handle(self._scheduler.now(), events), handed_in)
             verdict = Taken()
-        except Exception:   # nothing was promised yet: what came in this turn goes elsewhere, the program carries on
+        except Exception:  # nothing was promised yet: what came in this turn goes elsewhere, the program carries on
             log.exception("the module failed in a turn")
             holds(False, "the module failed in a turn")
             verdict = UnavailableAnswer(FULL_US, True)
@@ -279,11 +292,27 @@
 
     def _take_on(self, transaction: Transaction) -> None:
         """Into the journal before the answer; what it can't hold after all is refused."""
-        debug("taken on %s: %s for %d, %d ms left", transaction.id, transaction.class_name,
-              transaction.destination, (transaction.due - self._scheduler.now()) // MS,
-              id=transaction.id, class_=transaction.class_name, dest=transaction.destination)
-        owed, cls = Owed(transaction.id, transaction.class_name, transaction.destination,
-                         transaction.due + self._wall, transaction.key, transaction.body), transaction.cls
+        debug(
+            "taken on %s: %s for %d, %d ms left",
+            transaction.id,
+            transaction.class_name,
+            transaction.destination,
+            (transaction.due - self._scheduler.now()) // MS,
+            id=transaction.id,
+            class_=transaction.class_name,
+            dest=transaction.destination,
+        )
+        owed, cls = (
+            Owed(
+                transaction.id,
+                transaction.class_name,
+                transaction.destination,
+                transaction.due + self._wall,
+                transaction.key,
+                transaction.body,
+            ),
+            transaction.cls,
+        )
         if cls is not None:
             owed.effect, owed.key_scope_zone, owed.key_ttl_us = cls.effect, cls.key_scope_zone, cls.key_ttl_us
         if not self._journal.take_on(owed):
@@ -334,20 +363,34 @@
         now, loads, ids = self._scheduler.now(), [], []
         for send in sorted(calls, key=self._time_left, reverse=True):
             transaction = self._open.get(send.id)
-            if transaction is None:     # not taken on after all: the attempt ends unsent
+            if transaction is None:  # not taken on after all: the attempt ends unsent
                 self._gather(i.Attempted(send.id, 0, entry.endpoint.id, i.Outcome.NOT_SENT, 0, True))
                 continue
             cls = transaction.cls
-            loads.append(Load(send.id, transaction.attempts, now + send.timeout_us, transaction.key, transaction.body,
-                              cls is not None and cls.effect is i.Effect.UNSAFE, self._begin_by(transaction)))
+            loads.append(
+                Load(
+                    send.id,
+                    transaction.attempts,
+                    now + send.timeout_us,
+                    transaction.key,
+                    transaction.body,
+                    cls is not None and cls.effect is i.Effect.UNSAFE,
+                    self._begin_by(transaction),
+                )
+            )
             transaction.attempts += 1
             ids.append(send.id)
         if not loads:
             return
         if log.isEnabledFor(10):
-            debug("pass to %s: %s", entry.endpoint.id, " ".join(
-                f"{load.id}/{load.attempt} for {(load.until - now) // MS} ms" for load in loads),
-                ids=ids, endpoint=entry.endpoint.id, dest=entry.endpoint.destination)
+            debug(
+                "pass to %s: %s",
+                entry.endpoint.id,
+                " ".join(f"{load.id}/{load.attempt} for {(load.until - now) // MS} ms" for load in loads),
+                ids=ids,
+                endpoint=entry.endpoint.id,
+                dest=entry.endpoint.destination,
+            )
         if self._journal.pass_begun(ids, now + self._wall, entry.endpoint.zone):
             self._passes.begin(entry, loads)
         else:
@@ -376,7 +419,7 @@
         for name in self._farm.left_at:
             self._passes.left(self._farm.entries[name])
         self._gather(event)
-        for known in self._paces:       # of destinations that the first list has named
+        for known in self._paces:  # of destinations that the first list has named
             self._gather(known)
         self._paces = []
 
@@ -388,10 +431,22 @@
         each goes alone from now on."""
         if unreadable and event.id in self._open:
             self._open[event.id].alone = True
-        debug("outcome %s/%d at %s: %s after %d ms, wait %d ms, told %s", event.id, event.attempt, event.endpoint,
-              event.outcome.value, event.latency_us // MS, event.wait_us // MS, event.report, id=event.id,
-              attempt=event.attempt, endpoint=event.endpoint, outcome=event.outcome.value,
-              latency_us=event.latency_us, told=event.report)
+        debug(
+            "outcome %s/%d at %s: %s after %d ms, wait %d ms, told %s",
+            event.id,
+            event.attempt,
+            event.endpoint,
+            event.outcome.value,
+            event.latency_us // MS,
+            event.wait_us // MS,
+            event.report,
+            id=event.id,
+            attempt=event.attempt,
+            endpoint=event.endpoint,
+            outcome=event.outcome.value,
+            latency_us=event.latency_us,
+            told=event.report,
+        )
         if event.wait_us and event.endpoint in self._farm.entries:
             bound = self._bound(self._farm.entries[event.endpoint].endpoint)
             self._waits[bound] = max(self._waits.get(bound, 0), self._scheduler.now() + event.wait_us)
@@ -450,15 +505,36 @@
                 self._notices.failed(owed.id, owed.due_wall - self._wall)
                 continue
             restored += 1
-            if owed.out:    # it was out when the process died: it may have run
+            if owed.out:  # it was out when the process died: it may have run
                 self._journal.outcome(owed.id, True)
             cls = self._rules_of(owed)
-            self._open[owed.id] = Transaction(owed.id, owed.class_name, owed.destination, owed.due_wall - self._wall,
-                                              owed.key, owed.body, owed.attempts, Taken(), cls=cls)
+            self._open[owed.id] = Transaction(
+                owed.id,
+                owed.class_name,
+                owed.destination,
+                owed.due_wall - self._wall,
+                owed.key,
+                owed.body,
+                owed.attempts,
+                Taken(),
+                cls=cls,
+            )
             self._owe(self._open[owed.id])
-            self._gather(i.Message(owed.id, owed.destination, owed.class_name, owed.due_wall - self._wall, None, None,
-                                   owed.attempts, owed.ran_wall - self._wall if owed.ran_wall else None, owed.ran_zone,
-                                   restored=True, cls=cls))
+            self._gather(
+                i.Message(
+                    owed.id,
+                    owed.destination,
+                    owed.class_name,
+                    owed.due_wall - self._wall,
+                    None,
+                    None,
+                    owed.attempts,
+                    owed.ran_wall - self._wall if owed.ran_wall else None,
+                    owed.ran_zone,
+                    restored=True,
+                    cls=cls,
+                )
+            )
         if self._journal.owed:
             log.info("restored: %d open, %d with a notice to deliver", restored, len(self._journal.owed) - restored)
 
@@ -496,9 +572,14 @@
         added, dropped = sorted(new.classes.keys() - old.keys()), sorted(old.keys() - new.classes.keys())
         changed = sorted(name for name in new.classes.keys() & old.keys() if new.classes[name] != old[name])
         if added or dropped or changed or new.max_attempts != self._set.max_attempts:
-            log.info("retuned: classes new: %s; gone: %s; changed: %s; attempts %d", " ".join(added) or "none",
-                     " ".join(dropped) or "none", " ".join(changed) or "none", new.max_attempts)
-        old.clear()         # the front and the module have the same table
+            log.info(
+                "retuned: classes new: %s; gone: %s; changed: %s; attempts %d",
+                " ".join(added) or "none",
+                " ".join(dropped) or "none",
+                " ".join(changed) or "none",
+                new.max_attempts,
+            )
+        old.clear()  # the front and the module have the same table
         old.update(now)
         self._set.max_attempts = new.max_attempts
         self._farm.keep_for(_listed_for(self._set))
@@ -517,8 +598,14 @@
                     log.warning("left as it was until a restart: %s", line)
                 self._follow(config.fleet)
                 added, gone, changed = self._farm.replace(config.fleet.entries)
-                log.info("configuration read again: %d endpoints, %d new, %d gone, %d changed; %d routes",
-                         len(config.fleet.entries), added, gone, changed, len(config.fleet.routes))
+                log.info(
+                    "configuration read again: %d endpoints, %d new, %d gone, %d changed; %d routes",
+                    len(config.fleet.entries),
+                    added,
+                    gone,
+                    changed,
+                    len(config.fleet.routes),
+                )
         finally:
             self._reloading = False
 
@@ -547,8 +634,9 @@
             self._operators.close()
         self._scheduler.sleep(20 * MS)
         while self._scheduler.now() - self._closing_at < ENDED_BY_US and (
-                self.front.answering or not self._may_end(self._scheduler.now() - self._closing_at)):
-            self._scheduler.sleep(5 * MS)       # whoever was in the listener's queue, and what they handed in
+            self.front.answering or not self._may_end(self._scheduler.now() - self._closing_at)
+        ):
+            self._scheduler.sleep(5 * MS)  # whoever was in the listener's queue, and what they handed in
         self.front.end()
         self._scheduler.sleep(5 * MS)
         log.info("ended: %d left to the journal, %d passes out", len(self._open), self._passes.out)
--- a/scalefall/net/http.py
+++ b/scalefall/net/http.py
@@ -1,4 +1,5 @@
 """HTTP/1.1 as bytes: an incremental reader for each side, with size limits, and the writers. Opens no socket."""
+
 from __future__ import annotations
 
 import re
@@ -10,13 +11,27 @@
 MOST_FIELDS = 100
 MOST_INTERIM = 20
 BEGIN = b"HTTP/1."
-MOST_FRAMING = 2 * MOST_BODY    # head, chunk lines and trailer together: a body may not hide behind them
+MOST_FRAMING = 2 * MOST_BODY  # head, chunk lines and trailer together: a body may not hide behind them
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
-REASONS = {200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
-           405: "Method Not Allowed", 408: "Request Timeout", 409: "Conflict", 413: "Content Too Large",
-           417: "Expectation Failed", 429: "Too Many Requests", 431: "Request Header Fields Too Large",
-           500: "Internal Server Error", 501: "Not Implemented", 503: "Service Unavailable",
-           505: "HTTP Version Not Supported", 507: "Insufficient Storage"}
+REASONS = {
+    200: "OK",
+    202: "Accepted",
+    204: "No Content",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    409: "Conflict",
+    413: "Content Too Large",
+    417: "Expectation Failed",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    501: "Not Implemented",
+    503: "Service Unavailable",
+    505: "HTTP Version Not Supported",
+    507: "Insufficient Storage",
+}
 
 
 class Malformed(Exception):
@@ -89,7 +104,7 @@
         if end > most:
             raise Malformed(431, "head too long")
         line = self.rest[:end].decode("latin-1")
-        del self.rest[:end + 1]
+        del self.rest[: end + 1]
         self._scanned = 0
         return line[:-1] if line.endswith("\r") else line
 
@@ -102,7 +117,7 @@
             if line:
                 self.first = line
                 self._first_line(line)
-            return True     # empty lines before a message are passed over
+            return True  # empty lines before a message are passed over
         if line:
             self._field(line)
             return True
@@ -153,8 +168,8 @@
 
     def _move(self) -> bool:
         """Move what has come of the piece being read into the body; True once it is whole."""
-        piece = self.rest[:self._left]
-        del self.rest[:len(piece)]
+        piece = self.rest[: self._left]
+        del self.rest[: len(piece)]
         self.body += piece
         self._left -= len(piece)
         holds(self._left >= 0, "a piece is no longer than told")
@@ -219,6 +234,7 @@
 
 class RequestReader(Reader):
     """The client's side: requests as they come in."""
+
     method = target = ""
 
     def _first_line(self, line: str) -> None:
@@ -238,6 +254,7 @@
 
 class AnswerReader(Reader):
     """The endpoint's side: answers as they come back. status is known once the first line has come."""
+
     status = interim = 0
 
     def again(self) -> None:
@@ -246,8 +263,12 @@
 
     def _read_head(self) -> bool:
         """What cannot become a status line is no answer, however long one waits for the line's end."""
-        if not self.first and self.rest and not self.rest.startswith((b"\r", b"\n", BEGIN)) \
-                and not BEGIN.startswith(self.rest):
+        if (
+            not self.first
+            and self.rest
+            and not self.rest.startswith((b"\r", b"\n", BEGIN))
+            and not BEGIN.startswith(self.rest)
+        ):
             raise Malformed(400, "no status line")
         return super()._read_head()
 
@@ -263,7 +284,7 @@
     def _frame(self) -> None:
         if self.status == 101:
             raise Malformed(400, "another protocol, unasked")
-        if self.status < 200:       # an interim answer: the real one follows
+        if self.status < 200:  # an interim answer: the real one follows
             self.interim += 1
             if self.interim > MOST_INTERIM:
                 raise Malformed(431, "too many interim answers")
--- a/scalefall/net/journal.py
+++ b/scalefall/net/journal.py
@@ -4,6 +4,7 @@
 When the file and a fresh copy of what is still owed would no longer both fit into the folder's limit, the copy takes
 the file's place. Nothing is taken on for which that could not be kept.
 """
+
 from __future__ import annotations
 
 import os
@@ -14,39 +15,40 @@
 from scalefall.interface import Effect
 from scalefall.net.checks import holds, log
 
-HEAD = struct.Struct("<II")             # length of the record's body, its CRC-32
-TAKEN = struct.Struct("<qiIqBB")        # due, destination, attempts, ran at (0: not), flags, state of the end
-OUT, ZONED = 1, 8                       # of the flags; between them the effect: 0 where the record does not say
+HEAD = struct.Struct("<II")  # length of the record's body, its CRC-32
+TAKEN = struct.Struct("<qiIqBB")  # due, destination, attempts, ran at (0: not), flags, state of the end
+OUT, ZONED = 1, 8  # of the flags; between them the effect: 0 where the record does not say
 EFFECTS = (None, Effect.SAFE, Effect.KEYED, Effect.UNSAFE)
-BLOCK = 512                             # files are counted in whole blocks of this size
-SPARE = 64 * 1024                       # kept free for the small records between two compactions, where there is room
-ZONES = 128                             # room in a copy for the zones that a transaction's history may name
-FAILED, RETURNED = 1, 2                 # ends that the platform is owed a notice of
+BLOCK = 512  # files are counted in whole blocks of this size
+SPARE = 64 * 1024  # kept free for the small records between two compactions, where there is room
+ZONES = 128  # room in a copy for the zones that a transaction's history may name
+FAILED, RETURNED = 1, 2  # ends that the platform is owed a notice of
 MARK = b"scalefall journal 1\n"
 
 
 @dataclass(slots=True)
 class Owed:
     """A transaction as the journal knows it: not over yet, or over with its notice still to be delivered."""
+
     id: str
     class_name: str
     destination: int
-    due_wall: int               # microseconds since the epoch
+    due_wall: int  # microseconds since the epoch
     key: str | None
     body: bytes
     attempts: int = 0
-    ran_wall: int = 0           # begin of the first pass that may have run
+    ran_wall: int = 0  # begin of the first pass that may have run
     ran_zone: str = ""
-    out: bool = False           # a pass has begun and has no outcome yet
+    out: bool = False  # a pass has begun and has no outcome yet
     out_wall: int = 0
     out_zone: str = ""
-    end: int = 0                # FAILED or RETURNED: a notice is owed
+    end: int = 0  # FAILED or RETURNED: a notice is owed
     after_ms: int = 0
-    effect: Effect | None = None    # its class's, as it was when it was taken on; None: the record does not say
+    effect: Effect | None = None  # its class's, as it was when it was taken on; None: the record does not say
     key_scope_zone: bool = False
     key_ttl_us: int = 0
     size: int = field(default=0, repr=False)
-    zones: int = field(default=ZONES, repr=False)   # of it, the room for zones
+    zones: int = field(default=ZONES, repr=False)  # of it, the room for zones
 
 
 def _text(*values: str | None) -> bytes:
@@ -67,7 +69,7 @@
             continue
         if at + length > len(data):
             raise ValueError("text cut short")
-        values.append(data[at:at + length].decode())
+        values.append(data[at : at + length].decode())
         at += length
     return values, at
 
@@ -76,10 +78,15 @@
     """One record that holds all of a transaction; its begin, and its history after a compaction."""
     flags = OUT * owed.out | EFFECTS.index(owed.effect) << 1 | ZONED * owed.key_scope_zone
     head = TAKEN.pack(owed.due_wall, owed.destination, owed.attempts, owed.ran_wall, flags, owed.end)
-    span = owed.after_ms if owed.end else min(owed.key_ttl_us // 1000, 0xFFFFFFFF)     # each is of use to one alone
+    span = owed.after_ms if owed.end else min(owed.key_ttl_us // 1000, 0xFFFFFFFF)  # each is of use to one alone
     tail = struct.pack("<Iq", span, owed.out_wall)
-    return b"T" + head + tail + _text(owed.id, owed.class_name, owed.key, owed.ran_zone, owed.out_zone) \
+    return (
+        b"T"
+        + head
+        + tail
+        + _text(owed.id, owed.class_name, owed.key, owed.ran_zone, owed.out_zone)
         + (b"" if owed.end else owed.body)
+    )
 
 
 class Journal:
@@ -87,7 +94,7 @@
         self._path, self._new = os.path.join(folder, "journal"), os.path.join(folder, "journal.new")
         self._most, self.owed = most_bytes, {}
         self._spare = min(SPARE, most_bytes // 8)
-        self._live = 0              # bytes that a fresh copy would take
+        self._live = 0  # bytes that a fresh copy would take
         self._remove_new()
         self._file = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, 0o600)
         self._size = self._read()
@@ -191,7 +198,7 @@
                 written += os.write(self._file, framed[written:])
         except OSError as error:
             log.error("journal: cannot write (%s)", error)
-            self._cut(self._size)      # half a record in the middle would hide all that follows
+            self._cut(self._size)  # half a record in the middle would hide all that follows
             return False
         self._size += len(framed)
         return True
@@ -245,7 +252,7 @@
             return at
         while at + HEAD.size <= len(data):
             length, checksum = HEAD.unpack_from(data, at)
-            record = data[at + HEAD.size:at + HEAD.size + length]
+            record = data[at + HEAD.size : at + HEAD.size + length]
             if len(record) != length or zlib.crc32(record) != checksum:
                 break
             try:
@@ -265,9 +272,25 @@
             due, destination, attempts, ran_wall, flags, end = TAKEN.unpack_from(record, 1)
             span, out_wall = struct.unpack_from("<Iq", record, 1 + TAKEN.size)
             texts, at = _untext(record, 1 + TAKEN.size + 12, 5)
-            owed = Owed(texts[0] or "", texts[1] or "", destination, due, texts[2], record[at:], attempts, ran_wall,
-                        texts[3] or "", bool(flags & OUT), out_wall, texts[4] or "", end, span if end else 0,
-                        EFFECTS[flags >> 1 & 3], bool(flags & ZONED), 0 if end else span * 1000)
+            owed = Owed(
+                texts[0] or "",
+                texts[1] or "",
+                destination,
+                due,
+                texts[2],
+                record[at:],
+                attempts,
+                ran_wall,
+                texts[3] or "",
+                bool(flags & OUT),
+                out_wall,
+                texts[4] or "",
+                end,
+                span if end else 0,
+                EFFECTS[flags >> 1 & 3],
+                bool(flags & ZONED),
+                0 if end else span * 1000,
+            )
             owed.size = HEAD.size + len(record) + ZONES
             self.owed[owed.id] = owed
             self._live += owed.size
--- a/scalefall/net/keeping.py
+++ b/scalefall/net/keeping.py
@@ -6,18 +6,19 @@
 where its own calls come too seldom for that time to meet the next one, it keeps none: kept in vain, a connection
 costs a place at the endpoint and spares no handshake.
 """
+
 from __future__ import annotations
 
-LESS, MORE = 0.5, 1.25          # times the span, for each connection that was turned away or taken
-NEWEST = 0.25                   # weight of the newest gap between calls in their mean
-SURE = 2.0                      # the span must be so many mean gaps for the connection to be kept at all
+LESS, MORE = 0.5, 1.25  # times the span, for each connection that was turned away or taken
+NEWEST = 0.25  # weight of the newest gap between calls in their mean
+SURE = 2.0  # the span must be so many mean gaps for the connection to be kept at all
 
 
 class Keeping:
     def __init__(self, senders: int) -> None:
         self._senders = max(1, senders)
-        self._shares: dict[object, float] = {}      # of the span, by place, where it is less than all
-        self._gaps: dict[object, tuple[int, float]] = {}    # the last call's begin, and the mean gap, by place
+        self._shares: dict[object, float] = {}  # of the span, by place, where it is less than all
+        self._gaps: dict[object, tuple[int, float]] = {}  # the last call's begin, and the mean gap, by place
 
     def begun(self, place: object, now: int) -> None:
         """A call begins there; now in microseconds."""
@@ -28,7 +29,7 @@
         """Microseconds for which an idle connection is kept there; the endpoint closes it after idle_close."""
         span = idle_close / self._senders * self._shares.get(place, 1.0)
         _, gap = self._gaps.get(place, (0, 0.0))
-        return int(span) if self._senders == 1 or SURE * gap <= span else 0     # alone it is in nobody's way
+        return int(span) if self._senders == 1 or SURE * gap <= span else 0  # alone it is in nobody's way
 
     def turned_away(self, place: object) -> None:
         self._shares[place] = LESS * self._shares.get(place, 1.0)
--- a/scalefall/net/notices.py
+++ b/scalefall/net/notices.py
@@ -4,6 +4,7 @@
 is followed by another one on a new connection, while the first goes on: a connection that was kept may have died
 unseen, and a way that was cut off is found open again within a step. Twice told does no harm.
 """
+
 from __future__ import annotations
 
 import json
@@ -17,17 +18,18 @@
 from scalefall.net.scheduler import Scheduler, Task
 
 MS = 1000
-STEP_US = 120 * MS              # if a POST has no answer after this, another one goes out beside it
-MOST_TRIES = 8                  # at the same time
-TRY_US = MOST_TRIES * STEP_US   # one may take so long
-FIRST_PAUSE_US, MOST_PAUSE_US = 20 * MS, 160 * MS   # after one that was refused or broke
-MOST_LINES, MOST_BYTES = 100, 48 * 1024     # in one POST; the protocol allows a body of 64 KiB
-LATE_US = 300 * MS              # so long after its time a message without its notice is lost
-SAID_US = 1000 * MS             # failures are logged so often
+STEP_US = 120 * MS  # if a POST has no answer after this, another one goes out beside it
+MOST_TRIES = 8  # at the same time
+TRY_US = MOST_TRIES * STEP_US  # one may take so long
+FIRST_PAUSE_US, MOST_PAUSE_US = 20 * MS, 160 * MS  # after one that was refused or broke
+MOST_LINES, MOST_BYTES = 100, 48 * 1024  # in one POST; the protocol allows a body of 64 KiB
+LATE_US = 300 * MS  # so long after its time a message without its notice is lost
+SAID_US = 1000 * MS  # failures are logged so often
 
 
 class LoggedNotices:
     """Where no platform hears notices: each is a line in the log, and that was its end."""
+
     idle = True
 
     def __init__(self, delivered: Callable[[str], None]) -> None:
@@ -38,8 +40,12 @@
         self._delivered(name)
 
     def returned(self, name: str, after_ms: int, due: int = 0) -> None:
-        log.warning("notice: %s returned, to come back after %d ms", name, after_ms,
-                    extra={"fields": {"id": name, "state": "returned", "after_ms": after_ms}})
+        log.warning(
+            "notice: %s returned, to come back after %d ms",
+            name,
+            after_ms,
+            extra={"fields": {"id": name, "state": "returned", "after_ms": after_ms}},
+        )
         self._delivered(name)
 
     def move(self, platform: tuple[str, int]) -> None:
@@ -48,23 +54,24 @@
 
 @dataclass(slots=True)
 class Notice:
-    due: int                    # the time of its message is up then, monotonic, microseconds
+    due: int  # the time of its message is up then, monotonic, microseconds
     line: bytes
 
 
 @dataclass(slots=True, eq=False)
 class Try:
     """One POST that is out."""
+
     names: list[str]
-    alone: bool                 # no other was out when it began
+    alone: bool  # no other was out when it began
 
 
 class Notices:
     def __init__(self, scheduler: Scheduler, platform: tuple[str, int], delivered: Callable[[str], None]) -> None:
         self._scheduler, self._platform, self._delivered = scheduler, platform, delivered
         self._due: dict[str, Notice] = {}
-        self._sock: socket.socket | None = None     # kept from the POST before, idle
-        self._at = platform         # the address that it leads to
+        self._sock: socket.socket | None = None  # kept from the POST before, idle
+        self._at = platform  # the address that it leads to
         self._tries: dict[Try, None] = {}
         self._most, self._pause, self._said_at = MOST_LINES, FIRST_PAUSE_US, -SAID_US
         self._task: Task | None = None
@@ -101,7 +108,7 @@
                 self._tries[one] = None
                 self._scheduler.spawn(self._carry, one)
             ended = self._scheduler.sleep(STEP_US)
-            if ended is False:      # refused or broken: at once again would only be refused again
+            if ended is False:  # refused or broken: at once again would only be refused again
                 pause, self._pause = self._pause, min(MOST_PAUSE_US, 2 * self._pause)
                 self._scheduler.sleep(pause)
 
@@ -129,7 +136,7 @@
             for name in one.names:
                 if self._due.pop(name, None) is not None:
                     self._delivered(name)
-        elif status == 400:     # one line that cannot be read must not hold back the others
+        elif status == 400:  # one line that cannot be read must not hold back the others
             self._unreadable(one.names)
         if self._task is not None and (status or one.alone):
             self._scheduler.wake(self._task, status == 204)
@@ -153,8 +160,9 @@
                 now = self._scheduler.now()
                 if now >= self._said_at + SAID_US:
                     self._said_at = now
-                    log.warning("notices: %d not delivered (%s), trying again", len(self._due),
-                                error or type(error).__name__)
+                    log.warning(
+                        "notices: %d not delivered (%s), trying again", len(self._due), error or type(error).__name__
+                    )
                 return 0
         return 0
 
--- a/scalefall/net/operators.py
+++ b/scalefall/net/operators.py
@@ -3,6 +3,7 @@
 A caller has a moment for its call; one that sends nothing, or half a call, is closed, and gives way to others when many
 are there. What a call means stands in Duty, which knows no socket, file or clock; the host does what Duty says.
 """
+
 from __future__ import annotations
 
 import json
@@ -17,12 +18,12 @@
 from scalefall.net.scheduler import READ, READY, Scheduler, Task
 
 SECOND = 1_000_000
-READ_US = 2 * SECOND            # from a connection's begin to its call's last byte
+READ_US = 2 * SECOND  # from a connection's begin to its call's last byte
 WRITE_US = SECOND
-BACKLOG = 64                    # in the listener's queue
-MOST_CALLERS = 16               # at a time; the one that has been there longest with no call gives way
-MOST_BODY = 4096                # calls need none
-OUT_PART, LEAST_ROOM = 32, 8 * 1024     # of the folder's limit, for the names of what is out and the file's next copy
+BACKLOG = 64  # in the listener's queue
+MOST_CALLERS = 16  # at a time; the one that has been there longest with no call gives way
+MOST_BODY = 4096  # calls need none
+OUT_PART, LEAST_ROOM = 32, 8 * 1024  # of the folder's limit, for the names of what is out and the file's next copy
 
 
 class Duty:
@@ -105,7 +106,7 @@
 
     def __init__(self, scheduler: Scheduler, decide: Callable[[str, str], int]) -> None:
         self._scheduler, self._decide = scheduler, decide
-        self._callers: dict[socket.socket, Task] = {}   # that have not sent a whole call yet, the first one in front
+        self._callers: dict[socket.socket, Task] = {}  # that have not sent a whole call yet, the first one in front
         self._listener: socket.socket | None = None
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
@@ -152,8 +153,12 @@
                 status, text = error.status, f"{error}\n"
             except streams.TimeUp:
                 status, text = 408, "the call took too long\n"
-            streams.send(self._scheduler, sock, http.answer(status, [], text.encode(), keep=False),
-                         self._scheduler.now() + WRITE_US)
+            streams.send(
+                self._scheduler,
+                sock,
+                http.answer(status, [], text.encode(), keep=False),
+                self._scheduler.now() + WRITE_US,
+            )
         except OSError:
             pass
         finally:
--- a/scalefall/net/paces.py
+++ b/scalefall/net/paces.py
@@ -2,6 +2,7 @@
 
 It is a help and no promise: a file that is missing, old or unreadable is as good as none.
 """
+
 from __future__ import annotations
 
 import json
@@ -13,11 +14,11 @@
 from scalefall.net.checks import log
 from scalefall.net.journal import BLOCK
 
-LEAST_BYTES, PART = 32 * 1024, 16   # of the folder's limit, for the file and the copy that takes its place
+LEAST_BYTES, PART = 32 * 1024, 16  # of the folder's limit, for the file and the copy that takes its place
 MOST_BYTES = 4 * 1024 * 1024
-ROW = 64                        # bytes that a row takes at most, but for long names
-SLICE = 128                     # rows written in one turn
-FRESH_US = 60_000_000           # what is older tells nothing of now
+ROW = 64  # bytes that a row takes at most, but for long names
+SLICE = 128  # rows written in one turn
+FRESH_US = 60_000_000  # what is older tells nothing of now
 
 
 def room(disk_bytes: int) -> int:
@@ -67,7 +68,11 @@
 
 def get(destination: int, route: str, part: float, limit: float) -> Known:
     """The same back; ValueError or TypeError if it is none."""
-    if not (isinstance(destination, int) and isinstance(route, str)
-            and 0 <= float(part) < math.inf and 0 <= float(limit) < math.inf):
+    if not (
+        isinstance(destination, int)
+        and isinstance(route, str)
+        and 0 <= float(part) < math.inf
+        and 0 <= float(limit) < math.inf
+    ):
         raise ValueError("a row has a wrong value")
     return Known(destination, route, float(part), float(limit))
--- a/scalefall/net/passes.py
+++ b/scalefall/net/passes.py
@@ -3,6 +3,7 @@
 What a pass ends as is read off PROTOCOL's table. A connection that could not be had, or that broke before the call's
 last byte was written, proves that nothing has run; after that byte it may have.
 """
+
 from __future__ import annotations
 
 import base64
@@ -24,37 +25,44 @@
 
 MS = 1000
 SECOND = 1_000_000
-IDLE_MARGIN_US = 500 * MS       # a kept connection is closed so long before its endpoint would close it
-REST_US = 20 * MS               # so long after an answer a connection is not used again: what still comes shows in it
-AGED_US = 80 * MS               # a rested connection that nobody has used for so long may have died meanwhile
-MOST_LOST, LOST_OVER = 0.03, 50     # above this share, over about so many calls, what must not run twice avoids them
-ANSWER_US = SECOND              # from an answer's first byte to its last
-DELIVERED_US = 200 * MS         # the same, once all that matters is known
-STATES = {"accepted": i.Outcome.OK, "fault": i.Outcome.ERROR, "deferred": i.Outcome.FULL,
-          "expired": i.Outcome.NOT_SENT, "no_more": i.Outcome.NOT_SENT}
-Place = tuple[str, tuple[str, int]]     # an endpoint at its address: a new one there is not the one known before
+IDLE_MARGIN_US = 500 * MS  # a kept connection is closed so long before its endpoint would close it
+REST_US = 20 * MS  # so long after an answer a connection is not used again: what still comes shows in it
+AGED_US = 80 * MS  # a rested connection that nobody has used for so long may have died meanwhile
+MOST_LOST, LOST_OVER = 0.03, 50  # above this share, over about so many calls, what must not run twice avoids them
+ANSWER_US = SECOND  # from an answer's first byte to its last
+DELIVERED_US = 200 * MS  # the same, once all that matters is known
+STATES = {
+    "accepted": i.Outcome.OK,
+    "fault": i.Outcome.ERROR,
+    "deferred": i.Outcome.FULL,
+    "expired": i.Outcome.NOT_SENT,
+    "no_more": i.Outcome.NOT_SENT,
+}
+Place = tuple[str, tuple[str, int]]  # an endpoint at its address: a new one there is not the one known before
 DECIMAL = re.compile(r"\d{1,9}(\.\d{0,9})?\Z")
 
 
 @dataclass(slots=True)
 class Load:
     """One message in a pass: the number of its attempt, and when its sender stops waiting."""
+
     id: str
     attempt: int
     until: int
     key: str | None
     body: bytes
-    once: bool = False          # must not take effect twice: if it may have run, it has failed
+    once: bool = False  # must not take effect twice: if it may have run, it has failed
     begin_by: float = math.inf  # its first byte must not go out later: a repeat is dropped only so long
 
 
 @dataclass(slots=True)
 class Result:
     """What became of one message of a pass."""
+
     outcome: i.Outcome
     wait_us: int = 0
     finished: bool = False
-    unreadable: bool = False    # the endpoint could not read the call
+    unreadable: bool = False  # the endpoint could not read the call
 
 
 @dataclass(slots=True, eq=False)
@@ -64,36 +72,43 @@
     begun: int
     task: Task | None = None
     sock: socket.socket | None = None
-    fresh: bool = False         # its connection is new
-    idled: bool = False         # its connection had been idle for AGED_US or more
-    written: bool = False       # the call's last byte is on its way
+    fresh: bool = False  # its connection is new
+    idled: bool = False  # its connection had been idle for AGED_US or more
+    written: bool = False  # the call's last byte is on its way
     over: bool = False
 
 
 @dataclass(slots=True, eq=False)
 class Kept:
     """An idle connection and the task that watches over it."""
+
     sock: socket.socket
     place: Place
-    rested: int                 # from then on it may be used again
-    idle_close: int             # its endpoint closes it after so long
+    rested: int  # from then on it may be used again
+    idle_close: int  # its endpoint closes it after so long
     keeper: Task | None = None
 
 
 class Passes:
     """Carries out Send, Cancel and Close; settle is called once for each message of a pass."""
 
-    def __init__(self, scheduler: Scheduler, settings: i.Settings, most_sockets: int,
-                 settle: Callable[[i.Attempted, bool], None], may_begin: Callable[[Entry], bool],
-                 wanted: Callable[[str], bool] = lambda name: True) -> None:
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        settings: i.Settings,
+        most_sockets: int,
+        settle: Callable[[i.Attempted, bool], None],
+        may_begin: Callable[[Entry], bool],
+        wanted: Callable[[str], bool] = lambda name: True,
+    ) -> None:
         self._scheduler, self._set, self._most = scheduler, settings, most_sockets
         self._settle, self._may_begin, self._wanted = settle, may_begin, wanted
         self._pools: dict[Place, deque[Kept]] = {}  # idle connections, the one used last at the right; none is empty
         self._out: dict[tuple[str, int], ProxyPass] = {}
-        self._idle: dict[Kept, None] = {}           # all idle ones, the longest idle first
+        self._idle: dict[Kept, None] = {}  # all idle ones, the longest idle first
         self._busy = 0
         self._keeping = Keeping(settings.siblings)
-        self._lost = 0.0            # share, of late, of calls on idle connections that were reset with no answer
+        self._lost = 0.0  # share, of late, of calls on idle connections that were reset with no answer
 
     @property
     def out(self) -> int:
@@ -142,19 +157,22 @@
         for kept in [kept for kept in reversed(idle) if kept.rested <= now]:
             one.idled = kept.rested + AGED_US <= now
             if one.idled and wary:
-                break       # the others have been idle for longer
+                break  # the others have been idle for longer
             self._forget(kept)
             if _still_up(kept.sock):
                 one.sock = kept.sock
                 return
             kept.sock.close()
         while self._idle and self._busy + len(self._idle) > self._most:
-            self._discard(next(iter(self._idle)))       # the longest idle one makes room
+            self._discard(next(iter(self._idle)))  # the longest idle one makes room
         if self._busy > self._most:
             raise OSError("no socket left")
         one.idled, one.fresh = False, True
-        one.sock = streams.dial(self._scheduler, one.entry.address,
-                                min(until, self._scheduler.now() + (one.entry.dial_us or self._set.dial_timeout_us)))
+        one.sock = streams.dial(
+            self._scheduler,
+            one.entry.address,
+            min(until, self._scheduler.now() + (one.entry.dial_us or self._set.dial_timeout_us)),
+        )
 
     def _keep(self, one: ProxyPass) -> None:
         idle_close = one.entry.idle_us or self._set.idle_close_us
@@ -218,21 +236,26 @@
         if one.over:
             self._drop(one)
             return
-        if not self._may_begin(one.entry):      # drained, or told to wait, while the connection came up
+        if not self._may_begin(one.entry):  # drained, or told to wait, while the connection came up
             self._keep(one)
             self._end(one, Result(i.Outcome.NOT_SENT))
             return
         now = self._scheduler.now()
-        self._leave_out(one, [load for load in one.loads if load.begin_by < now or load.until <= now
-                              or not self._wanted(load.id)])
+        self._leave_out(
+            one, [load for load in one.loads if load.begin_by < now or load.until <= now or not self._wanted(load.id)]
+        )
         if not one.loads:
             self._keep(one)
             one.over = True
             return
         # An endpoint starts a call at its last byte, so one that is overtaken in its middle never ran: by the end of a
         # message's time, which has its final answer by then, or of the time for which a repeat is dropped.
-        streams.send(self._scheduler, one.sock, self._encode(one),
-                     min(end for load in one.loads for end in (load.until, load.begin_by)))
+        streams.send(
+            self._scheduler,
+            one.sock,
+            self._encode(one),
+            min(end for load in one.loads for end in (load.until, load.begin_by)),
+        )
         one.written = True
         begun = 0
         while not reader.complete:
@@ -267,9 +290,19 @@
 
     def _tell(self, one: ProxyPass, load: Load, result: Result, report: dict[str, float]) -> None:
         del self._out[load.id, load.attempt]
-        self._settle(i.Attempted(load.id, load.attempt, one.entry.endpoint.id, result.outcome,
-                                 self._scheduler.now() - one.begun, result.finished, result.wait_us, dict(report)),
-                     result.unreadable)
+        self._settle(
+            i.Attempted(
+                load.id,
+                load.attempt,
+                one.entry.endpoint.id,
+                result.outcome,
+                self._scheduler.now() - one.begun,
+                result.finished,
+                result.wait_us,
+                dict(report),
+            ),
+            result.unreadable,
+        )
 
     def _encode(self, one: ProxyPass) -> bytes:
         left = max(1, max(load.until for load in one.loads) - self._scheduler.now())
@@ -282,8 +315,13 @@
                 fields.insert(1, ("Idempotency-Key", load.key))
             return http.request("POST", "/v1/messages", host, fields, load.body)
         rows = [_row(load.id, load.key, base64.b64encode(load.body).decode()) for load in one.loads]
-        return http.request("POST", "/v1/messages:batch", host, [deadline, ("Content-Type", "application/json")],
-                            json.dumps(rows, separators=(",", ":")).encode())
+        return http.request(
+            "POST",
+            "/v1/messages:batch",
+            host,
+            [deadline, ("Content-Type", "application/json")],
+            json.dumps(rows, separators=(",", ":")).encode(),
+        )
 
     def _broken(self, one: ProxyPass, reader: http.AnswerReader, error: Exception) -> None:
         """The table's lower half: no whole answer came. A first line of 200 is true for a single message; whatever
@@ -296,7 +334,7 @@
         elif begun and (not isinstance(error, OSError) or isinstance(error, streams.TimeUp)):
             log.warning("answer of %s cannot be used: %s", one.entry.endpoint.id, error)
             result = Result(i.Outcome.ERROR)
-        elif status and status != 200:      # broken off: the first line counts, what it tells has been told
+        elif status and status != 200:  # broken off: the first line counts, what it tells has been told
             result = self._by_status(one, reader)
         elif isinstance(error, streams.TimeUp):
             result = Result(i.Outcome.TIMEOUT)
@@ -324,8 +362,14 @@
             if "x-egress-full" in reader.fields:
                 return Result(i.Outcome.NOT_SENT, wait)
             # What turns a call away knows its load and tells it; what turns a connection away does not get so far.
-            crowded = (status == 503 and one.fresh and reader.head_done and not wait
-                       and self._set.answers_report and "x-load" not in reader.fields)
+            crowded = (
+                status == 503
+                and one.fresh
+                and reader.head_done
+                and not wait
+                and self._set.answers_report
+                and "x-load" not in reader.fields
+            )
             return Result(i.Outcome.CROWDED if crowded else i.Outcome.FULL, wait)
         if status == 504 or status == 410:
             return Result(i.Outcome.NOT_SENT, wait, status == 410)
@@ -345,8 +389,9 @@
             return None
         return {load.id: results.get(load.id) or Result(i.Outcome.ERROR, wait) for load in one.loads}
 
-    def _end(self, one: ProxyPass, results: Result | dict[str, Result],
-             reader: http.AnswerReader | None = None) -> None:
+    def _end(
+        self, one: ProxyPass, results: Result | dict[str, Result], reader: http.AnswerReader | None = None
+    ) -> None:
         """Tell every message's outcome, once. What a pass that is over still brings touches nothing."""
         one.over = True
         report = read_report(reader.fields) if reader is not None and reader.head_done else {}
--- a/scalefall/net/rolls.py
+++ b/scalefall/net/rolls.py
@@ -1,4 +1,5 @@
 """Discovery's list as it comes in: a stream of JSON objects cut into single ones, and their entries. No socket."""
+
 from __future__ import annotations
 
 import json
@@ -8,11 +9,11 @@
 
 from scalefall import interface as i
 
-MOST_NAME = 255                 # characters of an id, a zone, a kind: they go into the journal with each call
-MOST_DEPTH = 32                 # objects within one another; a list has two
+MOST_NAME = 255  # characters of an id, a zone, a kind: they go into the journal with each call
+MOST_DEPTH = 32  # objects within one another; a list has two
 STATES = {"in_service": i.Status.READY, "terminating": i.Status.DRAINING, "terminated": i.Status.GONE}
 TEXT = rb'"(?:[^"\\]++|\\.)*+"'
-FLAT = rb'\{(?:[^{}"]++|' + TEXT + rb')*+\}'  # an object with none in it, as an entry is: one step
+FLAT = rb'\{(?:[^{}"]++|' + TEXT + rb")*+\}"  # an object with none in it, as an entry is: one step
 TOKEN = re.compile(FLAT + b"|" + TEXT + rb'|[{}"]', re.DOTALL)  # a lone quotation mark: a text that has not all come
 SPACE = b" \t\r\n"
 
@@ -20,20 +21,22 @@
 @dataclass(slots=True, frozen=True)
 class Entry:
     """One endpoint as the list has it: what the module is told, and where to dial."""
+
     endpoint: i.Endpoint
     address: tuple[str, int]
-    host: str = ""          # what it is called in a request's Host; else its id
-    dial_us: int = 0        # how long a dial to it may take, and when it closes an idle connection; 0: as the
-    idle_us: int = 0        # settings say
+    host: str = ""  # what it is called in a request's Host; else its id
+    dial_us: int = 0  # how long a dial to it may take, and when it closes an idle connection; 0: as the
+    idle_us: int = 0  # settings say
 
 
 @dataclass(slots=True, frozen=True)
 class Roll:
     """The list, or what of it has changed, at a version."""
+
     seq: int
     whole: bool
     entries: list[Entry]
-    unread: tuple[str, ...] = ()    # entries that could not be read, by id where that much could
+    unread: tuple[str, ...] = ()  # entries that could not be read, by id where that much could
 
 
 class Objects:
@@ -71,7 +74,7 @@
             if self._depth < 0:
                 raise ValueError("no list")
             if not self._depth:
-                found.append(json.loads(self._text[begin:self._scanned]))
+                found.append(json.loads(self._text[begin : self._scanned]))
                 begin = self._scanned
         if not self._depth:
             begin = self._between(begin, len(self._text))
@@ -118,5 +121,14 @@
         raise ValueError(f"list of endpoints: {row['host']!r} has a wrong value")
     if max(len(row["host"]), len(host), len(str(row["site"])), len(str(row["class"]))) > MOST_NAME:
         raise ValueError(f"list of endpoints: a name of {row['host'][:20]!r} is too long")
-    return Entry(i.Endpoint(row["host"], str(row["site"]), str(row["class"]), row["block"], STATES[row["health"]],
-                            float(row.get("share") or 0)), (host, int(port)))
+    return Entry(
+        i.Endpoint(
+            row["host"],
+            str(row["site"]),
+            str(row["class"]),
+            row["block"],
+            STATES[row["health"]],
+            float(row.get("share") or 0),
+        ),
+        (host, int(port)),
+    )
--- a/scalefall/net/roster.py
+++ b/scalefall/net/roster.py
@@ -3,6 +3,7 @@
 An endpoint that the new list no longer has drains first, so that calls which are out may end and fresh work stops under
 the drain rule, and is gone after the grace. One that comes back meanwhile is ready again, and is not gone later.
 """
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -17,7 +18,7 @@
     def __init__(self, scheduler: Scheduler, known: Roll, tell: Callable[[i.Listed], None], grace_us: int) -> None:
         super().__init__(scheduler, None, known, tell)
         self._grace = grace_us
-        self._leaving: dict[str, int] = {}      # endpoints that drain as they are no more in the list: since which one
+        self._leaving: dict[str, int] = {}  # endpoints that drain as they are no more in the list: since which one
 
     def start(self) -> None:
         self._tell(self.known())
@@ -36,8 +37,9 @@
         """The list from now on, in one step; how many endpoints are new, gone and changed."""
         wanted = {entry.endpoint.id for entry in entries}
         new = [entry for entry in entries if not self._has(entry.endpoint.id)]
-        changed = [entry for entry in entries if self._has(entry.endpoint.id) and
-                   self.entries[entry.endpoint.id] != entry]
+        changed = [
+            entry for entry in entries if self._has(entry.endpoint.id) and self.entries[entry.endpoint.id] != entry
+        ]
         gone = [entry for name, entry in self.entries.items() if name not in wanted and self._has(name)]
         version = self.seq + 1
         for entry in entries:
--- a/scalefall/net/scheduler.py
+++ b/scalefall/net/scheduler.py
@@ -1,4 +1,5 @@
 """Greenlets over select.poll: tasks, pauses and timers. Times are whole microseconds of the monotonic clock."""
+
 from __future__ import annotations
 
 import heapq
@@ -17,16 +18,17 @@
 from scalefall.net.checks import holds, log
 
 READ, WRITE = select.POLLIN, select.POLLOUT
-THREAD_DONE = 255               # a byte to the waker that is no signal's number
-LAG_LEAST_US = 10_000           # what is late by less is not counted
-LAG_FALLS = 10                  # what was late falls by a tenth of the time that passes
-LOOK_US = 1000                  # a look that took less found what it found at once: it had come since the look before
-MOST_IDLE_TIMERS = 256          # that were called off and still have a place in the order
-READY, TIME_UP = "ready", "time up"     # why a pause ended, where nobody woke it with a value
+THREAD_DONE = 255  # a byte to the waker that is no signal's number
+LAG_LEAST_US = 10_000  # what is late by less is not counted
+LAG_FALLS = 10  # what was late falls by a tenth of the time that passes
+LOOK_US = 1000  # a look that took less found what it found at once: it had come since the look before
+MOST_IDLE_TIMERS = 256  # that were called off and still have a place in the order
+READY, TIME_UP = "ready", "time up"  # why a pause ended, where nobody woke it with a value
 
 
 class Timer:
     """A function called once at its time, unless it is called off; it runs in the loop and must not pause."""
+
     __slots__ = ("at", "function", "args", "off")
 
     def __init__(self, at: int, function: Callable[..., object], args: tuple[Any, ...]) -> None:
@@ -43,6 +45,7 @@
 
 class Task(greenlet):
     """One greenlet; while it pauses it may wait for a file descriptor, a time and a word from others."""
+
     fd = -1
     timer: Timer | None = None
     paused = False
@@ -55,8 +58,8 @@
         self._timers: list[tuple[int, int, Timer]] = []
         self._order, self._running, self._idle_timers = count(), False, 0
         self._late, self._late_at = 0, 0
-        self.looks = 0              # how often the sockets have been looked at
-        self.quiet_at = self._polled_at = 0     # what is found ready now had not come before this; the last look
+        self.looks = 0  # how often the sockets have been looked at
+        self.quiet_at = self._polled_at = 0  # what is found ready now had not come before this; the last look
         self._woken, self._waker = socket.socketpair()
         self._woken.setblocking(False)
         self._waker.setblocking(False)
@@ -158,6 +161,7 @@
             except BaseException as error:
                 done.append((None, error))
             self._waker.send(bytes([THREAD_DONE]))
+
         self._in_threads.append((task, done))
         threading.Thread(target=work, daemon=True).start()
         while not done:
@@ -207,7 +211,7 @@
                 signalled = True
             elif holds(fd in self._waits, "a polled socket has its task"):
                 self.wake(self._waits[fd], READY)
-        if signalled:       # last: what a signal wakes may be among what was found
+        if signalled:  # last: what a signal wakes may be among what was found
             self._take_signals()
         self._run_ready()
         now = self.now()
--- a/scalefall/net/streams.py
+++ b/scalefall/net/streams.py
@@ -1,4 +1,5 @@
 """Dial, send and receive on plain TCP, as pauses of a task. A time that is up raises TimeUp, which is an OSError."""
+
 from __future__ import annotations
 
 import errno
@@ -63,7 +64,7 @@
     rest = memoryview(data)
     while rest:
         try:
-            rest = rest[sock.send(rest):]
+            rest = rest[sock.send(rest) :]
         except BlockingIOError:
             _wait(scheduler, sock, WRITE, until)
 
--- a/scalefall/net/transaction.py
+++ b/scalefall/net/transaction.py
@@ -1,4 +1,5 @@
 """What a front hands to the host and gets back: no protocol in it, so that a second front can use the same host."""
+
 from __future__ import annotations
 
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 @dataclass(slots=True, frozen=True)
 class UnavailableAnswer:
     """Refused: handing it in again is harmless. By the module, or before it (turned away: no room, or closing)."""
+
     retry_after_us: int
     turned_away: bool = False
 
@@ -42,15 +44,15 @@
     id: str
     class_name: str
     destination: int
-    due: int                                # monotonic, microseconds
+    due: int  # monotonic, microseconds
     key: str | None
     body: bytes
     attempts: int = 0
     verdict: Verdict | None = None
-    promised: bool = False                  # a second client has been told that it is taken on
-    alone: bool = False                     # must not share a call with others
-    cls: MessageClass | None = None         # the rules that it was taken on under
-    told: Callable[[], object] | None = None    # called once the verdict is there
+    promised: bool = False  # a second client has been told that it is taken on
+    alone: bool = False  # must not share a call with others
+    cls: MessageClass | None = None  # the rules that it was taken on under
+    told: Callable[[], object] | None = None  # called once the verdict is there
 
     def stands_for(self) -> int:
         """The same number for what was handed in alike, whoever did; holds for this process only."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,4 +1,5 @@
 """For all tests: what one has left open does not stay for the others."""
+
 import gc
 
 import pytest
--- a/tests/control/test_grants.py
+++ b/tests/control/test_grants.py
@@ -1,4 +1,5 @@
 """Grants from the holders' side: what they really may use, whatever is lost, late, cut, restarted or taken away."""
+
 from collections import defaultdict, deque
 
 import pytest
@@ -29,12 +30,13 @@
 
 class World(RuleBasedStateMachine):
     """Messages take up to DELAY each way or are lost; a holder cut off keeps what it has; the service may restart."""
+
     names = st.sampled_from("abcd")
 
     @initialize()
     def start(self):
         self.now, self.holders, self.wire = 0, {}, []
-        self.allowances = deque([(0, 0)])           # since when, how much
+        self.allowances = deque([(0, 0)])  # since when, how much
         self.ledger, self.live, self.epoch = Ledger(0, LEASE, DELAY), set(), 0
 
     def turn(self, delays):
@@ -95,8 +97,11 @@
     @rule()
     def the_service_restarts(self):
         self.ledger, self.epoch = Ledger(self.now, LEASE, DELAY), self.epoch + 1
-        number = max([holder.number for holder in self.holders.values()] +
-                     [row[2].number for row in self.wire if row[1] == "grant"], default=0)
+        number = max(
+            [holder.number for holder in self.holders.values()]
+            + [row[2].number for row in self.wire if row[1] == "grant"],
+            default=0,
+        )
         self.ledger.resume(number)
         for name in self.live:
             self.ledger.join(name)
@@ -158,7 +163,7 @@
     ledger.join("c")
     ledger.want("c", DEST, 20 * CALLS)
     second = ledger.turn(S)
-    assert amounts(second) == {"a": 3333, "b": 3333}    # less for them, and nothing yet for the newcomer
+    assert amounts(second) == {"a": 3333, "b": 3333}  # less for them, and nothing yet for the newcomer
     acknowledge(ledger, second[:1], S + 1)
     assert amounts(ledger.turn(S + 1)) == {"c": 5000 - 3333}
 
@@ -168,7 +173,7 @@
     first = ledger.turn(0)
     acknowledge(ledger, [grant for grant in first if grant.holder == "a"], 0)
     ledger.lost("b")
-    assert amounts(ledger.turn(LEASE + DELAY - 1)) == {"a": 5 * CALLS}      # renewed, and not raised
+    assert amounts(ledger.turn(LEASE + DELAY - 1)) == {"a": 5 * CALLS}  # renewed, and not raised
     assert amounts(ledger.turn(LEASE + DELAY)) == {"a": 10 * CALLS}
 
 
@@ -228,13 +233,13 @@
     ledger.turn(0)
     ledger.allow(DEST, 30 * CALLS)
     ledger.turn(S)
-    ledger.lost("c")            # what it was given after the fall is its own until it has run out
+    ledger.lost("c")  # what it was given after the fall is its own until it has run out
     ledger.want("a", DEST, 40 * CALLS)
     for now in range(2 * S, S + LEASE + DELAY, S):
         ledger.turn(now)
     assert ledger.in_use(DEST, LEASE + DELAY) <= 30 * CALLS
     ledger.turn(S + LEASE + DELAY)
-    assert ledger.in_use(DEST, S + LEASE + DELAY) > 20 * CALLS       # and then it is others'
+    assert ledger.in_use(DEST, S + LEASE + DELAY) > 20 * CALLS  # and then it is others'
 
 
 def test_a_destination_that_stays_as_it_is_costs_one_renewal_in_half_a_lease():
@@ -248,9 +253,15 @@
     assert 40 <= sent <= 42
 
 
-@pytest.mark.parametrize("wanted, amount, shares", [
-    ({"a": 1, "b": 10, "c": 10}, 12, {"a": 1, "b": 5, "c": 6}), ({"a": 1, "b": 1}, 10, {"a": 5, "b": 5}),
-    ({}, 5, {}), ({"a": 5}, 0, {"a": 0})])
+@pytest.mark.parametrize(
+    "wanted, amount, shares",
+    [
+        ({"a": 1, "b": 10, "c": 10}, 12, {"a": 1, "b": 5, "c": 6}),
+        ({"a": 1, "b": 1}, 10, {"a": 5, "b": 5}),
+        ({}, 5, {}),
+        ({"a": 5}, 0, {"a": 0}),
+    ],
+)
 def test_shares_are_max_min_fair(wanted, amount, shares):
     assert fair(wanted, amount) == shares
 
--- a/tests/control/test_judge.py
+++ b/tests/control/test_judge.py
@@ -1,4 +1,5 @@
 """The module judges what proxies report: paces, waits and budgets become grants, and a cold partner isn't flooded."""
+
 from math import inf
 
 import pytest
@@ -49,7 +50,7 @@
 def test_a_told_wait_stops_every_proxy_until_it_is_over():
     judge = started("a", "b")
     judge.turn(0, [listed("e")])
-    assert amounts(judge.turn(S, reports(O.OK, wait=3 * S))) == {"a": 0, "b": 0}      # a good answer may tell one too
+    assert amounts(judge.turn(S, reports(O.OK, wait=3 * S))) == {"a": 0, "b": 0}  # a good answer may tell one too
     assert judge.allowed[0].silent_until == 4 * S and judge.allowed[0].rate == inf
     assert not any(amounts(judge.turn(4 * S - 1, [])).values())
     assert any(amounts(judge.turn(20 * S, [])).values())
@@ -87,11 +88,13 @@
     judge = started("a")
     judge.turn(0, [listed("e", "f")])
     for second in range(1, 8):
-        judge.turn(second * S, reports(O.OK, 5, second * S, endpoint="f") +
-                   reports(O.CONNECT_FAILED, 2, second * S - 1, endpoint="e"))
+        judge.turn(
+            second * S,
+            reports(O.OK, 5, second * S, endpoint="f") + reports(O.CONNECT_FAILED, 2, second * S - 1, endpoint="e"),
+        )
     [row] = judge.allowed
     assert row.endpoints["f"] == inf and row.endpoints["e"] < 5 and row.rate == inf
-    judge.turn(9 * S, [listed("f", status=i.Status.DRAINING)])     # now that one's budget is all there is
+    judge.turn(9 * S, [listed("f", status=i.Status.DRAINING)])  # now that one's budget is all there is
     assert judge.allowed[0].rate == inf and judge._ledger._destinations[1].allowance < 5 * CALLS
 
 
--- a/tests/control/test_members.py
+++ b/tests/control/test_members.py
@@ -1,4 +1,5 @@
 """Proxies that come, go silent, return with what they had, appear twice, and restart within a lease."""
+
 from hypothesis import settings as limits
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
@@ -18,7 +19,7 @@
 def test_one_that_reconnects_is_the_same_holder_and_its_old_stream_is_closed():
     m = members((1, "p", "x"))
     assert m.join(2, "p", "x", 5) == Joined("p/x", True, 1, False)
-    assert m.ended(1, 6) is None and m.state("p/x") is State.LIVE     # the old stream's end is no news
+    assert m.ended(1, 6) is None and m.state("p/x") is State.LIVE  # the old stream's end is no news
     assert m.ended(2, 7) == Change("p/x", "p", State.CUT)
     assert m.join(3, "p", "x", 8) == Joined("p/x", True, None, False)
 
@@ -37,7 +38,7 @@
     m = members((1, "p", "x"), (2, "q", "y"))
     m.turn(SILENCE)
     m.heard(2, FORGET - 2)
-    m.ended(1, FORGET - 1)          # it was last heard long ago, and its place is before the other's
+    m.ended(1, FORGET - 1)  # it was last heard long ago, and its place is before the other's
     assert m.turn(FORGET) == [Change("p/x", "p", State.GONE)] and m.next_turn(FORGET) > FORGET
 
 
--- a/tests/control/test_streams.py
+++ b/tests/control/test_streams.py
@@ -1,4 +1,5 @@
 """xDS streams against a model of their clients: what a client has is whole at every moment, and right in the end."""
+
 import pytest
 from hypothesis import settings as limits
 from hypothesis import strategies as st
@@ -15,8 +16,12 @@
 
 
 def simple(cluster="1", endpoints="1"):
-    return [resource(CDS, "c", cluster), resource(EDS, "c", endpoints), resource(RDS, "r", "1", (CDS, "c")),
-            resource(LDS, "l", "1", (RDS, "r"))]
+    return [
+        resource(CDS, "c", cluster),
+        resource(EDS, "c", endpoints),
+        resource(RDS, "r", "1", (CDS, "c")),
+        resource(LDS, "l", "1", (RDS, "r")),
+    ]
 
 
 def sent(actions):
@@ -122,9 +127,15 @@
     assert isinstance(Stream(catalog, "p", False).request(Request(EDS, "7"))[0], Close)
 
 
-@pytest.mark.parametrize("request_", [
-    Request("type.googleapis.com/unknown"), Request(EDS, names=("x" * 10_000,)), Request(EDS, names=("",)),
-    Request(EDS, names=tuple(f"n{n}" for n in range(MOST_NAMES + 1)))])
+@pytest.mark.parametrize(
+    "request_",
+    [
+        Request("type.googleapis.com/unknown"),
+        Request(EDS, names=("x" * 10_000,)),
+        Request(EDS, names=("",)),
+        Request(EDS, names=tuple(f"n{n}" for n in range(MOST_NAMES + 1))),
+    ],
+)
 def test_what_is_too_much_ends_the_stream_and_frees_it(request_):
     _, stream = started(True)
     [close] = stream.request(request_)
@@ -142,7 +153,7 @@
         if now < 12:
             ack(stream, new)
         now = stream.next_beat(now) if stream.next_beat(now) > now else now + 1
-    assert beats[:3] == [(at, ["c"], True) for at in (0, 4, 8)] and len(beats) == 4     # the one at 12 had no answer
+    assert beats[:3] == [(at, ["c"], True) for at in (0, 4, 8)] and len(beats) == 4  # the one at 12 had no answer
 
 
 def test_own_resources_go_before_the_shared_ones_for_their_holder_alone():
@@ -170,15 +181,21 @@
             for request in (Request(CDS), Request(RDS, names=("r0", "r1", "r2"))):
                 self.wire[n] += self.streams[n].request(request)
 
-    @rule(clusters=st.dictionaries(st.integers(0, 3), st.booleans(), min_size=1),
-          routes=st.lists(st.integers(0, 9), max_size=3))
+    @rule(
+        clusters=st.dictionaries(st.integers(0, 3), st.booleans(), min_size=1),
+        routes=st.lists(st.integers(0, 9), max_size=3),
+    )
     def edit(self, clusters, routes):
         """A new set; a cluster that is marked has a version that clients reject."""
         self.version += 1
-        rows = [resource(CDS, f"c{n}", POISON + str(self.version) if bad else str(self.version // 2))
-                for n, bad in clusters.items()]
-        rows += [resource(RDS, f"r{n}", f"{self.version // 2}-{(name := rows[pick % len(clusters)].name)}", (CDS, name))
-                 for n, pick in enumerate(routes)]
+        rows = [
+            resource(CDS, f"c{n}", POISON + str(self.version) if bad else str(self.version // 2))
+            for n, bad in clusters.items()
+        ]
+        rows += [
+            resource(RDS, f"r{n}", f"{self.version // 2}-{(name := rows[pick % len(clusters)].name)}", (CDS, name))
+            for n, pick in enumerate(routes)
+        ]
         keys = self.catalog.replace(rows)
         for n, stream in enumerate(self.streams):
             self.wire[n] += stream.changed(keys)
@@ -199,8 +216,9 @@
                 for name in action.removed:
                     have.pop(name, None)
             asked = tuple(sorted(self.streams[n]._watches[action.type].names)) if n else ()
-            self.wire[n] += self.streams[n].request(Request(action.type, action.nonce, asked,
-                                                            error="bad" if bad else None))
+            self.wire[n] += self.streams[n].request(
+                Request(action.type, action.nonce, asked, error="bad" if bad else None)
+            )
             self.whole()
 
     @invariant()
@@ -216,11 +234,13 @@
         for n in (0, 1):
             while self.wire[n]:
                 self.read(n, 1)
-            want = {kind: {name: self.catalog.get((kind, name)) for name in self.catalog.names(kind)}
-                    for kind in (CDS, RDS)}
+            want = {
+                kind: {name: self.catalog.get((kind, name)) for name in self.catalog.names(kind)} for kind in (CDS, RDS)
+            }
             kept = self.has[n][RDS] if n == 0 else {k: v for k, v in self.has[n][RDS].items() if k in want[RDS]}
-            assert self.has[n][CDS].keys() == want[CDS].keys() | {name for r in self.has[n][RDS].values()
-                                                                  for _, name in r.needs}
+            assert self.has[n][CDS].keys() == want[CDS].keys() | {
+                name for r in self.has[n][RDS].values() for _, name in r.needs
+            }
             assert kept == want[RDS]
             assert all(self.has[n][CDS][name] == r for name, r in want[CDS].items())
 
--- a/tests/control/test_world.py
+++ b/tests/control/test_world.py
@@ -1,4 +1,5 @@
 """Whole installations in virtual time, judged by the audit; and mistakes made on purpose, each caught by its rule."""
+
 import json
 
 import pytest
@@ -18,16 +19,23 @@
     return {rule: each.broken[:3] for rule, each in found.items() if each.broken}
 
 
-@pytest.mark.parametrize("seed", [*range(8), 5116])      # the last one: two falls within one lease
+@pytest.mark.parametrize("seed", [*range(8), 5116])  # the last one: two falls within one lease
 def test_with_links_that_fail_while_endpoints_drain_every_rule_is_kept(seed):
     found = verdicts(World(Plan(shape=Shape(30.0, resets=0.1)), seed))
     assert not broken(found)
     assert all(found[rule].checked for rule in ("drain", "grants", "twice", "answer"))
 
 
-@pytest.mark.parametrize("more", [
-    {}, {"cuts": ((0, 15 * SECOND, 30 * SECOND),)}, {"restarts": ((21 * SECOND, 22 * SECOND),)},
-    {"restarts": ((26 * SECOND, 27 * SECOND),)}], ids=["whole", "cut", "restart", "restart in the ramp"])
+@pytest.mark.parametrize(
+    "more",
+    [
+        {},
+        {"cuts": ((0, 15 * SECOND, 30 * SECOND),)},
+        {"restarts": ((21 * SECOND, 22 * SECOND),)},
+        {"restarts": ((26 * SECOND, 27 * SECOND),)},
+    ],
+    ids=["whole", "cut", "restart", "restart in the ramp"],
+)
 def test_a_partner_that_returns_cold_is_not_flooded_and_is_used_again(more):
     world = returning(1, **more)
     found = verdicts(world)
@@ -38,41 +46,61 @@
 CUT = {"cuts": ((0, 5 * SECOND, 29 * SECOND),), "faults": 0.0}
 
 
-@pytest.mark.parametrize("rule, plan", [
-    ("drain", Plan(mistakes=frozenset({"unleased", "greedy"}), drains=1.0, **CUT)),
-    ("wait", Plan(mistakes=frozenset({"deaf"}), load=40.0, shape=Shape(8.0))),
-    ("twice", Plan(mistakes=frozenset({"eager"}), shape=Shape(30.0, resets=0.3)))])
+@pytest.mark.parametrize(
+    "rule, plan",
+    [
+        ("drain", Plan(mistakes=frozenset({"unleased", "greedy"}), drains=1.0, **CUT)),
+        ("wait", Plan(mistakes=frozenset({"deaf"}), load=40.0, shape=Shape(8.0))),
+        ("twice", Plan(mistakes=frozenset({"eager"}), shape=Shape(30.0, resets=0.3))),
+    ],
+)
 def test_what_a_proxy_does_wrong_is_caught_by_its_rule(rule, plan):
     assert any(verdicts(World(plan, seed))[rule].verdict == "broken" for seed in range(5))
 
 
 def test_a_lease_that_counts_from_the_arrival_breaks_the_drain_rule_where_links_are_slow():
-    found = [verdicts(World(Plan(mistakes=frozenset({"late"}), drains=1.0, faults=0.5), seed))["drain"]
-             for seed in range(20)]
+    found = [
+        verdicts(World(Plan(mistakes=frozenset({"late"}), drains=1.0, faults=0.5), seed))["drain"] for seed in range(20)
+    ]
     assert any(each.broken for each in found)
 
 
 def test_proxies_whose_grants_do_not_end_flood_a_partner_that_returns_cold():
-    more = {"mistakes": frozenset({"greedy", "unleased", "deaf"}),
-            "cuts": ((0, 10 * SECOND, 45 * SECOND), (1, 10 * SECOND, 45 * SECOND))}
+    more = {
+        "mistakes": frozenset({"greedy", "unleased", "deaf"}),
+        "cuts": ((0, 10 * SECOND, 45 * SECOND), (1, 10 * SECOND, 45 * SECOND)),
+    }
     assert any(verdicts(returning(seed, **more))["fall"].broken for seed in range(5))
 
 
 ROWS = {
-    "drain": [dict(event="endpoint", endpoint="e", now="draining"),
-              dict(event="sent", endpoint="e", proxy="p", at=1000001)],
-    "wait": [dict(event="ready", wait_heard_ms=500), dict(event="answered", route=1, proxy="p", wait_ms=900),
-             dict(event="sent", route=1, proxy="q", at=500001)],
-    "grants": [dict(event="allowance", route=1, amount=5000)] + [
+    "drain": [
+        dict(event="endpoint", endpoint="e", now="draining"),
+        dict(event="sent", endpoint="e", proxy="p", at=1000001),
+    ],
+    "wait": [
+        dict(event="ready", wait_heard_ms=500),
+        dict(event="answered", route=1, proxy="p", wait_ms=900),
+        dict(event="sent", route=1, proxy="q", at=500001),
+    ],
+    "grants": [dict(event="allowance", route=1, amount=5000)]
+    + [
         dict(event="granted", route=1, holder=holder, number=number, amount=3000, lease_ms=100, delay_ms=10, at=9)
-        for number, holder in enumerate("ab")],
-    "fall": [dict(event="took", partner="p") for _ in range(9)] + [dict(
-        event="capacity", partner="p", a_second=3, since=0, cold=True, fall=1.5, fall_ms=1000, at=500000)],
+        for number, holder in enumerate("ab")
+    ],
+    "fall": [dict(event="took", partner="p") for _ in range(9)]
+    + [dict(event="capacity", partner="p", a_second=3, since=0, cold=True, fall=1.5, fall_ms=1000, at=500000)],
     "twice": [dict(event="effect", id="m", repeat="never"), dict(event="effect", id="m", repeat="never")],
-    "answer": [dict(event="taken", id="m"), dict(event="ended", id="m"), dict(event="ended", id="m")]}
+    "answer": [dict(event="taken", id="m"), dict(event="ended", id="m"), dict(event="ended", id="m")],
+}
 FINE = {
-    "drain": dict(at=1000000), "wait": dict(at=500000), "fall": dict(a_second=4), "twice": dict(id="n"),
-    "answer": dict(id="n"), "grants": dict(amount=2000)}
+    "drain": dict(at=1000000),
+    "wait": dict(at=500000),
+    "fall": dict(a_second=4),
+    "twice": dict(id="n"),
+    "answer": dict(id="n"),
+    "grants": dict(amount=2000),
+}
 
 
 @pytest.mark.parametrize("rule", audit.NAMES)
@@ -80,9 +108,11 @@
     def judge(rows):
         read, _ = audit.read(json.dumps({"at": 0} | row) for row in rows)
         return {found.rule: found.verdict for found in audit.audit(read)}
+
     rows = ROWS[rule]
     assert judge(rows) == {name: "broken" if name == rule else "not seen" for name in audit.NAMES} | (
-        {"answer": "broken"} if rule == "answer" else {})
+        {"answer": "broken"} if rule == "answer" else {}
+    )
     assert judge([*rows[:-1], rows[-1] | FINE[rule]])[rule] == "kept"
 
 
