--- a/tests/edge/edgehelp.py
+++ b/tests/edge/edgehelp.py
@@ -1,4 +1,5 @@
 """A control process on sockets, raw streams to it, and certificates for both."""
+
 import contextlib
 import datetime
 import ipaddress
@@ -36,8 +37,9 @@
 
 def site(folder, *ports, limit="", **states):
     """Endpoints e0, e1, ... at these ports; states by name, else ready."""
-    rows = " ".join(f"endpoint e{n} {{ at 127.0.0.1:{port}; state {states.get(f'e{n}', 'ready')} }}"
-                    for n, port in enumerate(ports))
+    rows = " ".join(
+        f"endpoint e{n} {{ at 127.0.0.1:{port}; state {states.get(f'e{n}', 'ready')} }}" for n, port in enumerate(ports)
+    )
     (folder / "site.scale").write_text(SITE.format(endpoints=rows, limit=limit))
 
 
@@ -57,7 +59,7 @@
 
     def end(self, number=signal.SIGKILL):
         code = super().end(number)
-        assert self._whole.wait(LONG)       # its last lines have been read
+        assert self._whole.wait(LONG)  # its last lines have been read
         return code
 
     def event(self, name, **fields):
@@ -73,8 +75,20 @@
 class Started(Logged):
     def __init__(self, folder, *flags, state="state"):
         (folder / state).mkdir(exist_ok=True)
-        super().__init__("-m", "scalefall", "control", "--config", str(folder), "--state", str(folder / state),
-                         "--listen", "127.0.0.1:0", "--log-format", "json", *flags)
+        super().__init__(
+            "-m",
+            "scalefall",
+            "control",
+            "--config",
+            str(folder),
+            "--state",
+            str(folder / state),
+            "--listen",
+            "127.0.0.1:0",
+            "--log-format",
+            "json",
+            *flags,
+        )
 
     def ready(self):
         self.at = json.loads(self.line("ready: control"))["listen"]
@@ -157,17 +171,27 @@
         subject = x509.Name([x509.NameAttribute(NameOID.COMMON_NAME, name)])
         names = [x509.DNSName(node) for node in nodes] + [x509.IPAddress(ipaddress.ip_address("127.0.0.1"))]
         made = self._sign(subject, key.public_key(), x509.BasicConstraints(False, None), names, days)
-        pem = key.private_bytes(serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8,
-                                serialization.NoEncryption())
+        pem = key.private_bytes(
+            serialization.Encoding.PEM, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+        )
         self.write(f"{file or name}.key", pem)
-        return (self.write(f"{file or name}.pem", made.public_bytes(serialization.Encoding.PEM)),
-                str(self.folder / f"{file or name}.key"))
+        return (
+            self.write(f"{file or name}.pem", made.public_bytes(serialization.Encoding.PEM)),
+            str(self.folder / f"{file or name}.key"),
+        )
 
     def _sign(self, subject, public, constraints, names, days):
         now = datetime.datetime.now(datetime.timezone.utc)
-        made = x509.CertificateBuilder().subject_name(subject).issuer_name(self.name).public_key(public) \
-            .serial_number(x509.random_serial_number()).add_extension(constraints, True) \
-            .not_valid_before(now - datetime.timedelta(days=9)).not_valid_after(now + datetime.timedelta(days=days))
+        made = (
+            x509.CertificateBuilder()
+            .subject_name(subject)
+            .issuer_name(self.name)
+            .public_key(public)
+            .serial_number(x509.random_serial_number())
+            .add_extension(constraints, True)
+            .not_valid_before(now - datetime.timedelta(days=9))
+            .not_valid_after(now + datetime.timedelta(days=days))
+        )
         if names:
             made = made.add_extension(x509.SubjectAlternativeName(names), False)
         return made.sign(self.key, hashes.SHA256())
@@ -188,11 +212,19 @@
     """gRPC's own xDS client, which knows nothing of scalefall."""
 
     def __init__(self, at):
-        bootstrap = {"xds_servers": [{"server_uri": at, "channel_creds": [{"type": "insecure"}],
-                                      "server_features": ["xds_v3"]}], "node": {"id": "stock"}}
-        self.child = subprocess.Popen([sys.executable, "-c", STOCK], cwd=ROOT, text=True, stdin=subprocess.PIPE,
-                                      stdout=subprocess.PIPE, stderr=subprocess.DEVNULL,
-                                      env={"GRPC_XDS_BOOTSTRAP_CONFIG": json.dumps(bootstrap), "PATH": ""})
+        bootstrap = {
+            "xds_servers": [{"server_uri": at, "channel_creds": [{"type": "insecure"}], "server_features": ["xds_v3"]}],
+            "node": {"id": "stock"},
+        }
+        self.child = subprocess.Popen(
+            [sys.executable, "-c", STOCK],
+            cwd=ROOT,
+            text=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.DEVNULL,
+            env={"GRPC_XDS_BOOTSTRAP_CONFIG": json.dumps(bootstrap), "PATH": ""},
+        )
 
     def who(self):
         """Who answered 20 calls."""
--- a/tests/edge/test_edge.py
+++ b/tests/edge/test_edge.py
@@ -1,4 +1,5 @@
 """`scalefall control` on sockets: a stock client, both forms of the protocol, bad peers, certificates, restarts."""
+
 import contextlib
 import json
 import queue
@@ -55,7 +56,7 @@
                 until = [stock.who() for _ in range(50)]
                 assert until[-1] == ["b"]
                 process.end()
-                assert stock.who() == ["b"]     # without times to live it goes on with what it has
+                assert stock.who() == ["b"]  # without times to live it goes on with what it has
             finally:
                 stock.end()
             assert not [line for line in process.seen if "rejected" in line]
@@ -79,8 +80,12 @@
         for stream, is_whole in ((whole, True), (parts, False)):
             while True:
                 response = stream.next()
-                if is_whole and unwrapped(response.resources[0])[0].type_url or \
-                        not is_whole and response.resources[0].HasField("resource"):
+                if (
+                    is_whole
+                    and unwrapped(response.resources[0])[0].type_url
+                    or not is_whole
+                    and response.resources[0].HasField("resource")
+                ):
                     break
                 stream.ack(response, *["route-7"] if is_whole else [])
             assert health(response, is_whole) == {9001: 1, 9002: 3}
@@ -116,13 +121,23 @@
         assert row["names"] == ["route-7"] and "no such policy" in row["text"]
 
 
-@pytest.mark.parametrize("message, code", [
-    (b"\xff\xff\xff\xff", "INVALID_ARGUMENT"), (b"x" * 5_000_000, "RESOURCE_EXHAUSTED"),
-    (discovery_pb2.DiscoveryRequest(type_url=CDS), "INVALID_ARGUMENT"),
-    (discovery_pb2.DiscoveryRequest(type_url="nonsense", node={"id": "n"}), "INVALID_ARGUMENT"),
-    (discovery_pb2.DiscoveryRequest(type_url=CDS, node={"id": "n"}, response_nonce="7"), "INVALID_ARGUMENT"),
-    (discovery_pb2.DiscoveryRequest(type_url=EDS, node={"id": "n"}, resource_names=[f"n{n}" for n in range(20_001)]),
-     "INVALID_ARGUMENT")], ids=["garbage", "giant", "nameless", "type", "nonce", "names"])
+@pytest.mark.parametrize(
+    "message, code",
+    [
+        (b"\xff\xff\xff\xff", "INVALID_ARGUMENT"),
+        (b"x" * 5_000_000, "RESOURCE_EXHAUSTED"),
+        (discovery_pb2.DiscoveryRequest(type_url=CDS), "INVALID_ARGUMENT"),
+        (discovery_pb2.DiscoveryRequest(type_url="nonsense", node={"id": "n"}), "INVALID_ARGUMENT"),
+        (discovery_pb2.DiscoveryRequest(type_url=CDS, node={"id": "n"}, response_nonce="7"), "INVALID_ARGUMENT"),
+        (
+            discovery_pb2.DiscoveryRequest(
+                type_url=EDS, node={"id": "n"}, resource_names=[f"n{n}" for n in range(20_001)]
+            ),
+            "INVALID_ARGUMENT",
+        ),
+    ],
+    ids=["garbage", "giant", "nameless", "type", "nonce", "names"],
+)
 def test_a_bad_peer_is_told_why_and_costs_nobody_else(folder, message, code):
     with control(folder) as process, grpc.insecure_channel(process.at) as channel:
         good = Raw(channel, node="good")
@@ -138,7 +153,7 @@
 
 def test_streams_that_one_node_opens_again_and_again_are_turned_away(folder):
     with control(folder) as process, grpc.insecure_channel(process.at) as channel:
-        raws = [Raw(channel) for _ in range(100)]       # all at once, so that time lets few more through
+        raws = [Raw(channel) for _ in range(100)]  # all at once, so that time lets few more through
         codes = []
         for raw in raws:
             raw.ask(LDS)
@@ -159,8 +174,8 @@
     def __init__(self, channel, node="n", instance="i"):
         self._more, self.node, self._usages = queue.SimpleQueue(), node, {}
         self.call = rlqs_pb2_grpc.RateLimitQuotaServiceStub(channel).StreamRateLimitQuotas(
-            self._reports(), timeout=LONG, metadata=(
-                ("scalefall-node", node), ("scalefall-instance", instance)))
+            self._reports(), timeout=LONG, metadata=(("scalefall-node", node), ("scalefall-instance", instance))
+        )
 
     def _reports(self):
         """What is said, and the last word on each route again and again: who is silent for a lease is lost."""
@@ -174,7 +189,8 @@
     def say(self, calls, had=0, said=1, route="7"):
         usage = rlqs_pb2.RateLimitQuotaUsageReports.BucketQuotaUsage(
             bucket_id=rlqs_pb2.BucketId(bucket={"route": route, "had": f"{had}", "said": f"{said}"}),
-            num_requests_allowed=calls)
+            num_requests_allowed=calls,
+        )
         usage.time_elapsed.FromSeconds(1)
         self._more.put(usage)
 
@@ -184,8 +200,11 @@
         keys = action.bucket_id.bucket
         if action.HasField("abandon_action"):
             return None
-        return (wire.amount_of(action.quota_assignment_action.rate_limit_strategy), int(keys["grant"]),
-                int(keys["heard"]))
+        return (
+            wire.amount_of(action.quota_assignment_action.rate_limit_strategy),
+            int(keys["grant"]),
+            int(keys["heard"]),
+        )
 
 
 def test_grants_add_up_to_the_limit_follow_reports_and_are_numbered_on_over_a_restart(folder):
@@ -210,7 +229,7 @@
         assert answer.send_all_clusters and answer.report_endpoint_granularity
         raw = Raw(channel)
         raw.ask(EDS, "route-7")
-        while True:     # the partner is in doubt now: what knows no grants has all its calls dropped
+        while True:  # the partner is in doubt now: what knows no grants has all its calls dropped
             load = endpoint_pb2.ClusterLoadAssignment()
             response = raw.next()
             body = unwrapped(response.resources[0])[0]
@@ -229,7 +248,7 @@
         while True:
             response, load = raw.next(), endpoint_pb2.ClusterLoadAssignment()
             if unwrapped(response.resources[0])[0].Unpack(load) and load.policy.drop_overloads:
-                break       # the guard has outlasted the process
+                break  # the guard has outlasted the process
             raw.ack(response, "route-7")
         three = Quota(channel, "three")
         three.say(10)
@@ -244,7 +263,7 @@
         quota, raw = Quota(channel), Raw(channel)
         quota.say(10)
         raw.ask(CDS)
-        assert raw.next().resources      # resources are served by both
+        assert raw.next().resources  # resources are served by both
         assert status(quota.call)[0] is grpc.StatusCode.UNAVAILABLE
         one.end()
         epoch = two.event("granting")["epoch"]
@@ -284,24 +303,30 @@
         held = Raw(channel, node="n")
         held.ask(CDS)
         assert held.next().resources
-        theirs.pair("control", "control")       # the authority and the pair are replaced, the key last
+        theirs.pair("control", "control")  # the authority and the pair are replaced, the key last
         ours.write("ca.pem", open(theirs.path, "rb").read())
         assert answered(secure(process, theirs, theirs.pair("n2", "n")), "n") == CDS
         process.line("certificates replaced")
-        assert status(held.call) == (grpc.StatusCode.UNAUTHENTICATED,
-                                     "the certificate's authority is not trusted any more")
+        assert status(held.call) == (
+            grpc.StatusCode.UNAUTHENTICATED,
+            "the certificate's authority is not trusted any more",
+        )
         theirs.write("control.key", b"no key")
-        assert answered(secure(process, theirs, theirs.pair("n3", "n")), "n") == CDS     # the old pair stays in use
+        assert answered(secure(process, theirs, theirs.pair("n3", "n")), "n") == CDS  # the old pair stays in use
         process.line("certificates stay as they were")
         assert process.end(signal.SIGTERM) == 0
 
 
-@pytest.mark.parametrize("flags, part", [
-    ((), "--certificate, --key and --clients are needed"),
-    (("--plain-text", "--listen", "10.0.0.1:1"), "loopback only"),
-    (("--plain-text", "--listen", "nowhere"), "must be an address and a port"),
-    (("--certificate", "none.pem", "--key", "k", "--clients", "c"), "none.pem: No such file"),
-    (("--plain-text", "--listen", "127.0.0.1:{port}"), "cannot listen at")])
+@pytest.mark.parametrize(
+    "flags, part",
+    [
+        ((), "--certificate, --key and --clients are needed"),
+        (("--plain-text", "--listen", "10.0.0.1:1"), "loopback only"),
+        (("--plain-text", "--listen", "nowhere"), "must be an address and a port"),
+        (("--certificate", "none.pem", "--key", "k", "--clients", "c"), "none.pem: No such file"),
+        (("--plain-text", "--listen", "127.0.0.1:{port}"), "cannot listen at"),
+    ],
+)
 def test_what_it_cannot_start_with_is_said_in_one_line(folder, flags, part):
     with backends("a") as (port,):
         process = Started(folder, *(flag.format(port=port) for flag in flags))
@@ -325,8 +350,10 @@
 
 
 def test_the_senders_program_loads_nothing_of_it():
-    code = "import sys, scalefall.net.host, scalefall.cli.main; print([m for m in sys.modules if 'grpc' in m or " \
-           "'google' in m or 'cryptography' in m or 'control.edge' in m])"
+    code = (
+        "import sys, scalefall.net.host, scalefall.cli.main; print([m for m in sys.modules if 'grpc' in m or "
+        "'google' in m or 'cryptography' in m or 'control.edge' in m])"
+    )
     assert subprocess.check_output([sys.executable, "-c", code], cwd=ROOT, text=True).strip() == "[]"
 
 
@@ -343,6 +370,6 @@
         good.ask(EDS, "route-7")
         for turn in range(100):
             greedy.ask(EDS, *names[turn % 2])
-        for _ in range(4):      # one after the other, each half a lease: it is heard in between all along
+        for _ in range(4):  # one after the other, each half a lease: it is heard in between all along
             good.ack(good.next(), "route-7")
         assert not good.call.done() and not greedy.call.done()
--- a/tests/edge/test_standins.py
+++ b/tests/edge/test_standins.py
@@ -1,4 +1,5 @@
 """The stand-ins as processes: a proxy behind a link that is cut, a partner, control, and the audit of their logs."""
+
 import http.client
 import signal
 import subprocess
@@ -20,6 +21,7 @@
     def start(*words):
         started.append(Logged("-u", "-m", *words))
         return started[-1]
+
     yield start
     for each in started:
         each.child.kill()
@@ -31,17 +33,33 @@
     site(tmp_path, port, limit="limit 20 per 1s;")
     flags = ("--plain-text", "--log-level", "debug", "--report-every", "0.2", "--lease", "1")
     with control(tmp_path, *flags) as process:
-        link = subprocess.Popen([sys.executable, "-u", "-m", "scalefall.lab.link", process.at], cwd=ROOT, text=True,
-                                stdin=subprocess.PIPE, stdout=subprocess.PIPE)
+        link = subprocess.Popen(
+            [sys.executable, "-u", "-m", "scalefall.lab.link", process.at],
+            cwd=ROOT,
+            text=True,
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+        )
         try:
-            proxy = children("scalefall.lab.proxy", "--control", f"127.0.0.1:{link.stdout.readline().strip()}",
-                             "--node", "p", "--routes", "7", "--load", "20", *CLASSES)
+            proxy = children(
+                "scalefall.lab.proxy",
+                "--control",
+                f"127.0.0.1:{link.stdout.readline().strip()}",
+                "--node",
+                "p",
+                "--routes",
+                "7",
+                "--load",
+                "20",
+                *CLASSES,
+            )
 
             def tell(word):
                 link.stdin.write(word + "\n")
                 link.stdin.flush()
+
             proxy.event("ended", how="ok")
-            partner.event("effect", repeat="never")     # or the audit has none to check
+            partner.event("effect", repeat="never")  # or the audit has none to check
             tell("silence")
             proxy.event("ended", how="fallback")
             tell("reset")
@@ -66,11 +84,24 @@
     partner = children("scalefall.lab.partner", "--limit", "20", *CLASSES)
     site(tmp_path, partner.event("listening")["port"], limit="limit 20 per 1s;")
     (tmp_path / "sender").mkdir()
-    sender = children("scalefall", "run", "--config", str(tmp_path), "--state", str(tmp_path / "sender"),
-                      "--listen", "127.0.0.1:0")
+    sender = children(
+        "scalefall", "run", "--config", str(tmp_path), "--state", str(tmp_path / "sender"), "--listen", "127.0.0.1:0"
+    )
     front = sender.line("ready: ").split()[-1]
-    proxy = children("scalefall.lab.proxy", "--control", "127.0.0.1:1", "--node", "p", "--routes", "7", "--load", "10",
-                     "--sender", front, *CLASSES)
+    proxy = children(
+        "scalefall.lab.proxy",
+        "--control",
+        "127.0.0.1:1",
+        "--node",
+        "p",
+        "--routes",
+        "7",
+        "--load",
+        "10",
+        "--sender",
+        front,
+        *CLASSES,
+    )
     name = proxy.event("ended", how="fallback 202")["id"]
     partner.event("effect", id=name)
     assert proxy.end(signal.SIGTERM) == 0 and not [line for line in proxy.said if '"sent"' in line]
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,4 +1,5 @@
 """A Sender under test and the events that drive it; no server is modelled here."""
+
 from __future__ import annotations
 
 from scalefall import interface as i
@@ -8,25 +9,63 @@
 
 
 def message_class(name="safe", effect=i.Effect.SAFE, **changes):
-    values = dict(name=name, aim_us=S, deadline_us=8 * S, worth=1.0, late_worth=0.5, effect=effect,
-                  key_scope_zone=False, key_ttl_us=5 * S, in_order=False)
+    values = dict(
+        name=name,
+        aim_us=S,
+        deadline_us=8 * S,
+        worth=1.0,
+        late_worth=0.5,
+        effect=effect,
+        key_scope_zone=False,
+        key_ttl_us=5 * S,
+        in_order=False,
+    )
     return i.MessageClass(**(values | changes))
 
 
-CLASSES = (message_class(), message_class("keyed", i.Effect.KEYED),
-           message_class("zoned", i.Effect.KEYED, key_scope_zone=True),
-           message_class("unsafe", i.Effect.UNSAFE, deadline_us=16 * S, aim_us=4 * S),
-           message_class("ordered", i.Effect.UNSAFE, deadline_us=16 * S, aim_us=4 * S, in_order=True))
+CLASSES = (
+    message_class(),
+    message_class("keyed", i.Effect.KEYED),
+    message_class("zoned", i.Effect.KEYED, key_scope_zone=True),
+    message_class("unsafe", i.Effect.UNSAFE, deadline_us=16 * S, aim_us=4 * S),
+    message_class("ordered", i.Effect.UNSAFE, deadline_us=16 * S, aim_us=4 * S, in_order=True),
+)
 
 
 def settings(**changes):
     values = dict(
-        index=0, siblings=2, classes={c.name: c for c in CLASSES}, tenants={}, over_share_worth=0.1, slots=10,
-        per_call={"one": 1, "many": 20, "route": 1}, apart={"one": False, "many": False, "route": True},
-        zone_fee={"a": 0.0, "b": 0.0}, halving=False, max_attempts=6, max_held=100, cancelling=True, probes=True,
-        retry_after=True, max_retry_after_us=2 * S, idle_close_us=5 * S, dial_timeout_us=S, streams=1, ask=False,
-        ask_within_us=10 * S, weights="none", report_fields=["x0", "x1"], answer_slack_us=20 * MS, cold_from=0.25,
-        cold_us=12 * S, drain_grace_us=S, fall_us=3 * S, fall_multiple=1.5, turn_gap_us=300 * MS, tick_us=5 * MS)
+        index=0,
+        siblings=2,
+        classes={c.name: c for c in CLASSES},
+        tenants={},
+        over_share_worth=0.1,
+        slots=10,
+        per_call={"one": 1, "many": 20, "route": 1},
+        apart={"one": False, "many": False, "route": True},
+        zone_fee={"a": 0.0, "b": 0.0},
+        halving=False,
+        max_attempts=6,
+        max_held=100,
+        cancelling=True,
+        probes=True,
+        retry_after=True,
+        max_retry_after_us=2 * S,
+        idle_close_us=5 * S,
+        dial_timeout_us=S,
+        streams=1,
+        ask=False,
+        ask_within_us=10 * S,
+        weights="none",
+        report_fields=["x0", "x1"],
+        answer_slack_us=20 * MS,
+        cold_from=0.25,
+        cold_us=12 * S,
+        drain_grace_us=S,
+        fall_us=3 * S,
+        fall_multiple=1.5,
+        turn_gap_us=300 * MS,
+        tick_us=5 * MS,
+    )
     return i.Settings(**(values | changes))
 
 
@@ -61,8 +100,13 @@
         """Outcomes of the last attempts of ids; a number for wait, or one for each."""
         ids = [ids] if isinstance(ids, str) else ids
         waits = wait if isinstance(wait, list) else [wait] * len(ids)
-        self.turn(*(i.Attempted(m, self.attempts[m], endpoint, outcome, after, outcome is i.Outcome.OK, w, report or {})
-                    for m, w in zip(ids, waits)), after=after)
+        self.turn(
+            *(
+                i.Attempted(m, self.attempts[m], endpoint, outcome, after, outcome is i.Outcome.OK, w, report or {})
+                for m, w in zip(ids, waits)
+            ),
+            after=after,
+        )
         return [send.id for send in self.of(i.Send)]
 
     def tick(self, after=20 * MS):
--- a/tests/lang/test_broken.py
+++ b/tests/lang/test_broken.py
@@ -2,6 +2,7 @@
 
 After a change of wording: `python tests/lang/test_broken.py` writes the messages anew; read them before they go in.
 """
+
 import os
 import pathlib
 import sys
--- a/tests/lang/test_layout.py
+++ b/tests/lang/test_layout.py
@@ -1,4 +1,5 @@
 """One text laid out, as a golden copy; the properties stand in test_properties."""
+
 from scalefall.lang import format
 from scalefall.lang.syntax import parse
 from scalefall.lang.text import Problems
--- a/tests/lang/test_meaning.py
+++ b/tests/lang/test_meaning.py
@@ -1,4 +1,5 @@
 """Sentences of the difference, whose value is in force, and what the sender is started with."""
+
 import json
 import pathlib
 
@@ -42,44 +43,82 @@
 
 B = "endpoints b { at 10.3.0.20-10.3.0.22:8081; zone brno }"
 SENTENCES = [
-    ("10.3.0.20-10.3.0.22", "10.3.0.20-10.3.0.21", [
-        "n endpoint b-3 of pojistovna disappears: no fresh work 1 s after it is applied"]),
-    ("at-most 3s", "at-most 3ms", [
-        "d wait at-most of careful: 3 s -> 3 ms, 1000 times shorter: a wrong unit? (route 7)"]),
+    (
+        "10.3.0.20-10.3.0.22",
+        "10.3.0.20-10.3.0.21",
+        ["n endpoint b-3 of pojistovna disappears: no fresh work 1 s after it is applied"],
+    ),
+    (
+        "at-most 3s",
+        "at-most 3ms",
+        ["d wait at-most of careful: 3 s -> 3 ms, 1000 times shorter: a wrong unit? (route 7)"],
+    ),
     ("at-most 3s", "at-most 2s", ["p wait at-most of careful: 3 s -> 2 s, 1.5 times shorter (route 7)"]),
     ("within 1s", "within 1s; wait at-most 2s", ["p wait at-most of default: 3 s -> 2 s, 1.5 times shorter (route 9)"]),
     ("attempts 5", "attempts 4", ["p attempts of 7: 5 -> 4"]),
     ("policy careful; ", "", ["p route 7 follows policy default instead of careful"]),
-    ("repeat never", "repeat keyed for 6s", [
-        "d repeat of fee-order: never -> keyed for 6s, wider: more messages may take effect twice"]),
-    ("keyed for 6s", "keyed for 7s", [
-        "d repeat of event-notice: keyed for 6s -> keyed for 7s, wider: more messages may take effect twice"]),
+    (
+        "repeat never",
+        "repeat keyed for 6s",
+        ["d repeat of fee-order: never -> keyed for 6s, wider: more messages may take effect twice"],
+    ),
+    (
+        "keyed for 6s",
+        "keyed for 7s",
+        ["d repeat of event-notice: keyed for 6s -> keyed for 7s, wider: more messages may take effect twice"],
+    ),
     ("keyed for 6s", "never", ["n repeat of event-notice: keyed for 6s -> never, narrower"]),
     ("4 per 1s", "9 per 1s", ["d limit of pojistovna: 4 per 1s -> 9 per 1s, 2.25 times higher"]),
     ("4 per 1s", "8 per 1s", ["n limit of pojistovna: 4 per 1s -> 8 per 1s, 2 times higher"]),
     ("4 per 1s", "4 per 1min", ["n limit of pojistovna: 4 per 1s -> 4 per 1min, 60 times lower"]),
     ("limit 4 per 1s", "", ["d limit of pojistovna: 4 per 1s -> none, nothing holds the sending back any more"]),
     ("4 per 1s", "240 per 1min", ["n limit of pojistovna: 4 per 1s -> 240 per 1min, the same in other words"]),
-    ("a { at 10.3.0.18", "a { at 10.3.0.19", [
-        "n endpoint a of pojistovna moves from 10.3.0.18:8081 to 10.3.0.19:8081: the old address gets no fresh work "
-        "1 s after it is applied"]),
-    ("zone praha", "zone praha; state draining", [
-        "n endpoint a of pojistovna drains: no fresh work 1 s after it is applied"]),
-    ("endpoint a {", "endpoint c {", [
-        "n endpoint a of pojistovna (10.3.0.18:8081) is called c from now on: no fresh work 1 s after it is applied",
-        "p endpoint c of pojistovna appears at 10.3.0.18:8081"]),
-    ("endpoint z { at 10.4.0.1:8081 }", "endpoint z { at 10.4.0.1:8081; state draining }", [
-        "d pool other has no endpoint left that may have fresh work",
-        "d route 9 has no endpoint left that may have fresh work",
-        "n endpoint z of other drains: no fresh work 1 s after it is applied"]),
-    ("endpoint z { at 10.4.0.1:8081 }", "", [
-        "d pool other has no endpoint left that may have fresh work",
-        "d route 9 has no endpoint left that may have fresh work",
-        "n endpoint z of other disappears: no fresh work 1 s after it is applied"]),
-    ("route 9 { pool other; classes event-notice }", "", [
-        "d route 9 disappears: its messages are turned away"]),
-    ("classes event-notice", "classes fee-order", [
-        "n route 9 carries event-notice no more", "p route 9 carries fee-order now"]),
+    (
+        "a { at 10.3.0.18",
+        "a { at 10.3.0.19",
+        [
+            "n endpoint a of pojistovna moves from 10.3.0.18:8081 to 10.3.0.19:8081: the old address gets no fresh "
+            "work 1 s after it is applied"
+        ],
+    ),
+    (
+        "zone praha",
+        "zone praha; state draining",
+        ["n endpoint a of pojistovna drains: no fresh work 1 s after it is applied"],
+    ),
+    (
+        "endpoint a {",
+        "endpoint c {",
+        [
+            "n endpoint a of pojistovna (10.3.0.18:8081) is called c from now on: no fresh work 1 s "
+            "after it is applied",
+            "p endpoint c of pojistovna appears at 10.3.0.18:8081",
+        ],
+    ),
+    (
+        "endpoint z { at 10.4.0.1:8081 }",
+        "endpoint z { at 10.4.0.1:8081; state draining }",
+        [
+            "d pool other has no endpoint left that may have fresh work",
+            "d route 9 has no endpoint left that may have fresh work",
+            "n endpoint z of other drains: no fresh work 1 s after it is applied",
+        ],
+    ),
+    (
+        "endpoint z { at 10.4.0.1:8081 }",
+        "",
+        [
+            "d pool other has no endpoint left that may have fresh work",
+            "d route 9 has no endpoint left that may have fresh work",
+            "n endpoint z of other disappears: no fresh work 1 s after it is applied",
+        ],
+    ),
+    ("route 9 { pool other; classes event-notice }", "", ["d route 9 disappears: its messages are turned away"]),
+    (
+        "classes event-notice",
+        "classes fee-order",
+        ["n route 9 carries event-notice no more", "p route 9 carries fee-order now"],
+    ),
 ]
 
 
@@ -90,11 +129,13 @@
 
 def test_an_endpoint_that_changes_its_pool_is_told_as_such():
     was = SITE.replace("dial-within 10.3.0.0/16", "")
-    moved = was.replace("endpoint a { at 10.3.0.18:8081; zone praha }", "") \
-        .replace("endpoint z {", "endpoint y { at 10.3.0.18:8081 }\n endpoint z {")
+    moved = was.replace("endpoint a { at 10.3.0.18:8081; zone praha }", "").replace(
+        "endpoint z {", "endpoint y { at 10.3.0.18:8081 }\n endpoint z {"
+    )
     assert [c.text for c in diff.compare(site(was), site(moved))] == [
         "endpoint a of pojistovna (10.3.0.18:8081) changes to pool other, as y: no fresh work 1 s after it is applied",
-        "endpoint y of other appears at 10.3.0.18:8081"]
+        "endpoint y of other appears at 10.3.0.18:8081",
+    ]
 
 
 def test_an_endpoint_that_comes_back_is_the_one_it_was_and_one_that_moves_is_another():
@@ -115,7 +156,7 @@
 
 def test_the_sender_is_started_with_what_is_in_force():
     config = sender.config(site(SITE), "state", 5)
-    assert config.settings.attempts == {} and config.fleet.routes[7].attempts == 5     # the host hands them on
+    assert config.settings.attempts == {} and config.fleet.routes[7].attempts == 5  # the host hands them on
     assert config.fleet.routes[9].classes == {"event-notice"} and config.fleet.routes[9].most_wait_us == 3_000_000
     assert not config.settings.ask and config.settings.weights == "told"
     first = config.fleet.entries[0]
@@ -123,13 +164,23 @@
     assert (first.address, first.dial_us, first.idle_us) == (("10.3.0.18", 8081), 1_000_000, 10_000_000)
 
 
-@pytest.mark.parametrize("limit", [Rate(1, 10**6), Rate(4, 10**6), Rate(5, 10**6), Rate(40, 10**6), Rate(100, 10**5),
-                                   Rate(600, 60 * 10**6), Rate(7, 300_000)])
+@pytest.mark.parametrize(
+    "limit",
+    [
+        Rate(1, 10**6),
+        Rate(4, 10**6),
+        Rate(5, 10**6),
+        Rate(40, 10**6),
+        Rate(100, 10**5),
+        Rate(600, 60 * 10**6),
+        Rate(7, 300_000),
+    ],
+)
 def test_a_pace_never_makes_more_than_the_limit_in_one_span(limit):
     pace, span = sender.pace(limit), limit.per_us / 1e6
     at_once = max(1.0, pace * DEPTH_US / 1e6)
     if at_once == 1:
-        assert pace <= limit.count / span      # spaced evenly: a span holds the count and no more
+        assert pace <= limit.count / span  # spaced evenly: a span holds the count and no more
     else:
         assert at_once + pace * span <= limit.count + 1e-9
 
@@ -142,22 +193,34 @@
     assert sender.cannot_change(now, site(new)) == [
         "site.scale:15: slots of sender is 3 in the file, and stays 12",
         "site.scale:2: deadline of class fee-order is 20s in the file, and stays 24s",
-        "site.scale:16: zone b is new"]
+        "site.scale:16: zone b is new",
+    ]
 
 
 def test_the_example_of_the_platforms_json_goes_there_and_back():
     table = json.loads((ROOT / "example" / "config.json").read_text())
-    hosts = [{"host": f"s-{n}", "dial": f"10.1.0.{n}:80", "site": "a b", "class": "m2", "block": n % 2,
-              "health": "terminating" if n == 3 else "in_service", "share": 2.5 if n == 2 else 1.0, "born_ms": 0}
-             for n in (1, 2, 3)]
+    hosts = [
+        {
+            "host": f"s-{n}",
+            "dial": f"10.1.0.{n}:80",
+            "site": "a b",
+            "class": "m2",
+            "block": n % 2,
+            "health": "terminating" if n == 3 else "in_service",
+            "share": 2.5 if n == 2 else 1.0,
+            "born_ms": 0,
+        }
+        for n in (1, 2, 3)
+    ]
     table["known"] = {"seq": 1, "whole": True, "hosts": hosts}
     text, dropped = wire.imported(table | {"peers": []})
     assert dropped == ["peers: no word of the language"]
     again, lost = wire.compiled(site(text))
     assert lost == []
     assert read_settings(again["settings"]) == read_settings(table["settings"])
-    assert {key: again[key] for key in ("name", "listen", "discovery", "seed", "limits")} == \
-        {key: table[key] for key in ("name", "listen", "discovery", "seed", "limits")}
+    assert {key: again[key] for key in ("name", "listen", "discovery", "seed", "limits")} == {
+        key: table[key] for key in ("name", "listen", "discovery", "seed", "limits")
+    }
     assert sorted(again["known"]["hosts"], key=lambda row: row["host"]) == hosts
 
 
@@ -167,4 +230,5 @@
         "attempts of route 7: the platform's settings hold one policy, the default one",
         "classes of route 9: the platform's routes carry every class",
         "limit of pool pojistovna: with weights none answers tell limits",
-        "dial-within of pool pojistovna: the platform's settings have no place for it"]
+        "dial-within of pool pojistovna: the platform's settings have no place for it",
+    ]
--- a/tests/lang/test_properties.py
+++ b/tests/lang/test_properties.py
@@ -1,4 +1,5 @@
 """What holds for every text: laying out keeps it, comparing knows equals, and nothing that is read raises."""
+
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
@@ -32,7 +33,8 @@
 
 
 TEXTS = st.lists(st.tuples(st.recursive(heads(), blocks, max_leaves=8), ENDS), max_size=6).map(
-    lambda rows: "".join(map("".join, rows)))
+    lambda rows: "".join(map("".join, rows))
+)
 
 
 def parsed(text):
@@ -55,19 +57,34 @@
 
 # -- whole configurations
 
+
 def lines(**choices):
     """One line for each word, or none."""
-    return st.tuples(*(st.sampled_from(["", *(f"{word.replace('_', '-')} {value}\n" for value in values)])
-                       for word, values in choices.items())).map("".join)
-
-
-ENDPOINTS = st.sampled_from([
-    "", "endpoint a { at 10.3.0.1:80 }\n", "endpoint a { at 10.3.0.1:80; zone here; state ready }\n",
-    "endpoint a { at 10.3.0.2:80 }\n", "endpoint a { at 10.3.0.1:80; state draining }\n",
-    "endpoints b { at 10.3.0.1-10.3.0.3:80 }\n", "endpoint b-1 { at 10.3.0.1:80 }\nendpoint b-2 { at 10.3.0.2:80 }\n",
-    "endpoint a { at 10.3.0.1:80; zone brno; weight 2 }\n"])
-POLICY = {"attempts": ["6", "4"], "wait": ["at-most 3s", "at-most 3000ms", "at-most 3ms"],
-          "dial": ["within 1500ms", "within 1s"]}
+    return st.tuples(
+        *(
+            st.sampled_from(["", *(f"{word.replace('_', '-')} {value}\n" for value in values)])
+            for word, values in choices.items()
+        )
+    ).map("".join)
+
+
+ENDPOINTS = st.sampled_from(
+    [
+        "",
+        "endpoint a { at 10.3.0.1:80 }\n",
+        "endpoint a { at 10.3.0.1:80; zone here; state ready }\n",
+        "endpoint a { at 10.3.0.2:80 }\n",
+        "endpoint a { at 10.3.0.1:80; state draining }\n",
+        "endpoints b { at 10.3.0.1-10.3.0.3:80 }\n",
+        "endpoint b-1 { at 10.3.0.1:80 }\nendpoint b-2 { at 10.3.0.2:80 }\n",
+        "endpoint a { at 10.3.0.1:80; zone brno; weight 2 }\n",
+    ]
+)
+POLICY = {
+    "attempts": ["6", "4"],
+    "wait": ["at-most 3s", "at-most 3000ms", "at-most 3ms"],
+    "dial": ["within 1500ms", "within 1s"],
+}
 
 
 @st.composite
@@ -80,14 +97,22 @@
         text += f"class {name} {{ aim 3s; deadline 24s; repeat {repeat}\n" + draw(lines(worth=["1", "1.0"])) + "}\n"
     for name in ("default", "careful"):
         text += f"policy {name} {{\n{draw(lines(**POLICY))}}}\n"
-    for name in ("p", "q")[:draw(st.integers(1, 2))]:
-        pool = draw(lines(limit=["4 per 1s", "240 per 1min", "20 per 1s"], idle_close=["10s", "9s"],
-                          dial_within=["10.0.0.0/8, 0.0.0.0/0", "0.0.0.0/0, 10.0.0.0/8"]))
+    for name in ("p", "q")[: draw(st.integers(1, 2))]:
+        pool = draw(
+            lines(
+                limit=["4 per 1s", "240 per 1min", "20 per 1s"],
+                idle_close=["10s", "9s"],
+                dial_within=["10.0.0.0/8, 0.0.0.0/0", "0.0.0.0/0, 10.0.0.0/8"],
+            )
+        )
         rows = draw(ENDPOINTS).replace(":80", ":80" if name == "p" else ":81")
         text += f"pool {name} {{\n{pool}{rows}}}\n"
         if draw(st.booleans()):
-            carried = draw(st.sampled_from(["", "classes every\n", f"classes {', '.join(reversed(classes))}\n",
-                                            f"classes {classes[0]}\n"]))
+            carried = draw(
+                st.sampled_from(
+                    ["", "classes every\n", f"classes {', '.join(reversed(classes))}\n", f"classes {classes[0]}\n"]
+                )
+            )
             rules = draw(lines(policy=["careful", "default"], attempts=["4", "5"]))
             text += f"route {'78'['pq'.index(name)]} {{ pool {name}\n{rules}{carried}}}\n"
     return text
@@ -135,11 +160,50 @@
 
 # -- anything at all
 
-SOUP = st.lists(st.sampled_from(["{", "}", '"', ";", "\n", "#", ",", " ", "\\", "pool", "route 7", "class a", "aim",
-                                 "endpoint x", "endpoints", "at", "10.3.0.1", "10.0.0.1-10.0.0.9:80", "per", "3", "3s",
-                                 "include", '"*"', "limit", "classes", "repeat keyed for", "wait at-most", "\0", "\r",
-                                 "\u2028", "-", "%", "=",
-                                  "dial-within", "0.0.0.0/0", "sender", "number", "of"])).map("".join)
+SOUP = st.lists(
+    st.sampled_from(
+        [
+            "{",
+            "}",
+            '"',
+            ";",
+            "\n",
+            "#",
+            ",",
+            " ",
+            "\\",
+            "pool",
+            "route 7",
+            "class a",
+            "aim",
+            "endpoint x",
+            "endpoints",
+            "at",
+            "10.3.0.1",
+            "10.0.0.1-10.0.0.9:80",
+            "per",
+            "3",
+            "3s",
+            "include",
+            '"*"',
+            "limit",
+            "classes",
+            "repeat keyed for",
+            "wait at-most",
+            "\0",
+            "\r",
+            "\u2028",
+            "-",
+            "%",
+            "=",
+            "dial-within",
+            "0.0.0.0/0",
+            "sender",
+            "number",
+            "of",
+        ]
+    )
+).map("".join)
 
 
 @some
--- a/tests/nethelp.py
+++ b/tests/nethelp.py
@@ -1,4 +1,5 @@
 """For the network code: a scheduler on a clock of its own, and the other sides, played step by step by the test."""
+
 from __future__ import annotations
 
 import contextlib
@@ -20,7 +21,7 @@
 class World(Scheduler):
     """Time stands still while anything happens on the sockets, and then jumps to the next timer."""
 
-    made = []       # since they were cleared last
+    made = []  # since they were cleared last
 
     def __init__(self):
         super().__init__()
@@ -40,13 +41,13 @@
         open until the end of all tests."""
         self._loop = getcurrent()
         for task in self.tasks:
-            if task:        # begun, and not at its end
+            if task:  # begun, and not at its end
                 task.parent = self._loop
                 with contextlib.suppress(BaseException):
                     task.throw()
         for kept in (self.tasks, self._ready, self._waits, self._timers):
             kept.clear()
-        for sock in (self._woken, self._waker) if not self.threads else ():     # a thread may still say that it is done
+        for sock in (self._woken, self._waker) if not self.threads else ():  # a thread may still say that it is done
             sock.close()
 
     def now(self):
@@ -73,6 +74,7 @@
         def main():
             done.append(function(*args))
             self.stop()
+
         self.spawn(main)
         self.run()
         if self.broken:
@@ -105,7 +107,7 @@
                 assert self.world.pause(self.world.now() + 20 * S, self.listener, READ) is READY, "nobody dialled"
                 continue
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)     # or bytes arrive when time has jumped on
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)  # or bytes arrive when time has jumped on
             self.accepted += 1
             return sock
 
@@ -150,8 +152,16 @@
 
 
 def listed(name, address, block=7, health="in_service", kind="one"):
-    return {"host": name, "dial": "%s:%d" % address, "site": "a", "class": kind, "block": block, "health": health,
-            "share": 1.0, "born_ms": 0}
+    return {
+        "host": name,
+        "dial": "%s:%d" % address,
+        "site": "a",
+        "class": kind,
+        "block": block,
+        "health": health,
+        "share": 1.0,
+        "born_ms": 0,
+    }
 
 
 def roll(seq, *hosts, whole=True):
@@ -182,8 +192,10 @@
 
     def outcome(self, name, attempt=0):
         """Waits for it; told exactly once."""
+
         def found():
             return [e for e in self.told if (e.id, e.attempt) == (name, attempt)]
+
         self.world.until(found)
         assert len(found()) == 1
         return found()[0]
--- a/tests/test_adapter.py
+++ b/tests/test_adapter.py
@@ -1,4 +1,5 @@
 """The wire: what is read, what is written, and what bad input gets."""
+
 import copy
 import json
 import os
@@ -10,30 +11,75 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 CONFIG = {
-    "areas": ["a"], "index": 0, "siblings": 2, "overShareWorth": 0.1, "registryMode": "push", "shapes": ["one"],
-    "caps": {"cancelling": True, "dialTimeout": 1000.0, "idleClose": 5000.0, "maxAttempts": 8, "maxOpen": 200,
-             "maxRetryAfter": 3000.0, "maxStreams": 1, "probes": False, "retryAfter": True},
+    "areas": ["a"],
+    "index": 0,
+    "siblings": 2,
+    "overShareWorth": 0.1,
+    "registryMode": "push",
+    "shapes": ["one"],
+    "caps": {
+        "cancelling": True,
+        "dialTimeout": 1000.0,
+        "idleClose": 5000.0,
+        "maxAttempts": 8,
+        "maxOpen": 200,
+        "maxRetryAfter": 3000.0,
+        "maxStreams": 1,
+        "probes": False,
+        "retryAfter": True,
+    },
     "familyInfo": {"kindApart": [False], "late": "halving", "perCall": [1], "workers": 9, "zoneFee": [0.0]},
-    "grades": [{"aim": 800.0, "deadline": 8000.0, "effect": "safe", "keyScope": "all", "keyTtl": 5000.0,
-                "lateWorth": 0.0, "name": "c", "stream": False, "worth": 1.0}],
-    "guarantees": {"answerSlack": 20.0, "askWithin": 10000.0, "cold": 12000.0, "coldFrom": 0.28, "drainGrace": 1000.0,
-                   "fall": 3000.0, "fallMultiple": 1.5},
-    "report": {"fields": ["x0", "x1"], "how": "answers"}, "tenants": [], "tick": 5.0, "weights": "none",
-    "unknown": {"ignored": 1}}
+    "grades": [
+        {
+            "aim": 800.0,
+            "deadline": 8000.0,
+            "effect": "safe",
+            "keyScope": "all",
+            "keyTtl": 5000.0,
+            "lateWorth": 0.0,
+            "name": "c",
+            "stream": False,
+            "worth": 1.0,
+        }
+    ],
+    "guarantees": {
+        "answerSlack": 20.0,
+        "askWithin": 10000.0,
+        "cold": 12000.0,
+        "coldFrom": 0.28,
+        "drainGrace": 1000.0,
+        "fall": 3000.0,
+        "fallMultiple": 1.5,
+    },
+    "report": {"fields": ["x0", "x1"], "how": "answers"},
+    "tenants": [],
+    "tick": 5.0,
+    "weights": "none",
+    "unknown": {"ignored": 1},
+}
 
 
 def run(*lines, seed="0"):
     text = "".join((line if isinstance(line, str) else json.dumps(line)) + "\n" for line in lines)
-    return subprocess.run([sys.executable, "-m", "scalefall.adapter"], input=text, text=True, capture_output=True,
-                          cwd=ROOT, env=os.environ | {"PYTHONHASHSEED": seed}, timeout=60)
+    return subprocess.run(
+        [sys.executable, "-m", "scalefall.adapter"],
+        input=text,
+        text=True,
+        capture_output=True,
+        cwd=ROOT,
+        env=os.environ | {"PYTHONHASHSEED": seed},
+        timeout=60,
+    )
 
 
 def opened(config=CONFIG, name="sender_0"):
     return ["openInstance", name, 77, config]
 
 
-LIST = [["inventory", 0, [["e", "a", "one", 4, 1, 1, None], ["f", "a", "one", 4, 1, 1, None]]],
-        ["backendsChanged", "sender_0", 2, 1, 0]]
+LIST = [
+    ["inventory", 0, [["e", "a", "one", 4, 1, 1, None], ["f", "a", "one", 4, 1, 1, None]]],
+    ["backendsChanged", "sender_0", 2, 1, 0],
+]
 
 
 def ingress(n, due=9000.0):
@@ -47,22 +93,40 @@
     assert second == {"cmds": []} and done.returncode == 0 and done.stderr == ""
 
 
-@pytest.mark.parametrize("line, says", [
-    ("{broken", "not valid JSON"), ("[]", "'inbox'"), ('{"clock":"x","inbox":[]}', "'clock'"),
-    ('{"clock":1,"inbox":[["whatever","sender_0"]]}', "unknown event"),
-    ('{"clock":1,"inbox":[["timer"]]}', "missing or wrong value"), ('{"clock":1,"inbox":[7]}', "not a list"),
-    ('{"clock":1,"inbox":[["settled","sender_0","r",0,"e","odd",1,false,null,null]]}', "missing or wrong value")])
+@pytest.mark.parametrize(
+    "line, says",
+    [
+        ("{broken", "not valid JSON"),
+        ("[]", "'inbox'"),
+        ('{"clock":"x","inbox":[]}', "'clock'"),
+        ('{"clock":1,"inbox":[["whatever","sender_0"]]}', "unknown event"),
+        ('{"clock":1,"inbox":[["timer"]]}', "missing or wrong value"),
+        ('{"clock":1,"inbox":[7]}', "not a list"),
+        ('{"clock":1,"inbox":[["settled","sender_0","r",0,"e","odd",1,false,null,null]]}', "missing or wrong value"),
+    ],
+)
 def test_malformed_input_gets_one_plain_line_and_a_failing_exit(line, says):
     done = run({"clock": 0, "inbox": []}, line)
     assert done.returncode == 2 and says in done.stderr and "line 2" in done.stderr
     assert len(done.stderr.splitlines()) == 1 and done.stdout == '{"cmds":[]}\n'
 
 
-@pytest.mark.parametrize("path, value", [
-    ("siblings", 0), ("familyInfo.workers", None), ("familyInfo.workers", "many"), ("caps.maxAttempts", -1),
-    ("caps.cancelling", 1), ("familyInfo.perCall", []), ("familyInfo.late", "soon"), ("guarantees", 3)])
+@pytest.mark.parametrize(
+    "path, value",
+    [
+        ("siblings", 0),
+        ("familyInfo.workers", None),
+        ("familyInfo.workers", "many"),
+        ("caps.maxAttempts", -1),
+        ("caps.cancelling", 1),
+        ("familyInfo.perCall", []),
+        ("familyInfo.late", "soon"),
+        ("guarantees", 3),
+    ],
+)
 def test_impossible_settings_name_their_key(path, value):
     from scalefall.settings import read_settings
+
     config = copy.deepcopy(CONFIG)
     *above, last = path.split(".")
     table = config
@@ -75,11 +139,13 @@
 
 def test_an_exception_in_the_module_becomes_a_fault(monkeypatch):
     from scalefall import adapter
+
     host = adapter.Host()
     host.batch(0, [opened()])
 
     def fails(self, now, events):
         raise RuntimeError("seen in a test")
+
     monkeypatch.setattr(adapter.Sender, "handle", fails)
     assert host.batch(1, [ingress(1)]) == [["fault", "sender_0", "RuntimeError: seen in a test"]]
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,4 +1,5 @@
 """The commands as they are called: exit codes, both forms, and that the sender loads nothing of them."""
+
 import json
 import pathlib
 import shutil
@@ -82,8 +83,12 @@
 
 def test_diff_compares_revisions_of_a_repository(site):
     def git(*words):
-        subprocess.run(["git", "-C", site.parent, "-c", "user.name=t", "-c", "user.email=t@t", *words], check=True,
-                       capture_output=True)
+        subprocess.run(
+            ["git", "-C", site.parent, "-c", "user.name=t", "-c", "user.email=t@t", *words],
+            check=True,
+            capture_output=True,
+        )
+
     git("init", "-q")
     git("add", "-A")
     git("commit", "-qm", "one")
@@ -112,6 +117,7 @@
     call("check", "--strict", text)
     call("compile", text, "-o", out)
     from scalefall.settings import read_settings
+
     was, now = (json.loads(path.read_text()) for path in (EXAMPLE / "config.json", out))
     assert read_settings(was["settings"]) == read_settings(now["settings"])
     result = call("compile", EXAMPLE)
@@ -127,17 +133,23 @@
     call("check", "--strict", ROOT / "deploy" / "site.scale")
     call("compile", ROOT / "deploy" / "site.scale", "-o", tmp_path / "config.json")
     from scalefall.settings import read_settings
-    was, now = (read_settings(json.loads(path.read_text())["settings"])
-                for path in (EXAMPLE / "config.json", tmp_path / "config.json"))
+
+    was, now = (
+        read_settings(json.loads(path.read_text())["settings"])
+        for path in (EXAMPLE / "config.json", tmp_path / "config.json")
+    )
     assert now.classes == was.classes and now.max_attempts == was.max_attempts and now.cold_us == was.cold_us
 
 
 def test_run_names_what_it_cannot_start_with(tmp_path):
-    assert "3ms, 3s or 3min" in call("run", "--config", BROKEN / "duration-without-unit", "--state", tmp_path,
-                                     code=1).output
+    assert (
+        "3ms, 3s or 3min"
+        in call("run", "--config", BROKEN / "duration-without-unit", "--state", tmp_path, code=1).output
+    )
     assert "not a folder" in call("run", "--config", EXAMPLE, "--state", tmp_path / "none", code=2).output
-    assert "an address and a port" in call("run", "--config", EXAMPLE, "--state", tmp_path, "--listen", "x",
-                                           code=2).output
+    assert (
+        "an address and a port" in call("run", "--config", EXAMPLE, "--state", tmp_path, "--listen", "x", code=2).output
+    )
     assert "--state" in call("run", "--config", EXAMPLE, code=2).output
 
 
@@ -151,15 +163,30 @@
 
 
 def test_event_names_are_what_a_line_begins_with():
-    assert [logs.event_name(text) for text in (
-        "taken on %s: %s for %d, %d ms left", "ready: %s at %s:%d", "module: %s", "closing: %d open",
-        "configuration not taken, the old settings stay: %s", "requests rejected: %d more")] == [
-        "taken on", "ready", "module", "closing", "configuration not taken, the old settings stay",
-        "requests rejected"]
+    assert [
+        logs.event_name(text)
+        for text in (
+            "taken on %s: %s for %d, %d ms left",
+            "ready: %s at %s:%d",
+            "module: %s",
+            "closing: %d open",
+            "configuration not taken, the old settings stay: %s",
+            "requests rejected: %d more",
+        )
+    ] == [
+        "taken on",
+        "ready",
+        "module",
+        "closing",
+        "configuration not taken, the old settings stay",
+        "requests rejected",
+    ]
 
 
 def test_the_platforms_sender_loads_neither_parser_nor_command_line():
-    code = ("import sys, scalefall.__main__, scalefall.net.host; "
-            "print([m for m in ('lark', 'click', 'structlog', 'netaddr', 'scalefall.lang', 'scalefall.cli') "
-            "if m in sys.modules])")
+    code = (
+        "import sys, scalefall.__main__, scalefall.net.host; "
+        "print([m for m in ('lark', 'click', 'structlog', 'netaddr', 'scalefall.lang', 'scalefall.cli') "
+        "if m in sys.modules])"
+    )
     assert subprocess.run([sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True).stdout == "[]\n"
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -1,4 +1,5 @@
 """What the deploy file's build leaves behind for its run."""
+
 import pathlib
 import shutil
 import subprocess
--- a/tests/test_failback.py
+++ b/tests/test_failback.py
@@ -3,6 +3,7 @@
 The destination here only answers: done while it is up, refused or unreachable while it is not. It has no queue and
 no score; the judge counts calls against the budget in the settings, with room for chance.
 """
+
 import heapq
 import random
 from math import sqrt
@@ -23,8 +24,16 @@
 
 def play(sender_type, rates, limit, fails, wait=False, down=(12 * S, 20 * S), end=34 * S, seed=1):
     """Calls at the destination, as (time, told?), from senders with so many messages a second."""
-    draw, world = random.Random(seed), dict(siblings=len(rates), weights="nominal", fall_us=1500 * MS, cold_from=0.26,
-                                            classes={"safe": message_class(deadline_us=5 * S)})
+    draw, world = (
+        random.Random(seed),
+        dict(
+            siblings=len(rates),
+            weights="nominal",
+            fall_us=1500 * MS,
+            cold_from=0.26,
+            classes={"safe": message_class(deadline_us=5 * S)},
+        ),
+    )
     senders = [sender_type(settings(index=n, **world), seed * 1000 + n) for n in range(len(rates))]
     told, calls, attempts, queue, number = set(), [], {}, [], 0
 
@@ -32,6 +41,7 @@
         nonlocal number
         number += 1
         heapq.heappush(queue, (at, number, n, event))
+
     for n, rate in enumerate(rates):
         push(0, n, i.Listed(i.ListKind.WHOLE, [i.Endpoint("e", "a", "one", 1, i.Status.READY, limit)]))
         at = draw.expovariate(rate)
@@ -47,8 +57,19 @@
                 calls.append((now, n in told))
                 attempt = attempts[action.id] = attempts.get(action.id, -1) + 1
                 up = not down[0] <= now < down[1]
-                push(now + ANSWER, n, i.Attempted(action.id, attempt, "e", i.Outcome.OK if up else fails, ANSWER, up,
-                                                  down[1] - now if wait and not up else 0))
+                push(
+                    now + ANSWER,
+                    n,
+                    i.Attempted(
+                        action.id,
+                        attempt,
+                        "e",
+                        i.Outcome.OK if up else fails,
+                        ANSWER,
+                        up,
+                        down[1] - now if wait and not up else 0,
+                    ),
+                )
         if isinstance(event, i.Attempted) and event.outcome is not i.Outcome.OK:
             told.add(n)
     return calls
@@ -71,8 +92,9 @@
 
 
 @pytest.mark.parametrize("rates, limit", [EQUAL, UNEQUAL, QUIET])
-@pytest.mark.parametrize("fails, wait", [(i.Outcome.CONNECT_FAILED, False), (i.Outcome.FULL, False),
-                                         (i.Outcome.FULL, True)])
+@pytest.mark.parametrize(
+    "fails, wait", [(i.Outcome.CONNECT_FAILED, False), (i.Outcome.FULL, False), (i.Outcome.FULL, True)]
+)
 def test_told_senders_seldom_have_a_part_in_pushing_a_returning_destination_over(rates, limit, fails, wait):
     """Where senders are many and quiet, those not told send more than the budget alone, and by chance fewer than half
     as many as the told: measured over 24 seeds at most 6; elsewhere at most 1."""
--- a/tests/test_farm.py
+++ b/tests/test_farm.py
@@ -1,4 +1,5 @@
 """The watch on discovery and the notices to the platform, whose side the test plays."""
+
 import json
 import socket
 
@@ -37,30 +38,46 @@
         peer, farm, told = watched(world)
         assert farm.known().kind is K.CACHED and [e.id for e in farm.known().endpoints] == ["e"]
         farm.subscribe()
-        farm.subscribe()    # one watch at a time
+        farm.subscribe()  # one watch at a time
         sock = peer.accept()
         assert peer.read(sock).target == "/v1/servers?stream=1&index=41"
         data = STREAM + chunk(roll(42, listed("f", HERE), whole=False), None, roll(42, listed("f", HERE), whole=False))
         for at in range(0, len(data), 7):
-            sock.send(data[at:at + 7])
+            sock.send(data[at : at + 7])
             world.sleep(MS)
         sock.send(chunk(roll(43, listed("e", HERE, health="terminating"), whole=False), roll(50, listed("f", HERE))))
         world.until(lambda: len(told) == 3)
         assert [(t.kind, [(e.id, e.status) for e in t.endpoints]) for t in told] == [
-            (K.CHANGES, [("f", i.Status.READY)]), (K.CHANGES, [("e", i.Status.DRAINING)]),
-            (K.WHOLE, [("f", i.Status.READY)])]
+            (K.CHANGES, [("f", i.Status.READY)]),
+            (K.CHANGES, [("e", i.Status.DRAINING)]),
+            (K.WHOLE, [("f", i.Status.READY)]),
+        ]
         assert set(farm.left_at) == {"e"} and farm.seq == 50 and peer.accepted == 1
-    world.play(play)
 
-
-MUTE = [STREAM, STREAM + b"2\r\n{\n\r\n"]     # answered, and then no whole word
+    world.play(play)
 
 
-@pytest.mark.parametrize("said, end", [
-    *((said, end) for said in (b"", http.answer(503, []), b"junk\r\n", STREAM + chunk({"seq": 1}),
-                               STREAM + chunk(roll(42, {"host": "x"})), STREAM + b"0\r\n\r\n")
-      for end in (reset, socket.socket.close, None)),
-    *((said, end) for said in MUTE for end in (reset, socket.socket.close))])
+MUTE = [STREAM, STREAM + b"2\r\n{\n\r\n"]  # answered, and then no whole word
+
+
+@pytest.mark.parametrize(
+    "said, end",
+    [
+        *(
+            (said, end)
+            for said in (
+                b"",
+                http.answer(503, []),
+                b"junk\r\n",
+                STREAM + chunk({"seq": 1}),
+                STREAM + chunk(roll(42, {"host": "x"})),
+                STREAM + b"0\r\n\r\n",
+            )
+            for end in (reset, socket.socket.close, None)
+        ),
+        *((said, end) for said in MUTE for end in (reset, socket.socket.close)),
+    ],
+)
 def test_a_watch_that_breaks_is_one_failure_and_can_be_asked_anew(said, end):
     """Silence counts too: discovery sends a line every 2 s, and a cut-off machine says nothing at all."""
     world = World()
@@ -79,11 +96,12 @@
             world.until(lambda times=times: len(told) == times)
             assert [t.kind for t in told] == [K.FAILED] * times and world.now() - began < 5 * S
             assert farm.seq == 41 and peer.accepted == times
+
     world.play(play)
 
 
 @pytest.mark.parametrize("said", MUTE)
-@pytest.mark.parametrize("drip", [None, b"1\r\n \r\n", b"2\r\n\r\n\r\n", b"9\r\n{\"seq\": 1\r\n"])
+@pytest.mark.parametrize("drip", [None, b"1\r\n \r\n", b"2\r\n\r\n\r\n", b'9\r\n{"seq": 1\r\n'])
 @pytest.mark.parametrize("pushed", [False, True])
 def test_a_watch_that_never_says_a_whole_word_is_as_silent_as_one_that_says_nothing(said, drip, pushed):
     """Its module asked again after up to 9 s, as after a call that failed; and parts of an object, or the white space
@@ -104,12 +122,14 @@
                 sock.send(b"1\r\n{\r\n" if said is STREAM and world.now() == began + MS else drip)
                 world.call_at(world.now() + S // 2, on)
             except OSError:
-                pass        # it was given up
+                pass  # it was given up
+
         if drip:
             world.call_at(began + MS, on)
         again = peer.accept()
         assert peer.read(again).target == "/v1/servers?stream=1&index=41"
         assert world.now() - began < 5500 * MS and K.FAILED not in [t.kind for t in told]
+
     world.play(play)
 
 
@@ -119,11 +139,12 @@
     def play():
         peer, farm, told, sock = opened(world)
         data = STREAM + chunk(roll(42, *(listed(f"e{number}", HERE) for number in range(2000))))
-        for at in range(0, len(data), 48 * 1024):   # 6 s in all
-            sock.send(data[at:at + 48 * 1024])
+        for at in range(0, len(data), 48 * 1024):  # 6 s in all
+            sock.send(data[at : at + 48 * 1024])
             world.sleep(S)
         world.until(lambda: told)
         assert [(t.kind, len(t.endpoints)) for t in told] == [(K.WHOLE, 2000)] and peer.accepted == 1
+
     world.play(play)
 
 
@@ -144,6 +165,7 @@
         again.send(chunk(roll(2, listed("g", HERE), whole=False), roll(4, listed("h", HERE), whole=False)))
         world.until(lambda: "h" in farm.entries)
         assert farm.seq == 4 and "g" not in farm.entries and K.FAILED not in [t.kind for t in told]
+
     world.play(play)
 
 
@@ -155,13 +177,14 @@
         sock.send(STREAM + chunk(None))
         world.sleep(MS)
         woken(world)
-        sock.send(chunk(roll(42, listed("f", HERE), whole=False)))      # unread when the time is up
+        sock.send(chunk(roll(42, listed("f", HERE), whole=False)))  # unread when the time is up
         world.clock += 4 * S
         again = peer.accept()
         assert peer.read(again).target == "/v1/servers?stream=1&index=41"
         again.send(STREAM + chunk(roll(42, listed("f", HERE), whole=False)))
         world.until(lambda: farm.seq == 42)
         assert "f" in farm.entries
+
     world.play(play)
 
 
@@ -179,13 +202,14 @@
         for seq in (50, 51):
             data = STREAM * (seq == 50) + indented(roll(seq, listed("f", HERE), {"host": "e"})) + chunk(None)
             for at in range(0, len(data), 50):
-                sock.send(data[at:at + 50])
+                sock.send(data[at : at + 50])
                 world.sleep(MS)
         world.until(lambda: farm.seq == 51)
         assert [(t.kind, [e.id for e in t.endpoints]) for t in told] == [(K.WHOLE, ["f", "e"])] * 2
-        assert set(farm.entries) == {"e", "f"} and not farm.left_at     # what could not be read stays as it was
+        assert set(farm.entries) == {"e", "f"} and not farm.left_at  # what could not be read stays as it was
         assert peer.accepted == 1 and farm.unread == 2
         assert sum("cannot be read" in line for line in caplog.messages) == 1
+
     world.play(play)
 
 
@@ -204,18 +228,19 @@
             again = peer.accept()
             assert world.now() - heard < 5500 * MS and K.FAILED not in [t.kind for t in told]
             told.clear()
-            again.close()       # an ask that fails is the module's to repeat
+            again.close()  # an ask that fails is the module's to repeat
             world.until(lambda: told)
             assert [t.kind for t in told] == [K.FAILED]
             farm.subscribe()
             sock = peer.accept()
             sock.send(STREAM + chunk(None))
             world.until(lambda: len(told) == 2)
-            assert (told[1].kind, told[1].endpoints) == (K.CHANGES, [])     # heard again, nothing new
+            assert (told[1].kind, told[1].endpoints) == (K.CHANGES, [])  # heard again, nothing new
             sock.close()
             world.until(lambda: len(told) == 3)
             told.clear()
             farm.subscribe()
+
     world.play(play)
 
 
@@ -235,7 +260,7 @@
         sock.send(chunk(roll(42, listed("f", HERE), whole=False)))
         world.until(lambda: len(told) == 2)
         assert [(t.kind, [e.id for e in t.endpoints]) for t in told] == [(K.CACHED, ["e"]), (K.CHANGES, ["f"])]
-        for times in range(8):      # closed, or silent for so long that it is broken
+        for times in range(8):  # closed, or silent for so long that it is broken
             began = world.now()
             if times % 2:
                 sock.close()
@@ -243,7 +268,8 @@
             assert world.now() - began < (S if times % 2 else 4 * S)
             peer.read(sock)
             sock.send(STREAM + chunk(None))
-        assert len(told) == 2       # no failure that the module should answer with a pause of its own
+        assert len(told) == 2  # no failure that the module should answer with a pause of its own
+
     world.play(play)
 
 
@@ -261,6 +287,7 @@
         sock.send(STREAM + chunk(None))
         world.sleep(S)
         assert len(told) == 1
+
     world.play(play)
 
 
@@ -276,6 +303,7 @@
             sock.send(chunk(None))
             world.sleep(2 * S)
         assert told == [] and peer.accepted == 1
+
     world.play(play)
 
 
@@ -291,8 +319,10 @@
             sock = peer.accept()
             while True:
                 lines = bytes(peer.read(sock).body).splitlines()
-                assert list(map(json.loads, lines)) == [{"id": "a", "state": "failed"},
-                                                        {"id": "b", "state": "returned", "after_ms": 250}]
+                assert list(map(json.loads, lines)) == [
+                    {"id": "a", "state": "failed"},
+                    {"id": "b", "state": "returned", "after_ms": 250},
+                ]
                 sock.send(said)
                 if said != http.answer(503, []):
                     break
@@ -303,11 +333,12 @@
         peer.read(sock)
         sock.send(http.answer(204, []))
         world.until(lambda: done == ["a", "b"])
-        notices.failed("c")     # over the connection that is kept
+        notices.failed("c")  # over the connection that is kept
         assert b'"c"' in peer.read(sock).body and notices.idle is False
-        reset(sock)             # which has gone: at once over a new one
+        reset(sock)  # which has gone: at once over a new one
         sock = peer.accept()
         assert b'"c"' in peer.read(sock).body
+
     world.play(play)
 
 
@@ -325,6 +356,7 @@
             sock.send(http.answer(400 if bad else 204, []))
             world.sleep(MS)
         assert done == ["b", "c"] and not notices.idle
+
     world.play(play)
 
 
@@ -341,6 +373,7 @@
         peer.read(sock)
         sock.send(http.answer(204, []))
         world.until(lambda: done)
+
     world.play(play)
 
 
@@ -362,7 +395,7 @@
         world.until(lambda: done == ["a"])
         began = world.now()
         notices.failed("b")
-        peer.read(kept)             # and no answer
+        peer.read(kept)  # and no answer
         told(peer, peer.accept())
         world.until(lambda: done == ["a", "b"])
         assert world.now() - began < 200 * MS
@@ -374,11 +407,12 @@
         told(peer, peer.accept())
         world.until(lambda: "c" in done)
         assert world.now() - end < 400 * MS and len(silent) < 60
-        world.until(lambda: not notices._tries)     # those that were silent end, and nothing goes on
+        world.until(lambda: not notices._tries)  # those that were silent end, and nothing goes on
         world.sleep(S)
         accepted = peer.accepted
         world.sleep(5 * S)
         assert peer.accepted == accepted and notices.idle
+
     world.play(play)
 
 
@@ -398,7 +432,7 @@
             sock.send(http.answer(204, []))
             world.sleep(MS)
         assert sum(told, []) == [f"n{299 - n}" for n in range(300)] + ["late"] and len(told) == 4
-        for n in range(300):        # as many as a body may hold, whatever their ids
+        for n in range(300):  # as many as a body may hold, whatever their ids
             notices.failed(f"{n:0>199}", now)
         size = 0
         while not notices.idle:
@@ -406,6 +440,7 @@
             sock.send(http.answer(204, []))
             world.sleep(MS)
         assert size < 64 * 1024
+
     world.play(play)
 
 
@@ -428,18 +463,19 @@
             part.move(new.address)
         sock = new.accept()
         assert new.read(sock).target == "/v1/servers?stream=1&index=0" and closed(world, old)
-        sock.send(STREAM + chunk(roll(3, listed("f", HERE))))      # its versions may be numbered anew
+        sock.send(STREAM + chunk(roll(3, listed("f", HERE))))  # its versions may be numbered anew
         world.until(lambda: told)
         assert told[0].kind is K.WHOLE and farm.seq == 3 and set(farm.left_at) == {"e"}
-        reset(post)         # the notice that was out there goes out again at the new one
+        reset(post)  # the notice that was out there goes out again at the new one
         post = new.accept()
         assert b'"a"' in new.read(post).body
         post.send(http.answer(204, []))
         world.until(lambda: done == ["a"])
-        farm.move(new.address)      # no move at all: the watch stays
+        farm.move(new.address)  # no move at all: the watch stays
         sock.send(chunk(roll(4, listed("g", HERE), whole=False)))
         world.until(lambda: len(told) == 2)
         assert (peer.accepted, new.accepted) == (2, 2)
+
     world.play(play)
 
 
@@ -462,7 +498,7 @@
         farm, told, old, new = about_to_move(world)
         woken(world)
         old.send(chunk(roll(99, *(listed(f"x{n}", HERE) for n in range(length)), whole=False)))
-        if said_first:      # its task has been woken by these bytes as the move comes
+        if said_first:  # its task has been woken by these bytes as the move comes
             world.wake(farm._task, READY)
         farm.move(new.address)
         sock = new.accept()
@@ -470,6 +506,7 @@
         sock.send(STREAM + chunk(roll(3, listed("f", HERE))))
         world.until(lambda: told)
         assert [event.kind for event in told] == [K.WHOLE] and set(farm.left_at) == {"e"}
+
     world.play(play)
 
 
@@ -482,12 +519,14 @@
 
         def learn(roll):
             moved(roll)
-            farm.move(new.address)      # while the watch's task runs, so that nothing wakes it
+            farm.move(new.address)  # while the watch's task runs, so that nothing wakes it
+
         farm._learn = learn
         old.send(chunk(roll(50, listed("f", HERE), whole=False), roll(51, listed("g", HERE), whole=False)))
         sock = new.accept()
         assert new.read(sock).target == "/v1/servers?stream=1&index=0"
         assert "f" in farm.entries and "g" not in farm.entries and len(told) == 1
+
     world.play(play)
 
 
@@ -511,6 +550,7 @@
         sock.send(STREAM + chunk(roll(1, listed("f", HERE))))
         world.until(lambda: len(told) > failures)
         assert told[-1].kind is K.WHOLE and world.now() - began < S
+
     world.play(play)
 
 
@@ -530,6 +570,7 @@
         sock.send(http.answer(204, []))
         world.until(lambda: done)
         assert world.now() - began < 100 * MS
+
     world.play(play)
 
 
@@ -560,4 +601,5 @@
         sock.send(chunk(roll(301, listed("g", HERE))))
         world.until(lambda: farm.seq == 301)
         assert set(farm.entries) == {"g"} and farm.left_at == farm._gone == {} and farm._owners == {HERE: "g"}
+
     world.play(play)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,4 +1,5 @@
 """The platform's front, spoken to by a client that the test plays; the module's side is a list of offers."""
+
 import socket
 
 import pytest
@@ -44,8 +45,9 @@
 
     def play():
         sock, began = desk.dial(), desk.world.now()
-        for n, (span, left) in enumerate([("480m", 240 * MS), ("1500u", 750), ("0.5m", 250),
-                                          ("99999999m", 7600 * MS)]):     # less what it may have lain unread
+        for n, (span, left) in enumerate(
+            [("480m", 240 * MS), ("1500u", 750), ("0.5m", 250), ("99999999m", 7600 * MS)]
+        ):  # less what it may have lain unread
             desk.ask(sock, "/keyed/more?x=1", X_Request_Id=f"id{n}", Idempotency_Key="key", X_Deadline=span)
             assert desk.answer(sock).status == 202
             one = desk.offered[n]
@@ -53,6 +55,7 @@
             assert one.body == b"body" and one.due == began + left
         desk.ask(sock, "/healthz", "GET", None)
         assert desk.answer(sock).status == 200
+
     desk.world.play(play)
 
 
@@ -70,14 +73,15 @@
             desk.answer(sock)
         desk.ask(sock, X_Deadline="480m")
         handed_in = desk.world.now()
-        desk.world.clock += busy        # the turn that is on takes so long
+        desk.world.clock += busy  # the turn that is on takes so long
         desk.answer(sock)
         unread = min(240 * MS, max(busy, 35 * MS))
         assert desk.offered[-1].due == handed_in + busy + 480 * MS - unread
-        desk.world.sleep(S)             # a look that had to wait found it when it came
+        desk.world.sleep(S)  # a look that had to wait found it when it came
         desk.ask(sock, X_Deadline="480m")
         desk.answer(sock)
         assert desk.offered[-1].due == desk.world.now() + 445 * MS
+
     desk.world.play(play)
 
 
@@ -89,7 +93,7 @@
         sock, world = desk.dial(), desk.world
         for late, left in ((0, 6600), (150 * MS, 6600 - 450), (0, 6600 - 450), (2 * S, 6600 - 700)):
             world.call_at(world.now() + MS, lambda: None)
-            world.clock += MS + late        # others have the processor
+            world.clock += MS + late  # others have the processor
             world.sleep(0)
             desk.ask(sock, X_Deadline="7000m")
             desk.answer(sock)
@@ -100,6 +104,7 @@
         desk.ask(sock, X_Deadline="7000m")
         desk.answer(sock)
         assert abs(desk.offered[-1].due - world.now() - 6600 * MS) < 4 * MS
+
     desk.world.play(play)
 
 
@@ -110,17 +115,20 @@
     desk = Desk(verdict=Taken())
 
     def play():
-        for _ in range(3):      # at the start and whenever
+        for _ in range(3):  # at the start and whenever
             sock = desk.dial()
             desk.ask(sock, X_Deadline=f"{left}m")
             desk.answer(sock)
             assert desk.offered[-1].due - desk.world.now() + 400 * MS <= left * MS + 290 * MS
             desk.world.sleep(S)
+
     desk.world.play(play)
 
 
-@pytest.mark.parametrize("verdict, status, after", [
-    (UnavailableAnswer(250_000), 429, "0.250"), (UnavailableAnswer(1, True), 503, "0.001"), (Failed(), 500, None)])
+@pytest.mark.parametrize(
+    "verdict, status, after",
+    [(UnavailableAnswer(250_000), 429, "0.250"), (UnavailableAnswer(1, True), 503, "0.001"), (Failed(), 500, None)],
+)
 def test_final_answers_say_when_to_come_back(verdict, status, after):
     desk = Desk(verdict=verdict)
 
@@ -129,14 +137,27 @@
         desk.ask(sock)
         answer = desk.answer(sock)
         assert (answer.status, answer.fields.get("retry-after"), answer.keep) == (status, after, True)
+
     desk.world.play(play)
 
 
-BAD = [({"target": "/"}, 404), ({"target": "/nothing"}, 404), ({"target": "//safe"}, 404), ({"method": "GET"}, 405),
-       ({"X_Request_Id": None}, 400), ({"X_Request_Id": "two words"}, 400), ({"X_Deadline": None}, 400),
-       ({"X_Deadline": "480"}, 400), ({"X_Deadline": "-1m"}, 400), ({"X_Route_To": "dest=x"}, 400),
-       ({"X_Route_To": None}, 400), ({"target": "/keyed"}, 400), ({"body": b"x" * 65537}, 413),
-       ({"X_More": "x" * 20_000}, 431), ({"Transfer_Encoding": "chunked"}, 400)]
+BAD = [
+    ({"target": "/"}, 404),
+    ({"target": "/nothing"}, 404),
+    ({"target": "//safe"}, 404),
+    ({"method": "GET"}, 405),
+    ({"X_Request_Id": None}, 400),
+    ({"X_Request_Id": "two words"}, 400),
+    ({"X_Deadline": None}, 400),
+    ({"X_Deadline": "480"}, 400),
+    ({"X_Deadline": "-1m"}, 400),
+    ({"X_Route_To": "dest=x"}, 400),
+    ({"X_Route_To": None}, 400),
+    ({"target": "/keyed"}, 400),
+    ({"body": b"x" * 65537}, 413),
+    ({"X_More": "x" * 20_000}, 431),
+    ({"Transfer_Encoding": "chunked"}, 400),
+]
 
 
 @pytest.mark.parametrize("changes, status", BAD)
@@ -151,6 +172,7 @@
         assert closed(desk.world, sock)
         desk.ask(other)
         assert desk.answer(other).status == 202
+
     desk.world.play(play)
 
 
@@ -158,11 +180,15 @@
     desk = Desk(verdict=Taken())
 
     def play():
-        for data, status in ((b"\x16\x03\x01\r\n", 400), (b"POST /safe HTTP/1.1\r\nHo", 408),
-                             (http.request("POST", "/safe", "s", list(HEAD.items()), b"body")[:-1], 408)):
+        for data, status in (
+            (b"\x16\x03\x01\r\n", 400),
+            (b"POST /safe HTTP/1.1\r\nHo", 408),
+            (http.request("POST", "/safe", "s", list(HEAD.items()), b"body")[:-1], 408),
+        ):
             sock = desk.dial()
             sock.send(data)
             assert desk.answer(sock).status == status and desk.offered == []
+
     desk.world.play(play)
 
 
@@ -182,6 +208,7 @@
         end(half)
         desk.world.until(lambda: not desk.front._clients)
         assert len(desk.offered) == 1
+
     desk.world.play(play)
 
 
@@ -201,9 +228,10 @@
         assert len(desk.offered) == int(apart)
         sock = desk.dial()
         desk.verdict = Taken()
-        for _ in range(2):      # line ends behind a body are nobody's request
+        for _ in range(2):  # line ends behind a body are nobody's request
             sock.send(data + b"\r\n")
             assert desk.answer(sock).status == 202
+
     desk.world.play(play)
 
 
@@ -214,9 +242,12 @@
         for coding in ("chunked", "Chunked", "x, chunked", "identity"):
             sock = desk.dial()
             fields = [*HEAD.items(), ("Transfer-Encoding", coding)]
-            sock.send(http.request("POST", "/safe", "s", fields, b"0\r\n\r\n")
-                      + http.request("POST", "/safe", "s", list(HEAD.items()), b"hidden"))
+            sock.send(
+                http.request("POST", "/safe", "s", fields, b"0\r\n\r\n")
+                + http.request("POST", "/safe", "s", list(HEAD.items()), b"hidden")
+            )
             assert desk.answer(sock).status == 400 and desk.offered == []
+
     desk.world.play(play)
 
 
@@ -238,6 +269,7 @@
         assert closed(desk.world, stays) and 2 * S < desk.world.now() - began < 6 * S
         desk.world.sleep(S)
         assert not desk.front._clients
+
     desk.world.play(play)
 
 
@@ -258,6 +290,7 @@
         assert sent < 20_000_000
         desk.ask(usual)
         assert desk.answer(usual).status == 202
+
     desk.world.play(play)
 
 
@@ -280,6 +313,7 @@
         assert desk.answer(late).status == 202 and len(desk.front._clients) <= 8
         desk.ask(usual)
         assert desk.answer(usual).status == 202
+
     desk.world.play(play)
 
 
@@ -307,6 +341,7 @@
         assert max(waits) < 20 * MS and len(desk.front._clients) <= 20
         desk.ask(usual)
         assert desk.answer(usual).status == 202
+
     desk.world.play(play)
 
 
@@ -321,6 +356,7 @@
                 sock = desk.dial()
                 sock.send(b"nonsense\r\n\r\n")
                 assert desk.answer(sock).status == 400
+
     desk.world.play(play)
     lines = [record.getMessage() for record in caplog.records]
     assert sum("request rejected" in line for line in lines) == 18 and "requests rejected: 6 more" in lines
@@ -339,6 +375,7 @@
         assert desk.answer(sock).status == 202
         sock.send(data.replace(b"100-continue", b"wonders")[:-4])
         assert desk.answer(sock).status == 417
+
     desk.world.play(play)
 
 
@@ -354,12 +391,13 @@
         desk.front.close_idle()
         assert closed(desk.world, idle) and desk.front.answering
         for sock in (busy, desk.dial()):
-            sock.send(http.request("POST", "/safe", "s", list(HEAD.items()), b"")[21 if sock is busy else 0:])
+            sock.send(http.request("POST", "/safe", "s", list(HEAD.items()), b"")[21 if sock is busy else 0 :])
             answer = desk.answer(sock)
             assert answer.status == 202 and not answer.keep and closed(desk.world, sock)
         sock = desk.dial()
         desk.ask(sock, "/healthz", "GET", None)
         assert desk.answer(sock).status == 503
+
     desk.world.play(play)
 
 
@@ -378,12 +416,13 @@
             desk.ask(busy[n])
             desk.world.until(lambda n=n: len(desk.offered) == 4 + n)
         assert [closed(desk.world, sock) for sock in idle] == [True] * 3
-        late = desk.dial()      # none that is being answered goes: this one waits
+        late = desk.dial()  # none that is being answered goes: this one waits
         desk.ask(late)
         desk.world.sleep(S)
         assert len(desk.offered) == 11 and len(desk.front._clients) == 8
         desk.offered[5].decide(Taken())
         desk.world.until(lambda: len(desk.offered) == 12)
+
     desk.world.play(play)
 
 
@@ -407,4 +446,5 @@
         late = desk.dial()
         desk.ask(late)
         assert desk.answer(late).keep is not (len(desk.front._clients) >= 10)
+
     desk.world.play(play)
--- a/tests/test_front_crossings.py
+++ b/tests/test_front_crossings.py
@@ -1,4 +1,5 @@
 """Bytes that come in the very moment in which a client's connection is ended, in both orders, on real sockets."""
+
 import socket
 
 import pytest
@@ -41,10 +42,11 @@
     def play():
         sock = resting(desk)
         woken(desk.world)
-        desk.ask(sock, X_Request_Id="second")       # not read yet
+        desk.ask(sock, X_Request_Id="second")  # not read yet
         ENDS[why](desk)
         assert desk.answer(sock).status == 202
         assert [one.id for one in desk.offered] == ["first", "second"] and not desk.withdrawn
+
     desk.world.play(play)
 
 
@@ -58,13 +60,14 @@
         woken(desk.world)
         ENDS[why](desk)
         desk.world.sleep(2 * MS)
-        for _ in range(3):      # more than one read takes
+        for _ in range(3):  # more than one read takes
             desk.ask(sock, X_Request_Id="second", body=b"x" * 60_000)
             desk.world.sleep(MS)
         sock.shutdown(socket.SHUT_WR)
         desk.world.sleep(5 * MS)
         assert ended_whole(sock) == b"" and [one.id for one in desk.offered] == ["first"]
         assert not desk.front._clients
+
     desk.world.play(play)
 
 
@@ -79,7 +82,7 @@
         desk.world.until(lambda: desk.offered)
         desk.front.close_idle()
         woken(desk.world)
-        desk.offered[0].decide(Taken())             # the client's task is woken, and goes on in this very turn
+        desk.offered[0].decide(Taken())  # the client's task is woken, and goes on in this very turn
         sock.send(behind)
         desk.world.sleep(10 * MS)
         sock.shutdown(socket.SHUT_WR)
@@ -87,6 +90,7 @@
         reader = http.AnswerReader()
         reader.feed(ended_whole(sock))
         assert (reader.status, reader.keep, len(desk.offered)) == (202, False, 1) and not desk.withdrawn
+
     desk.world.play(play)
 
 
@@ -99,6 +103,7 @@
         assert closed(desk.world, sock)
         desk.world.sleep(S)
         assert not desk.front._clients
+
     desk.world.play(play)
 
 
@@ -107,18 +112,19 @@
     desk = Desk(verdict=Taken())
 
     def play():
-        woken(desk.world)       # nobody accepts before the listener closes
+        woken(desk.world)  # nobody accepts before the listener closes
         sock = desk.dial()
         if not rest:
             desk.ask(sock)
         desk.front.close_idle()
         desk.front.stop_listening()
-        if rest:                # its request comes after
+        if rest:  # its request comes after
             desk.world.sleep(MS)
             desk.ask(sock)
         assert desk.answer(sock).status == 202 and len(desk.offered) == 1
         with pytest.raises(OSError):
             socket.create_connection(desk.address)
+
     desk.world.play(play)
 
 
@@ -132,16 +138,17 @@
         woken(desk.world)
         sock.send(b"half a request")
         desk.front.end()
-        for client in list(desk.front._clients):      # as the end of the process does
+        for client in list(desk.front._clients):  # as the end of the process does
             desk.front._drop(client)
         assert reader.status == 202 and ended_whole(sock) == b""
+
     desk.world.play(play)
 
 
 @pytest.mark.parametrize("asks", [False, True])
 def test_room_is_not_made_by_ending_a_connection_to_which_a_request_has_come(asks):
     desk = Desk(most=4, verdict=Taken())
-    desk.front._most = 8        # not crowded while they come
+    desk.front._most = 8  # not crowded while they come
     socks = []
 
     def play():
@@ -153,6 +160,7 @@
         assert desk.front._make_room()
         assert desk.answer(socks[0]).status == 202 if asks else closed(desk.world, socks[0])
         assert len(desk.front._clients) == 2
+
     desk.world.play(play)
 
 
@@ -161,6 +169,7 @@
 
     class Endless:
         """A client's side that is never read empty."""
+
         read = 0
 
         def __init__(self, sock):
@@ -181,6 +190,7 @@
         desk.front.end()
         assert client.sock.read >= MOST_LINGER
         client.sock = client.sock.sock
+
     desk.world.play(play)
 
 
@@ -196,9 +206,10 @@
         desk.world.sleep(2 * YOUNG_US)
         woken(desk.world)
         whole = http.request("POST", "/safe", "s", list(HEAD.items()), b"body")
-        sock.send(whole[len(begun):])
+        sock.send(whole[len(begun) :])
         assert not desk.front._make_room()
         assert desk.answer(sock).status == 202
+
     desk.world.play(play)
 
 
@@ -221,4 +232,5 @@
         sock.close()
         desk.world.sleep(MS)
         assert desk.withdrawn == (desk.offered if leaves == "before its verdict" else [])
+
     desk.world.play(play)
--- a/tests/test_guards.py
+++ b/tests/test_guards.py
@@ -1,4 +1,5 @@
 """The guards of the six rules, and the troubles found on the way; each test fails without its fix."""
+
 import pytest
 from helpers import MS, Drive, S, message_class, settings
 
@@ -18,6 +19,7 @@
 
 # -- no message lost
 
+
 def test_a_message_without_endpoint_is_answered_by_due():
     d = Drive()
     assert d.arrive("m", dest=9) == []
@@ -57,8 +59,9 @@
     assert d.actions == []
 
 
-@pytest.mark.parametrize("event", [i.Dropped("ghost"), i.Timer(99), i.Probed("ghost", O.OK, 5),
-                                   i.Attempted("ghost", 0, "e", O.TIMEOUT, 5)])
+@pytest.mark.parametrize(
+    "event", [i.Dropped("ghost"), i.Timer(99), i.Probed("ghost", O.OK, 5), i.Attempted("ghost", 0, "e", O.TIMEOUT, 5)]
+)
 def test_events_for_what_is_not_held_are_passed_over(event):
     d = Drive()
     assert d.turn(event) == []
@@ -66,6 +69,7 @@
 
 # -- no effect twice
 
+
 @pytest.mark.parametrize("outcome", [O.ERROR, O.TIMEOUT, O.RESET, O.CANCELLED])
 def test_unsafe_that_may_have_run_fails_at_once(outcome):
     d = Drive()
@@ -133,6 +137,7 @@
 
 # -- drains kept
 
+
 @pytest.mark.parametrize("status", [i.Status.DRAINING, i.Status.GONE])
 def test_nothing_new_to_a_draining_or_gone_endpoint(status):
     d = Drive()
@@ -155,6 +160,7 @@
 
 # -- waits heeded
 
+
 def test_a_told_wait_silences_the_destination():
     d = Drive()
     d.list(("e", 1), ("f", 1))
@@ -184,6 +190,7 @@
 
 # -- order kept
 
+
 def test_one_key_goes_one_at_a_time_in_order():
     d = Drive()
     d.list(("e", 1), ("f", 2))
@@ -215,6 +222,7 @@
 
 # -- a returning destination
 
+
 def down(d):
     d.list(("e", 1))
     serve(d, "e", 10)
@@ -239,7 +247,7 @@
 def test_an_outage_is_met_with_one_question_and_then_the_budget():
     d = Drive()
     down(d)
-    assert sends_in(d, 3 * S, O.CONNECT_FAILED) <= 10       # served within fall: questions at doubling gaps
+    assert sends_in(d, 3 * S, O.CONNECT_FAILED) <= 10  # served within fall: questions at doubling gaps
     # 10 calls/s before: two thirds of 1.5 * 0.25 of three quarters of it and of a quarter of the even part, 2 calls/s
     assert 2 <= sends_in(d, 12 * S, O.CONNECT_FAILED) <= 26
 
@@ -251,7 +259,7 @@
     while not d.arrive(f"t{d.now}", after=100 * MS):
         pass
     first = sends_in(d, 3 * S, O.OK)
-    assert 3 <= first <= 12                     # 10 in 1 s before the outage: a quarter of that at first
+    assert 3 <= first <= 12  # 10 in 1 s before the outage: a quarter of that at first
     sends_in(d, 12 * S, O.OK)
     assert sends_in(d, 3 * S, O.OK) >= 25
 
@@ -265,16 +273,22 @@
         d.arrive(f"w{n}")
         d.result(f"w{n}", d.of(i.Send)[0].endpoint, report=told, after=200 * MS)
     held, rates = False, []
-    for n in range(30 * S // (50 * MS)):            # down for 4 s, and then back
+    for n in range(30 * S // (50 * MS)):  # down for 4 s, and then back
         up = n > 80
         sent = [(s.id, s.endpoint) for s in d.of(i.Send)]
-        d.turn(*(i.Attempted(m, d.attempts[m], e, O.OK if up else O.CONNECT_FAILED, 50 * MS, up, 0, told if up else {})
-                 for m, e in sent), i.Message(f"t{n}", 1, "safe", d.now + 8 * S), after=50 * MS)
+        d.turn(
+            *(
+                i.Attempted(m, d.attempts[m], e, O.OK if up else O.CONNECT_FAILED, 50 * MS, up, 0, told if up else {})
+                for m, e in sent
+            ),
+            i.Message(f"t{n}", 1, "safe", d.now + 8 * S),
+            after=50 * MS,
+        )
         route = d.sender.destinations[1].routes[""]
         doubts = any(guard.doubts for guard in [route.guard, *(server.guard for server in route.servers)])
         held = held or doubts
         rates += [route.rate] if held and not doubts else []
-    assert held and len(rates) > 20 and min(rates) >= 10    # a fourth of 40 calls/s
+    assert held and len(rates) > 20 and min(rates) >= 10  # a fourth of 40 calls/s
 
 
 def test_one_failure_is_asked_about_once_before_the_budget_holds():
@@ -413,6 +427,7 @@
 
 # -- further departures
 
+
 def test_a_failed_connect_beside_a_success_is_a_cap_not_an_outage():
     d = Drive()
     d.list(("e", 1))
@@ -541,11 +556,11 @@
     for n in range(3):
         assert d.arrive(f"away{n}") == [f"away{n}"]
         d.result(f"away{n}", "e", O.CROWDED)
-        d.tick(S)               # sent again after a pause, and served
+        d.tick(S)  # sent again after a pause, and served
         d.result(f"away{n}", "e")
     assert d.arrive("next") == ["next"] and not d.of(i.Log)
     d.result("next", "e", O.CROWDED, after=0)
-    assert d.of(i.Send) == [] and d.tick(10 * MS) == []     # not at once: others go first
+    assert d.of(i.Send) == [] and d.tick(10 * MS) == []  # not at once: others go first
 
 
 def test_a_failed_connect_of_an_endpoint_that_has_not_served_lately_closes_nothing():
@@ -687,14 +702,14 @@
         d = Drive(siblings=100, index=n, weights="nominal")
         d.sender = type(d.sender)(d.settings, n)
         d.turn(i.Listed(i.ListKind.WHOLE, [i.Endpoint("e", "a", "one", 1, i.Status.READY, 6.0)]))
-        for k in range(3 if n < busy else 0):        # 20 senders with 0.3 calls/s each: the limit of 6
+        for k in range(3 if n < busy else 0):  # 20 senders with 0.3 calls/s each: the limit of 6
             d.arrive(f"w{k}", after=3300 * MS)
             d.result(f"w{k}", "e", after=100 * MS)
         for k in range(2):
             name = f"x{k}"
             sent = d.arrive(name) or d.tick(2 * S)
             d.result(sent, "e", O.CONNECT_FAILED, after=10 * MS)
-        sends_in(d, 3 * S, O.CONNECT_FAILED)             # questions
+        sends_in(d, 3 * S, O.CONNECT_FAILED)  # questions
         trials += sends_in(d, 60 * S, O.CONNECT_FAILED)
     assert 5 <= trials <= 60 * budget * 2 / 3
 
@@ -713,6 +728,7 @@
 
 # -- cost and memory
 
+
 def test_a_turn_looks_only_at_what_its_events_touch():
     d = Drive(slots=1)
     d.list(*((f"e{n}", n) for n in range(200)))
@@ -790,7 +806,7 @@
     for name, limit, rate in (("a", 30.0, 15.0), ("b", 1.0, 0.5), ("c", 30.0, 15.0)):
         d.result(name, "e", report={"x0": 0.05, "x1": limit}, after=MS)
         assert route.rate == rate
-    route.rate = 2.0        # as after an outage: a limit that stays lifts nothing
+    route.rate = 2.0  # as after an outage: a limit that stays lifts nothing
     d.arrive("d")
     d.result("d", "e", report={"x0": 0.4, "x1": 31.0}, after=S)
     assert route.rate < 3
@@ -809,11 +825,11 @@
     assert set(known) == {1, 2} and 9 < known[1].part < 14
     again = Drive()
     again.list(("e", 1), kind=i.ListKind.CACHED)
-    again.turn(known[1], known[2])      # an endpoint that is not listed any more makes no route
+    again.turn(known[1], known[2])  # an endpoint that is not listed any more makes no route
     again.arrive("y")
     again.result("y", "e", O.CONNECT_FAILED)
     assert again.sender.destinations[1].routes[""].guard.part == known[1].part and 2 not in again.sender.destinations
-    assert again.sender.known()[0].part == known[1].part    # and it lasts over a second restart
+    assert again.sender.known()[0].part == known[1].part  # and it lasts over a second restart
     again.tick(after=61 * S)
     assert again.sender._part(again.sender.destinations[1].routes[""]) == 2.0
 
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -1,4 +1,5 @@
 """The host with its module on sockets; the test plays the clients, the endpoints and the platform."""
+
 import json
 import socket
 
@@ -26,8 +27,19 @@
         self.start()
 
     def start(self):
-        config = Config("n0", ("127.0.0.1", 0), self.platform.address, str(self.folder), 7, 256, self.disk,
-                        32_000_000, settings(**self.changes), self.known, admin=self.admin)
+        config = Config(
+            "n0",
+            ("127.0.0.1", 0),
+            self.platform.address,
+            str(self.folder),
+            7,
+            256,
+            self.disk,
+            32_000_000,
+            settings(**self.changes),
+            self.known,
+            admin=self.admin,
+        )
         self.host = Host(self.world, config)
         self.host.start()
 
@@ -113,6 +125,7 @@
         assert request.fields["x-request-id"] == "m" and firm.host._journal.owed["m"].out
         sock.send(http.answer(200, []))
         firm.world.until(lambda: firm.owed() == [])
+
     play(firm, steps)
 
 
@@ -120,6 +133,7 @@
     def steps():
         assert firm.answer(firm.hand_in("m", deadline="1u")).status == 429
         assert firm.owed() == [] and firm.endpoint.accepted == 0
+
     play(firm, steps)
 
 
@@ -130,6 +144,7 @@
         firm.taken("m")
         answer = firm.answer(firm.hand_in("n", body=b"x" * 60_000))
         assert answer.status == 503 and answer.fields["retry-after"] == "1.000"
+
     play(firm, steps)
 
 
@@ -138,12 +153,14 @@
         firm.hand_in("m").close()
         firm.world.sleep(S)
         assert firm.owed() == [] and firm.host._open == {}
+
     play(firm, steps)
 
 
 def test_the_id_of_an_open_message_does_nothing_to_it_whoever_sends_it_again(firm):
     """A bad client's body went out under the id of another's message, whose endpoint answered 400 six times over;
     and its leaving took the message away."""
+
     def steps():
         first = firm.hand_in("m")
         firm.world.sleep(MS // 2)
@@ -162,11 +179,13 @@
         assert firm.endpoint.read(sock).body == b"body"
         sock.send(http.answer(200, []))
         firm.world.until(lambda: firm.owed() == [])
+
     play(firm, steps)
 
 
 def test_an_id_that_is_over_is_not_used_for_another_message_and_is_forgotten_in_time(firm):
     """A bad client's message was taken on under the id of one just delivered; its endpoints answered 400."""
+
     def steps():
         firm.taken("m")
         sock, _ = firm.call()
@@ -180,6 +199,7 @@
         sock.send(http.answer(200, []))
         firm.world.until(lambda: firm.owed() == [])
         assert list(firm.host._ended) == ["n"]
+
     play(firm, steps)
 
 
@@ -193,6 +213,7 @@
         sock.send(http.answer(400, []))
         calls = [firm.call()[1] for _ in range(3)]
         assert sorted(call.fields["x-request-id"] for call in calls) == ["a", "b", "c"]
+
     play(firm, steps)
 
 
@@ -200,6 +221,7 @@
     def steps():
         answer = firm.answer(firm.hand_in("m", dest=8))
         assert (answer.status, answer.fields["retry-after"]) == (503, "1.000") and firm.host._open == {}
+
     play(firm, steps)
 
 
@@ -209,18 +231,22 @@
         firm.call()[0].close()
         assert firm.notices() == [{"id": "f", "state": "failed"}]
         firm.world.until(lambda: firm.owed() == [])
+
     play(firm, steps)
 
 
-@pytest.mark.parametrize("cls, later, end", [("unsafe", 0, "failed"), ("safe", 0, None), ("keyed", 0, None),
-                                             ("keyed", 6 * S, "returned")])
+@pytest.mark.parametrize(
+    "cls, later, end", [("unsafe", 0, "failed"), ("safe", 0, None), ("keyed", 0, None), ("keyed", 6 * S, "returned")]
+)
 def test_after_a_death_with_a_pass_out_class_and_window_decide(firm, cls, later, end):
     """It may have run: a fee must not take effect twice, and a key is dropped only so long."""
+
     def steps():
         firm.taken("m", cls=cls, key="k")
         firm.call()
         firm.die()
         firm.world.clock += later
+
     play(firm, steps)
     firm.start()
 
@@ -233,6 +259,7 @@
             assert request.body == b"body"
             sock.send(http.answer(200, []))
         firm.world.until(lambda: firm.owed() == [])
+
     play(firm, again)
 
 
@@ -245,6 +272,7 @@
         sock.send(http.answer(500, []))
         firm.world.until(lambda: not firm.host._journal.owed["m"].out)
         firm.die()
+
     play(firm, steps)
     firm.start()
 
@@ -252,11 +280,13 @@
         sock, _ = firm.call()
         sock.send(http.answer(500, []))
         assert firm.notices() == [{"id": "m", "state": "returned", "after_ms": firm.host._journal.owed["m"].after_ms}]
+
     play(firm, again)
 
 
-@pytest.mark.parametrize("cls, ran", [("safe", False), ("keyed", False), ("zoned", False), ("unsafe", False),
-                                      ("zoned", True)])
+@pytest.mark.parametrize(
+    "cls, ran", [("safe", False), ("keyed", False), ("zoned", False), ("unsafe", False), ("zoned", True)]
+)
 @pytest.mark.parametrize("ask", [True, False])
 def test_all_that_a_restart_finds_and_may_be_sent_has_its_call(tmp_path, cls, ran, ask):
     """Before a pushed list had come the module knew no route: it kept four a destination and refused the others, also
@@ -268,18 +298,19 @@
         firm.watch.send(chunk(roll(2, listed("e", firm.endpoint.address, health=health))))
 
     def steps():
-        gone("terminating")     # so nothing goes out before the death
+        gone("terminating")  # so nothing goes out before the death
         firm.world.until(lambda: firm.host._farm.seq == 2)
         for name in names:
             firm.host._journal.take_on(owed(firm, name, cls))
             if ran:
                 firm.host._journal.pass_begun([name], firm.world.wall(), "a")
         firm.die()
+
     play(firm, steps)
     firm.start()
 
     def again():
-        firm.world.sleep(S)     # a list that is pushed may take its time
+        firm.world.sleep(S)  # a list that is pushed may take its time
         gone("in_service")
         while firm.owed():
             sock, request = firm.call()
@@ -287,6 +318,7 @@
             sock.send(http.answer(200, []))
             firm.world.sleep(MS)
         assert not names and not firm.posts
+
     play(firm, again)
 
 
@@ -296,6 +328,7 @@
         firm.call()[0].close()
         firm.platform.read(firm.platform.accept())
         firm.die()
+
     play(firm, steps)
     firm.start()
     play(firm, lambda: firm.notices() == [{"id": "f", "state": "failed"}] or pytest.fail("not this notice"))
@@ -318,6 +351,7 @@
         firm.world.until(lambda: "e" in firm.host._farm.left_at)
         firm.world.sleep(900 * MS)
         assert not firm.host._may_begin(entry)
+
     play(firm, steps)
 
 
@@ -331,6 +365,7 @@
         firm.taken("c", "d", body=b"x" * 30_000)
         calls = [firm.call()[1] for _ in range(2)]
         assert [call.fields["x-request-id"] for call in calls] == ["c", "d"]
+
     play(firm, steps)
 
 
@@ -347,6 +382,7 @@
         rows = [{"id": row["id"], "state": "accepted"} for row in json.loads(request.body)]
         sock.send(http.answer(200, [], json.dumps(rows).encode()))
         firm.world.until(lambda: firm.owed() == [])
+
     play(firm, steps)
 
 
@@ -359,12 +395,14 @@
             monkeypatch.setattr(firm.host._module, "handle", handle)
             raise RuntimeError("seen in a test")
         return handle(now, events)
+
     monkeypatch.setattr(firm.host._module, "handle", fails)
 
     def steps():
         assert firm.answer(firm.hand_in("m")).status == 503
         firm.taken("n")
         assert firm.owed() == ["n"] and counted == ["the module failed in a turn"]
+
     play(firm, steps)
 
 
@@ -386,12 +424,14 @@
         assert 7 * S < firm.world.now() - began < 8 * S
         assert counted == ["the module ends every message in its time"]
         sock.close()
+
     play(firm, steps)
 
 
 @pytest.mark.parametrize("held_up", [False, True])
 def test_a_process_that_was_held_up_past_a_messages_time_ends_it_as_the_module_says(firm, held_up):
     """The module's timer and the host's own came due in one look, and the host's failed what may come again."""
+
     def steps():
         firm.watch.send(chunk(roll(2, listed("e", firm.endpoint.address, health="terminating"), whole=False)))
         firm.world.until(lambda: firm.host._farm.seq == 2)
@@ -399,6 +439,7 @@
         if held_up:
             firm.world.clock += 10 * S
         assert [notice["state"] for notice in firm.notices()] == ["returned"]
+
     play(firm, steps)
 
 
@@ -412,6 +453,7 @@
         if any(isinstance(event, i.Message) for event in events):
             actions.insert(0, i.Send("m", "ghost", S))
         return actions
+
     monkeypatch.setattr(firm.host._module, "handle", strays)
 
     def steps():
@@ -421,11 +463,13 @@
         firm.world.until(lambda: outcomes)
         assert (outcomes[0].endpoint, outcomes[0].outcome) == ("ghost", i.Outcome.NOT_SENT)
         assert counted == ["the module sends to endpoints that the list has"]
+
     play(firm, steps)
 
 
 def test_a_planned_end_answers_finishes_and_leaves_the_rest_to_the_next(firm):
     """Begin nothing that may not finish: what arrives late is taken on, and delivered after the start."""
+
     def steps():
         firm.taken("out")
         sock, _ = firm.call()
@@ -438,6 +482,7 @@
         firm.world.until(lambda: firm.owed() == ["late"])
         firm.world.sleep(60 * S)
         raise AssertionError(f"still running {firm.world.now() - began} later")
+
     firm.world.spawn(lambda: (firm.watched(), steps()))
     began = firm.world.now()
     firm.world.run()
@@ -448,8 +493,9 @@
 def test_what_is_handed_in_as_the_listener_closes_is_sent_and_its_answer_waited_for(firm, monkeypatch):
     """With nothing open at SIGTERM the process ends early; it left with the call of the last message out, which may
     have run by then."""
+
     def steps():
-        for name in "abcde":        # how long a call takes is known
+        for name in "abcde":  # how long a call takes is known
             firm.taken(name)
             sock, _ = firm.call()
             sock.send(http.answer(200, []))
@@ -458,8 +504,9 @@
         close, last = firm.host.front.stop_listening, []
 
         def stop_listening():
-            last.append(firm.hand_in("last"))       # waits in the listener's queue
+            last.append(firm.hand_in("last"))  # waits in the listener's queue
             close()
+
         monkeypatch.setattr(firm.host.front, "stop_listening", stop_listening)
         firm.host.close()
         sock, call = firm.call()
@@ -468,6 +515,7 @@
         sock.send(http.answer(200, []))
         firm.world.sleep(60 * S)
         raise AssertionError("still running")
+
     firm.world.spawn(lambda: (firm.watched(), steps()))
     firm.world.run()
     assert firm.world.broken is None and firm.owed() == []
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -1,4 +1,5 @@
 """The end and the next start of a process, crossed by what may come in that moment; on real sockets, both orders."""
+
 import json
 import signal
 import socket
@@ -60,7 +61,7 @@
         try:
             self.taken = self.firm.answer(self.firm.hand_in("m", cls=cls, key="k")).status == 202
         except (AssertionError, OSError):
-            pass        # no answer: nothing is owed
+            pass  # no answer: nothing is owed
 
 
 def dies_at(journal, number, before):
@@ -76,14 +77,16 @@
         if written == number:
             raise Killed
         return done
+
     journal._append = append
 
 
 @pytest.mark.parametrize("before", [True, False])
 @pytest.mark.parametrize("answers", [[200], [500, 200], [None, 200], [503, 503, 200], [500] * 9])
 @pytest.mark.parametrize("cls", ["safe", "keyed", "unsafe"])
-def test_killed_at_any_record_what_was_taken_on_has_its_end_and_what_may_have_run_is_not_repeated(tmp_path, cls,
-                                                                                                  answers, before):
+def test_killed_at_any_record_what_was_taken_on_has_its_end_and_what_may_have_run_is_not_repeated(
+    tmp_path, cls, answers, before
+):
     """Each record against the byte that it stands for: the 202, a call's first byte, an outcome, a notice, its 204."""
     for number in count(1):
         (tmp_path / str(number)).mkdir()
@@ -98,6 +101,7 @@
             firm.world.sleep(20 * S)
             over.append(True)
             firm.world.stop()
+
         firm.world.spawn(life, cls)
         try:
             firm.world.run()
@@ -112,7 +116,7 @@
         assert cls != "unsafe" or len(others.calls) <= 1 + answers.count(503), f"record {number}: sent again"
         assert firm.owed() == []
         firm.die()
-        if not killed:      # it has no more records than that
+        if not killed:  # it has no more records than that
             break
     assert number > 3
 
@@ -129,6 +133,7 @@
         firm.watched()
         steps()
         firm.world.sleep(60 * S)
+
     firm.host.close = closed
     firm.world.spawn(whole)
     firm.world.run()
@@ -144,13 +149,14 @@
 
     def steps():
         firm.taken("m")
-        calls.append(firm.call())       # hangs
+        calls.append(firm.call())  # hangs
         firm.host.close()
         firm.world.sleep(later)
         if more == "SIGTERM":
             firm.host.close()
         else:
             firm.host.reload(broken if "broken" in more else lambda: firm.host._config)
+
     calls = []
     assert ends(firm, steps) and firm.owed() == ["m"]
 
@@ -165,6 +171,7 @@
         if asked == "after":
             socks.append(firm.hand_in("m"))
         firm.host.close()
+
     try:
         world.on_signal(signal.SIGUSR1, sigterm)
         if asked == "before":
@@ -176,6 +183,7 @@
             assert firm.answer(socks[0]).status == 202
             firm.call()[0].send(http.answer(200, []))
             world.sleep(60 * S)
+
         world.spawn(steps)
         world.run()
     finally:
@@ -187,14 +195,16 @@
 @pytest.mark.parametrize("heard", [False, True])
 def test_a_notice_whose_answer_is_lost_as_the_process_ends_goes_out_again(firm, heard):
     """The platform may have heard it; twice told does no harm."""
+
     def steps():
         firm.taken("m", dest=7, cls="unsafe")
-        reset(firm.call()[0])               # it may have run: failed
+        reset(firm.call()[0])  # it may have run: failed
         firm.host.close()
         while not firm.posts:
             firm.platform_met()
         if heard:
-            firm.posts[0][0].close()        # with its 204 on the way
+            firm.posts[0][0].close()  # with its 204 on the way
+
     assert ends(firm, steps) and firm.owed() == ["m"]
     firm.posts.clear()
     firm.die()
@@ -211,6 +221,7 @@
         firm.taken("b", cls="unsafe")
         calls.extend((firm.call(), firm.call()))
         firm.host.close()
+
     assert ends(firm, steps) and firm.owed() == ["a", "b"]
     firm.die()
     firm.start()
@@ -221,6 +232,7 @@
         sock.send(http.answer(200, []))
         assert firm.notices() == [{"id": "b", "state": "failed"}]
         firm.world.until(lambda: firm.owed() == [])
+
     play(firm, again)
 
 
@@ -228,6 +240,7 @@
     def steps():
         firm.host._journal.take_on(owed(firm, "m", "keyed"))
         firm.die()
+
     play(firm, steps)
     firm.changes["classes"] = {"other": message_class("other", i.Effect.UNSAFE)}
     firm.start()
@@ -243,6 +256,7 @@
         while firm.host._journal.take_on(owed(firm, f"m{len(firm.owed())}", cls)):
             pass
         firm.die()
+
     play(firm, steps)
     firm.start()
 
@@ -256,12 +270,14 @@
             assert used(tmp_path) <= 150_000
             firm.world.sleep(MS)
         assert not firm.posts
+
     play(firm, again)
 
 
 @pytest.mark.parametrize("first", ["the list", "the death of its watch"])
 def test_a_change_in_the_moment_in_which_its_watch_breaks_is_told(firm, first):
     """Where the word came first it holds; where the break came first the next watch brings it."""
+
     def steps():
         word = chunk(roll(2, listed("e", firm.endpoint.address, health="terminating")))
         woken(firm.world)
@@ -272,11 +288,13 @@
             firm.watched()
             firm.watch.send(word)
         firm.world.until(lambda: "e" in firm.host._farm.left_at)
+
     play(firm, steps)
 
 
 def test_a_client_that_hands_in_and_leaves_in_one_moment_leaves_nothing_that_is_sent(firm):
     """Its request and its end lie there together as they are read."""
+
     def steps():
         woken(firm.world)
         sock = firm.hand_in("gone")
@@ -286,6 +304,5 @@
         assert firm.owed() == [] and firm.endpoint.accepted == 0
         firm.taken("stays")
         assert firm.call()[1].fields["x-request-id"] == "stays"
-    play(firm, steps)
-
 
+    play(firm, steps)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -1,14 +1,19 @@
 """The parsers: the same message however its bytes are cut, the limits, and what is malformed."""
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from scalefall.net import http
 
-REQUEST = (b"POST /fee-order?x=1 HTTP/1.1\r\nHost: s\r\nX-A:  one \r\nx-a: two\r\nContent-Length: 5\r\n\r\nbo\r\ny"
-           b"\r\nGET /healthz HTTP/1.1\nHost: s\n\n")
-CHUNKED = (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-           b"3;ext=1\r\nabc\r\nA\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n")
+REQUEST = (
+    b"POST /fee-order?x=1 HTTP/1.1\r\nHost: s\r\nX-A:  one \r\nx-a: two\r\nContent-Length: 5\r\n\r\nbo\r\ny"
+    b"\r\nGET /healthz HTTP/1.1\nHost: s\n\n"
+)
+CHUNKED = (
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3;ext=1\r\nabc\r\nA\r\n0123456789\r\n0\r\nTrailer: x\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n"
+)
 
 
 def cut(data, places):
@@ -32,9 +37,12 @@
 def test_any_cut_of_the_bytes_gives_the_same_messages(places):
     assert messages(http.RequestReader(), cut(REQUEST, places)) == [
         ("POST /fee-order?x=1 HTTP/1.1", {"host": "s", "x-a": "one, two", "content-length": "5"}, b"bo\r\ny"),
-        ("GET /healthz HTTP/1.1", {"host": "s"}, b"")]
+        ("GET /healthz HTTP/1.1", {"host": "s"}, b""),
+    ]
     assert [m[0::2] for m in messages(http.AnswerReader(), cut(CHUNKED, places))] == [
-        ("HTTP/1.1 200 OK", b"abc0123456789"), ("HTTP/1.1 204 No Content", b"")]
+        ("HTTP/1.1 200 OK", b"abc0123456789"),
+        ("HTTP/1.1 204 No Content", b""),
+    ]
 
 
 def test_written_messages_are_read_back():
@@ -54,8 +62,15 @@
     assert reader.complete and reader.body == b"abc" and not reader.keep
 
 
-@pytest.mark.parametrize("head, keep", [("HTTP/1.1\r\n", True), ("HTTP/1.1\r\nConnection: Close\r\n", False),
-                                        ("HTTP/1.0\r\n", False), ("HTTP/1.0\r\nConnection: keep-alive\r\n", True)])
+@pytest.mark.parametrize(
+    "head, keep",
+    [
+        ("HTTP/1.1\r\n", True),
+        ("HTTP/1.1\r\nConnection: Close\r\n", False),
+        ("HTTP/1.0\r\n", False),
+        ("HTTP/1.0\r\nConnection: keep-alive\r\n", True),
+    ],
+)
 def test_which_connections_are_kept(head, keep):
     reader = http.RequestReader()
     reader.feed(f"GET / {head}\r\n".encode())
@@ -65,18 +80,33 @@
 LINE = b"POST /c HTTP/1.1\r\n"
 
 
-@pytest.mark.parametrize("data, status", [
-    (b"nonsense\r\n", 400), (b"GET x HTTP/1.1\r\n", 400), (b"G\0T / HTTP/1.1\r\n", 400), (b"GET / HTTP/2.0\r\n", 505),
-    (b"GET / SPDY\r\n", 400), (LINE + b"no colon\r\n", 400), (LINE + b"bad name: x\r\n", 400),
-    (LINE + b" folded: x\r\n", 400), (LINE + b"a: x\rb\r\n", 400), (LINE + b"Content-Length: -1\r\n\r\n", 400),
-    (LINE + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", 400), (LINE + b"Content-Length: 1_0\r\n\r\n", 400),
-    (LINE + b"Content-Length: 65537\r\n\r\n", 413), (LINE + b"Content-Length: 99999999999999999\r\n\r\n", 400),
-    (LINE + b"Transfer-Encoding: gzip\r\n\r\n", 501), (LINE + b"A: " + b"x" * 20_000, 431),
-    (LINE + b"A: b\r\n" * 5000, 431), (b"".join([LINE, *(b"A%d: b\r\n" % n for n in range(200))]), 431),
-    (LINE + b"Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n", 400),
-    (LINE + b"Transfer-Encoding: chunked\r\n\r\nx\r\n", 400),
-    (LINE + b"Transfer-Encoding: chunked\r\n\r\n1\r\nabc", 400),
-    (LINE + b"Transfer-Encoding: chunked\r\n\r\n" + b"8000\r\n" + b"x" * 0x8000 + b"\r\n8001\r\n", 413)])
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (b"nonsense\r\n", 400),
+        (b"GET x HTTP/1.1\r\n", 400),
+        (b"G\0T / HTTP/1.1\r\n", 400),
+        (b"GET / HTTP/2.0\r\n", 505),
+        (b"GET / SPDY\r\n", 400),
+        (LINE + b"no colon\r\n", 400),
+        (LINE + b"bad name: x\r\n", 400),
+        (LINE + b" folded: x\r\n", 400),
+        (LINE + b"a: x\rb\r\n", 400),
+        (LINE + b"Content-Length: -1\r\n\r\n", 400),
+        (LINE + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n", 400),
+        (LINE + b"Content-Length: 1_0\r\n\r\n", 400),
+        (LINE + b"Content-Length: 65537\r\n\r\n", 413),
+        (LINE + b"Content-Length: 99999999999999999\r\n\r\n", 400),
+        (LINE + b"Transfer-Encoding: gzip\r\n\r\n", 501),
+        (LINE + b"A: " + b"x" * 20_000, 431),
+        (LINE + b"A: b\r\n" * 5000, 431),
+        (b"".join([LINE, *(b"A%d: b\r\n" % n for n in range(200))]), 431),
+        (LINE + b"Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n", 400),
+        (LINE + b"Transfer-Encoding: chunked\r\n\r\nx\r\n", 400),
+        (LINE + b"Transfer-Encoding: chunked\r\n\r\n1\r\nabc", 400),
+        (LINE + b"Transfer-Encoding: chunked\r\n\r\n" + b"8000\r\n" + b"x" * 0x8000 + b"\r\n8001\r\n", 413),
+    ],
+)
 def test_what_is_malformed_or_too_large_deserves_its_status(data, status):
     with pytest.raises(http.Malformed) as caught:
         http.RequestReader().feed(data)
@@ -84,8 +114,25 @@
 
 
 @settings(derandomize=True, deadline=None, max_examples=300)
-@given(st.lists(st.sampled_from([LINE, b"Content-Length: 3\r\n", b"\r\n", b"abc", b"\xff", b":", b"GET ", b"0\r\n",
-                                 b"Transfer-Encoding: chunked\r\n", b"HTTP/1.1 200 OK\r\n"]) | st.binary(max_size=8)))
+@given(
+    st.lists(
+        st.sampled_from(
+            [
+                LINE,
+                b"Content-Length: 3\r\n",
+                b"\r\n",
+                b"abc",
+                b"\xff",
+                b":",
+                b"GET ",
+                b"0\r\n",
+                b"Transfer-Encoding: chunked\r\n",
+                b"HTTP/1.1 200 OK\r\n",
+            ]
+        )
+        | st.binary(max_size=8)
+    )
+)
 def test_arbitrary_bytes_are_read_or_malformed_and_nothing_else(pieces):
     for reader in (http.RequestReader(), http.AnswerReader()):
         try:
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -1,4 +1,5 @@
 """The journal: what it owes after any cut, and the folder's limit, against a model that keeps no file."""
+
 import os
 import shutil
 import tempfile
@@ -16,8 +17,17 @@
 
 
 def owed(name, body=b"body", key=None, effect=None):
-    return j.Owed(name, "fee-order", 7, 10**15, key, body, effect=effect, key_scope_zone=effect is Effect.KEYED,
-                  key_ttl_us=6_000_000 * (effect is Effect.KEYED))
+    return j.Owed(
+        name,
+        "fee-order",
+        7,
+        10**15,
+        key,
+        body,
+        effect=effect,
+        key_scope_zone=effect is Effect.KEYED,
+        key_ttl_us=6_000_000 * (effect is Effect.KEYED),
+    )
 
 
 def used(folder):
@@ -26,9 +36,21 @@
 
 def plain(book):
     """What a journal owes, without its book-keeping of sizes."""
-    return {name: (o.attempts, bool(o.ran_wall) and (o.ran_wall, o.ran_zone), o.out, o.end, o.after_ms, o.body, o.key,
-                   o.effect, o.key_scope_zone, not o.end and o.key_ttl_us)
-            for name, o in book.items()}
+    return {
+        name: (
+            o.attempts,
+            bool(o.ran_wall) and (o.ran_wall, o.ran_zone),
+            o.out,
+            o.end,
+            o.after_ms,
+            o.body,
+            o.key,
+            o.effect,
+            o.key_scope_zone,
+            not o.end and o.key_ttl_us,
+        )
+        for name, o in book.items()
+    }
 
 
 class Life(RuleBasedStateMachine):
@@ -43,8 +65,11 @@
         names = [n for n, o in self.model.items() if all(getattr(o, k) == v for k, v in wanted.items())]
         return data.draw(st.sampled_from(sorted(names))) if names else None
 
-    @rule(size=st.sampled_from([0, 10, 3000, 65536]), key=st.sampled_from([None, "", "k"]),
-          effect=st.sampled_from(j.EFFECTS))
+    @rule(
+        size=st.sampled_from([0, 10, 3000, 65536]),
+        key=st.sampled_from([None, "", "k"]),
+        effect=st.sampled_from(j.EFFECTS),
+    )
     def take_on(self, size, key, effect):
         self.number += 1
         name, body = f"m{self.number}", os.urandom(size)
@@ -165,6 +190,7 @@
 
     def full(file, data):
         raise OSError(28, "No space left on device")
+
     monkeypatch.setattr(os, "write", half)
     assert not book.take_on(owed("b")) and not book.pass_begun(["a"], 1, "a") and list(book.owed) == ["a"]
     assert (tmp_path / "journal").read_bytes() == whole
@@ -175,7 +201,7 @@
     book, most = j.Journal(tmp_path, 100_000), 100_000
     taken = [f"m{n}" for n in range(100) if book.take_on(owed(f"m{n}", b"x" * 50))]
     begun = [name for name in taken for _ in range(3) if book.pass_begun([name], 1, "z" * 250)]
-    assert taken and begun and len(begun) < 3 * len(taken)      # what would not fit does not begin
+    assert taken and begun and len(begun) < 3 * len(taken)  # what would not fit does not begin
     for name in begun:
         book.outcome(name, True)
         book.pass_begun([name], 2, "y" * 250)
@@ -201,9 +227,17 @@
         paces.save(tmp_path, room, many * 5, 10**15)
         assert (tmp_path / "paces").stat().st_size <= room // 2
         kept = paces.load(tmp_path, room, 10**15)
-        assert len(kept) > disk // 1200 and kept[0] == many[-1]      # those with the largest part
-    for torn in (b"", b"x\n", b"1000000000000000\n[7, \"\", NaN, 1]\n", b"1000000000000000\n[7]\n", b"\xff",
-                 b"1000000000000000\n{}\n", b"1000000000000000\n[7, \"\"", b"1000000000000000\n" + b"[" * 9000):
+        assert len(kept) > disk // 1200 and kept[0] == many[-1]  # those with the largest part
+    for torn in (
+        b"",
+        b"x\n",
+        b'1000000000000000\n[7, "", NaN, 1]\n',
+        b"1000000000000000\n[7]\n",
+        b"\xff",
+        b"1000000000000000\n{}\n",
+        b'1000000000000000\n[7, ""',
+        b"1000000000000000\n" + b"[" * 9000,
+    ):
         (tmp_path / "paces").write_bytes(torn)
         assert paces.load(tmp_path, room, 10**15) == []
     assert "paces: cannot be read" in caplog.text
@@ -220,8 +254,11 @@
     data = (tmp_path / "journal").read_bytes()
     book.close()
     names = b"m0", b"m1", b"\1\0n"
-    flags = [data[data.index(name) - 2 * (name[0] != 1) - 12 - 2] for name in names]   # a span, a time, a length
+    flags = [data[data.index(name) - 2 * (name[0] != 1) - 12 - 2] for name in names]  # a span, a time, a length
     assert flags[:2] == [0, 1] and flags[2] & ~1
     again = j.Journal(str(tmp_path), MOST)
-    assert [(one.out, one.effect) for one in again.owed.values()] == [(False, None), (True, None),
-                                                                      (False, Effect.UNSAFE)]
+    assert [(one.out, one.effect) for one in again.owed.values()] == [
+        (False, None),
+        (True, None),
+        (False, Effect.UNSAFE),
+    ]
--- a/tests/test_keeping.py
+++ b/tests/test_keeping.py
@@ -1,4 +1,5 @@
 """How long idle connections are kept at endpoints that take few."""
+
 from scalefall.net.keeping import Keeping
 
 S = 1_000_000
@@ -20,7 +21,7 @@
         spans.append(keeping.span("e", 8 * S))
     assert spans == sorted(spans) and 5 < len(spans) < 20
     keeping.taken("e")
-    assert keeping.span("e", 8 * S) == 4 * S        # and never beyond its part
+    assert keeping.span("e", 8 * S) == 4 * S  # and never beyond its part
 
 
 def test_what_was_learnt_of_an_endpoint_goes_with_it():
@@ -40,4 +41,4 @@
     assert keeping.span("rare", 10 * S) == 0 and keeping.span("busy", 10 * S) == S // 4
     for n in range(10):
         keeping.begun("rare", 3 * S + n * S // 20)
-    assert keeping.span("rare", 10 * S) == S // 4       # and kept again once its calls are many
+    assert keeping.span("rare", 10 * S) == S // 4  # and kept again once its calls are many
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,4 +1,5 @@
 """What the operator's file sets and the module keeps: a limit, calls at once, attempts by destination."""
+
 import pytest
 from helpers import MS, Drive, S
 
@@ -84,7 +85,7 @@
         while d.now < 7 * S and not d.of(i.Send) and not d.of(i.Refuse):
             d.tick(50 * MS)
     assert d.attempts["m"] == 1 and [refused.id for refused in d.of(i.Refuse)] == ["m"]
-    assert d.now < 7 * S        # at once, and not when its time is up
+    assert d.now < 7 * S  # at once, and not when its time is up
 
 
 def told_calls(senders, left, kind="one"):
@@ -98,8 +99,13 @@
     for _ in range(400):
         sent = [send.id for send in d.of(i.Send)]
         calls += bool(sent)
-        d.turn(*(i.Attempted(name, d.attempts[name], "e", i.Outcome.OK, 1, True, 0, {"x0": left, "x1": float(senders)})
-                 for name in told), after=50 * MS)
+        d.turn(
+            *(
+                i.Attempted(name, d.attempts[name], "e", i.Outcome.OK, 1, True, 0, {"x0": left, "x1": float(senders)})
+                for name in told
+            ),
+            after=50 * MS,
+        )
         told = sent
     return calls
 
--- a/tests/test_lmac.py
+++ b/tests/test_lmac.py
@@ -1,4 +1,5 @@
 """LMAC with figures worked out by hand."""
+
 import pytest
 from helpers import MS, Drive, S, message_class
 
@@ -28,12 +29,12 @@
 
 
 def test_request_envelope_rate_and_variance():
-    e = filled([4, 0] * 20)                     # 80 in 10 s: 2 a step in the mean
+    e = filled([4, 0] * 20)  # 80 in 10 s: 2 a step in the mean
     assert e.total == 80
-    assert e.sigma[0] == pytest.approx((40 * 4 / 38) ** 0.5)    # each step is 2 off; divisor 40/1 - 2
-    assert e.sigma[1] == 0                      # pairs of steps all hold 4
-    assert e.bound(0, 0) == 6                   # 2 + 1.645 * 2.052 = 5.4
-    assert e.bound(1, 40) == 6                  # (80 + 40) * 2 / 40
+    assert e.sigma[0] == pytest.approx((40 * 4 / 38) ** 0.5)  # each step is 2 off; divisor 40/1 - 2
+    assert e.sigma[1] == 0  # pairs of steps all hold 4
+    assert e.bound(0, 0) == 6  # 2 + 1.645 * 2.052 = 5.4
+    assert e.bound(1, 40) == 6  # (80 + 40) * 2 / 40
 
 
 def test_request_envelope_forgets_what_left_the_window():
@@ -49,8 +50,8 @@
 def test_service_envelope_counts_overlapping_calls():
     e = served([(0, 100 * MS), (50 * MS, 170 * MS)])
     assert e.sums[1][0] == 2 * FREE_COMPLETIONS and e.sums[2][0] == FREE_COMPLETIONS
-    assert e.sums[1][1] / e.sums[1][0] == pytest.approx(0.11)   # (100 + 120) / 2 ms
-    assert e.sums[2][1] / e.sums[2][0] == pytest.approx(0.17)   # first start to second end
+    assert e.sums[1][1] / e.sums[1][0] == pytest.approx(0.11)  # (100 + 120) / 2 ms
+    assert e.sums[2][1] / e.sums[2][0] == pytest.approx(0.17)  # first start to second end
     assert e.delay(2) == pytest.approx(170 * MS)
 
 
@@ -66,22 +67,22 @@
 
 def test_service_variance_enters_at_the_quantile():
     e = served([(0, 100 * MS)], [(500 * MS, 800 * MS)], repeat=1)
-    assert e.delay(1) == pytest.approx(200 * MS + 1.645 * (2 * 0.1 ** 2) ** 0.5 * S)
+    assert e.delay(1) == pytest.approx(200 * MS + 1.645 * (2 * 0.1**2) ** 0.5 * S)
 
 
 def test_own_test_passes_up_to_target_and_no_further():
     e = served([(0, 100 * MS)])
-    e.sigma, e.total = [0.0] * len(TAUS), 79     # with one more 8/s: 2, 4, 10 and 20 messages
-    assert e.passes(0, 1.0)                      # 200 <= 250, 400 <= 500, 1000 <= 1250, 2000 <= 2500 ms
-    e.total = 119                                # 12/s: 3 in 250 ms take 300 ms
+    e.sigma, e.total = [0.0] * len(TAUS), 79  # with one more 8/s: 2, 4, 10 and 20 messages
+    assert e.passes(0, 1.0)  # 200 <= 250, 400 <= 500, 1000 <= 1250, 2000 <= 2500 ms
+    e.total = 119  # 12/s: 3 in 250 ms take 300 ms
     assert not e.passes(0, 1.0) and not e.passes(490 * MS, 1.0) and e.passes(510 * MS, 1.0)
 
 
 def test_other_classes_are_tested_with_their_service_cut():
     e = served([(0, 100 * MS)])
-    e.sigma, e.total = [0.0] * len(TAUS), 80     # 8/s passes with room of 50 ms at the least tau
+    e.sigma, e.total = [0.0] * len(TAUS), 80  # 8/s passes with room of 50 ms at the least tau
     assert e.passes(0, 0, 0)
-    assert not e.passes(0, 1.0, 10 * S)          # (0.25 + 10) / 10 more: two calls, 400 ms > 250 ms
+    assert not e.passes(0, 1.0, 10 * S)  # (0.25 + 10) / 10 more: two calls, 400 ms > 250 ms
 
 
 def slow_calls(e, count, start=0):
@@ -127,7 +128,7 @@
         d.result(f"m{n}", "e", after=1500 * MS)
     envelope = d.sender.destinations[1].routes[""].envelopes["safe"]
     envelope.roll(d.now)
-    envelope.bins[-1] += 100                    # a load that the figures cannot carry
+    envelope.bins[-1] += 100  # a load that the figures cannot carry
     envelope.total += 100
     assert d.arrive("late") == [] and "late" in d.sender.destinations[1].waiting
     envelope.bins, envelope.total = [0] * 40, 0
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -1,4 +1,5 @@
 """The operators' address: maintenance of endpoints, the drain, and callers that keep it busy."""
+
 import select
 import socket
 
@@ -47,7 +48,7 @@
         firm.taken("b")
         firm.world.sleep(2 * S)
         assert firm.endpoint.accepted == 0
-        assert call(firm, "PUT", "/endpoints/e/ready") == 200      # one call back undoes both
+        assert call(firm, "PUT", "/endpoints/e/ready") == 200  # one call back undoes both
         names = set()
         while names != {"a", "b"}:
             sock, request = firm.call()
@@ -58,6 +59,7 @@
         firm.watched()
         assert not firm.host._duty.out
         firm.world.until(lambda: "e" not in firm.host._farm.left_at)
+
     play(firm, steps)
 
 
@@ -88,12 +90,12 @@
             serve(other)
         assert call(firm, "PUT", "/endpoints/e/ready") == 200
         began = firm.world.now()
-        if neighbour:       # it serves on, and takes nearly all
+        if neighbour:  # it serves on, and takes nearly all
             firm.taken(*(f"m{n}" for n in range(8)))
             for _ in range(6):
                 serve(other)
             assert firm.world.now() - began < 3 * S and accepted(firm.endpoint) <= 2
-        else:               # one first, and then more
+        else:  # one first, and then more
             firm.world.sleep(300 * MS)
             early = accepted(firm.endpoint)
             assert early <= 1
@@ -101,6 +103,7 @@
                 sock.send(http.answer(200, [], keep=False))
             for _ in range(2):
                 serve(firm.endpoint)
+
     play(firm, steps)
 
 
@@ -121,6 +124,7 @@
         assert call(firm, "PUT", "/endpoints/e/ready") == 200
         assert "e" in firm.host._farm.left_at and not firm.host._farm.names("e")
         assert call(firm, "PUT", "/endpoints/e/maint") == 404
+
     play(firm, steps)
 
 
@@ -130,27 +134,49 @@
         assert call(firm, "PUT", "/endpoints/e/maint") == 507
         firm.taken("a")
         assert firm.call()[1].fields["x-request-id"] == "a"
+
     play(firm, steps)
 
 
-@pytest.mark.parametrize("method, path, status", [
-    ("GET", "/healthcheck", 200), ("PUT", "/healthcheck", 405), ("PUT", "/endpoints/x/maint", 404),
-    ("PUT", "/endpoints/x/ready", 404), ("GET", "/endpoints/e/maint", 405), ("PUT", "/endpoints/e/off", 404),
-    ("PUT", "/endpoints//maint", 404), ("PUT", "/endpoints/e/maint/", 404), ("GET", "/healthcheck/fail", 405),
-    ("PUT", "/healthcheck/ok", 200), ("PUT", "/healthcheck/other", 404), ("PUT", "/", 404), ("DELETE", "*", 404)])
+@pytest.mark.parametrize(
+    "method, path, status",
+    [
+        ("GET", "/healthcheck", 200),
+        ("PUT", "/healthcheck", 405),
+        ("PUT", "/endpoints/x/maint", 404),
+        ("PUT", "/endpoints/x/ready", 404),
+        ("GET", "/endpoints/e/maint", 405),
+        ("PUT", "/endpoints/e/off", 404),
+        ("PUT", "/endpoints//maint", 404),
+        ("PUT", "/endpoints/e/maint/", 404),
+        ("GET", "/healthcheck/fail", 405),
+        ("PUT", "/healthcheck/ok", 200),
+        ("PUT", "/healthcheck/other", 404),
+        ("PUT", "/", 404),
+        ("DELETE", "*", 404),
+    ],
+)
 def test_a_call_gets_the_status_that_it_deserves(firm, method, path, status):
     def steps():
         assert call(firm, method, path) == status
         assert firm.host._duty.out == set()
         firm.taken("a")
+
     play(firm, steps)
 
 
-@pytest.mark.parametrize("data, status", [(b"junk\r\n\r\n", 400), (b"PUT /endpoints/" + b"e" * 20_000, 431),
-                                          (b"PUT / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413)])
+@pytest.mark.parametrize(
+    "data, status",
+    [
+        (b"junk\r\n\r\n", 400),
+        (b"PUT /endpoints/" + b"e" * 20_000, 431),
+        (b"PUT / HTTP/1.1\r\nContent-Length: 99999\r\n\r\n", 413),
+    ],
+)
 def test_what_cannot_be_read_is_an_error(firm, data, status):
     def steps():
         assert read(firm.world, send(firm, data), http.AnswerReader()).status == status
+
     play(firm, steps)
 
 
@@ -162,12 +188,13 @@
             sock.send(http.request("GET", "/healthz", "s", []))
             answer = read(firm.world, sock, http.AnswerReader())
             return answer.status, answer.keep
+
         idle = firm.hand_in("a")
         assert firm.answer(idle).status == 202
         began = firm.world.now()
         assert call(firm, "PUT", "/healthcheck/fail") == call(firm, "PUT", "/healthcheck/fail") == 200
         assert closed(firm.world, idle) and health() == (503, False) and call(firm, "GET", "/healthcheck") == 503
-        late = firm.hand_in("b")        # the front has not looked yet: it is served, and its connection ends
+        late = firm.hand_in("b")  # the front has not looked yet: it is served, and its connection ends
         answer = firm.answer(late)
         assert (answer.status, answer.keep) == (202, False) and closed(firm.world, late)
         silent = socket.create_connection(firm.host.address)
@@ -175,6 +202,7 @@
         assert closed(firm.world, silent) and firm.world.now() - began < 4 * S
         assert call(firm, "PUT", "/healthcheck/ok") == 200
         assert health() == (200, True) and call(firm, "GET", "/healthcheck") == 200
+
     play(firm, steps)
 
 
@@ -188,6 +216,7 @@
         assert not firm.host._operators._callers
         for sock in idle:
             sock.close()
+
     play(firm, steps)
 
 
@@ -205,6 +234,6 @@
     assert duty.call("PUT", "/endpoints/a%20b/maint", True, lambda name: name == "a b") == (200, "out a b")
     assert duty.out == set()
     duty.done("out a b")
-    assert duty.call("PUT", "/endpoints/a%20b/ready", True, lambda name: False) == (200, "back a b")     # gone
+    assert duty.call("PUT", "/endpoints/a%20b/ready", True, lambda name: False) == (200, "back a b")  # gone
     duty.done("back a b")
     assert duty.out == set() and duty.call("GET", "/healthcheck", False, bool) == (503, "")
--- a/tests/test_passes.py
+++ b/tests/test_passes.py
@@ -1,4 +1,5 @@
 """Proxy passes against an endpoint that the test plays: the table of outcomes, and a model of connections' states."""
+
 import dataclasses
 import json
 import socket
@@ -38,9 +39,16 @@
 
 LOAD = ("X-Load", '{"x0":0.4,"x1":25}')
 TABLE = [
-    (200, [], O.OK, 0, True), (500, [], O.ERROR, 0, False), (429, [("Retry-After", "1.25")], O.FULL, 1_250_000, False),
-    (503, [], O.FULL, 0, False), (503, [("X-Egress-Full", "1")], O.NOT_SENT, 0, False), (504, [], O.NOT_SENT, 0, False),
-    (410, [], O.NOT_SENT, 0, True), (302, [], O.ERROR, 0, False), (429, [("Retry-After", "soon")], O.FULL, 0, False)]
+    (200, [], O.OK, 0, True),
+    (500, [], O.ERROR, 0, False),
+    (429, [("Retry-After", "1.25")], O.FULL, 1_250_000, False),
+    (503, [], O.FULL, 0, False),
+    (503, [("X-Egress-Full", "1")], O.NOT_SENT, 0, False),
+    (504, [], O.NOT_SENT, 0, False),
+    (410, [], O.NOT_SENT, 0, True),
+    (302, [], O.ERROR, 0, False),
+    (429, [("Retry-After", "soon")], O.FULL, 0, False),
+]
 
 
 @pytest.mark.parametrize("status, fields, outcome, wait, finished", TABLE)
@@ -54,6 +62,7 @@
         event = calls.outcome("m")
         assert (event.outcome, event.wait_us, event.finished) == (outcome, wait, finished)
         assert event.report == {"x0": 0.4, "x1": 25} and event.endpoint == "e" and calls.passes.out == 0
+
     world.play(play)
 
 
@@ -66,23 +75,44 @@
         body = json.dumps([{"id": name, "state": state} for name, state in zip("abcde", states)]).encode()
         sock.send(http.answer(200, [("Retry-After", "0.5")], body))
         assert [(calls.outcome(n).outcome, calls.outcome(n).finished, calls.outcome(n).wait_us) for n in "abcdef"] == [
-            (O.OK, True, 500_000), (O.ERROR, False, 500_000), (O.FULL, False, 500_000), (O.NOT_SENT, True, 500_000),
-            (O.NOT_SENT, False, 500_000), (O.ERROR, False, 500_000)]
+            (O.OK, True, 500_000),
+            (O.ERROR, False, 500_000),
+            (O.FULL, False, 500_000),
+            (O.NOT_SENT, True, 500_000),
+            (O.NOT_SENT, False, 500_000),
+            (O.ERROR, False, 500_000),
+        ]
+
     world.play(play)
 
 
-@pytest.mark.parametrize("status, body, outcome", [(429, b"", O.FULL), (500, b"", O.ERROR), (413, b"", O.NOT_SENT),
-                                                   (200, b"[7]", O.ERROR), (200, b"{broken", O.ERROR)])
+@pytest.mark.parametrize(
+    "status, body, outcome",
+    [
+        (429, b"", O.FULL),
+        (500, b"", O.ERROR),
+        (413, b"", O.NOT_SENT),
+        (200, b"[7]", O.ERROR),
+        (200, b"{broken", O.ERROR),
+    ],
+)
 def test_a_batch_may_fare_alike_and_an_unusable_answer_may_have_run(world, status, body, outcome):
     def play():
         calls, _, sock, _ = begun(world, "a", "b")
         sock.send(http.answer(status, [], body))
         assert [calls.outcome(name).outcome for name in "ab"] == [outcome] * 2
+
     world.play(play)
 
 
-BREAKS = [(b"", O.RESET), (b"HTTP/1.", O.RESET), (b"junk\r\n", O.ERROR), (b"HTTP/1.1 200 OK\r\n", O.OK),
-          (b"HTTP/1.1 503 x\r\n", O.FULL), (b"HTTP/1.1 100 Continue\r\n\r\n", O.RESET)]
+BREAKS = [
+    (b"", O.RESET),
+    (b"HTTP/1.", O.RESET),
+    (b"junk\r\n", O.ERROR),
+    (b"HTTP/1.1 200 OK\r\n", O.OK),
+    (b"HTTP/1.1 503 x\r\n", O.FULL),
+    (b"HTTP/1.1 100 Continue\r\n\r\n", O.RESET),
+]
 
 
 @pytest.mark.parametrize("end", [reset, socket.socket.close])
@@ -94,25 +124,37 @@
         world.sleep(MS)
         end(sock)
         assert calls.outcome("m").outcome is outcome
+
     world.play(play)
 
 
 GOOD = b"HTTP/1.1 200 OK\r\n"
-SPOILT = [(b"\x00\xff\x13 noise with no end of a line", O.ERROR), (b"HTTP/1.7 200 OK\r\n\r\n", O.ERROR),
-          (b"HTTP/1.1 two hundred\r\n\r\n", O.ERROR), (b"HTTP/1.1 101 Go\r\n\r\n", O.ERROR),
-          (b"HTTP/1.1 100 On\r\n\r\n" * 100, O.ERROR), (b"HTTP/1.1 503 No\r\nX: y\r\n", O.ERROR),
-          (b"HTTP/1.1 429 No\r\nRetry-After: 9\r\nContent-Length: 70\r\n\r\nx", O.ERROR),
-          (b"HTTP/1.1 503 No\r\nContent-Length: -4\r\n\r\n", O.ERROR),
-          (GOOD + b"X: y\r\n", O.OK), (GOOD + b"no field\r\n\r\n", O.OK), (GOOD + b"X: " + b"y" * 40_000, O.OK),
-          (GOOD + b"Content-Length: 9\r\n\r\nx", O.OK), (GOOD + b"Content-Length: 3221225472\r\n\r\nxx", O.OK),
-          (GOOD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", O.OK), (GOOD + b"Content-Length: 1, 2\r\n\r\n", O.OK),
-          (GOOD + b"\r\n", O.OK), (GOOD + b"Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n", O.OK)]
+SPOILT = [
+    (b"\x00\xff\x13 noise with no end of a line", O.ERROR),
+    (b"HTTP/1.7 200 OK\r\n\r\n", O.ERROR),
+    (b"HTTP/1.1 two hundred\r\n\r\n", O.ERROR),
+    (b"HTTP/1.1 101 Go\r\n\r\n", O.ERROR),
+    (b"HTTP/1.1 100 On\r\n\r\n" * 100, O.ERROR),
+    (b"HTTP/1.1 503 No\r\nX: y\r\n", O.ERROR),
+    (b"HTTP/1.1 429 No\r\nRetry-After: 9\r\nContent-Length: 70\r\n\r\nx", O.ERROR),
+    (b"HTTP/1.1 503 No\r\nContent-Length: -4\r\n\r\n", O.ERROR),
+    (GOOD + b"X: y\r\n", O.OK),
+    (GOOD + b"no field\r\n\r\n", O.OK),
+    (GOOD + b"X: " + b"y" * 40_000, O.OK),
+    (GOOD + b"Content-Length: 9\r\n\r\nx", O.OK),
+    (GOOD + b"Content-Length: 3221225472\r\n\r\nxx", O.OK),
+    (GOOD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", O.OK),
+    (GOOD + b"Content-Length: 1, 2\r\n\r\n", O.OK),
+    (GOOD + b"\r\n", O.OK),
+    (GOOD + b"Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n", O.OK),
+]
 
 
 @pytest.mark.parametrize("sent, outcome", SPOILT)
 def test_a_spoilt_answer_ends_its_call_soon_and_its_connection_with_it(world, sent, outcome):
     """A first line of 200 is true, and the message over: it stayed in the journal for good. Whatever else it says, the
     call may have run. Calls waited up to their whole time for the rest, and held a slot."""
+
     def play():
         calls, _, sock, _ = begun(world, "m", span=30 * S)
         began = world.now()
@@ -120,16 +162,25 @@
         event = calls.outcome("m")
         assert (event.outcome, event.finished, event.wait_us) == (outcome, outcome is O.OK, 0)
         assert world.now() - began < 2 * S and closed(world, sock) and not calls.passes._idle
+
     world.play(play)
 
 
-@pytest.mark.parametrize("sent", [http.answer(200, [], b"[" * 20_000), http.answer(200, [], b"{"), GOOD + b"\r\n[",
-                                  http.answer(200, [], b'[{"id":"a","state":["accepted"]}]')])
+@pytest.mark.parametrize(
+    "sent",
+    [
+        http.answer(200, [], b"[" * 20_000),
+        http.answer(200, [], b"{"),
+        GOOD + b"\r\n[",
+        http.answer(200, [], b'[{"id":"a","state":["accepted"]}]'),
+    ],
+)
 def test_a_spoilt_answer_to_several_messages_may_have_run_for_all(world, sent):
     def play():
         calls, _, sock, _ = begun(world, "a", "b", span=30 * S)
         sock.send(sent)
         assert [calls.outcome(name).outcome for name in "ab"] == [O.ERROR] * 2 and closed(world, sock)
+
     world.play(play)
 
 
@@ -149,17 +200,31 @@
         peer.read(other)
         other.send(http.answer(500, []))
         assert calls.outcome("n").outcome is O.ERROR and closed(world, sock)
+
     world.play(play)
 
 
-@pytest.mark.parametrize("report", ["{", "[]", '{"x1":NaN}', '{"x1":-1}', '{"x0":Infinity}', '{"x1":"lots"}',
-                                    '{"x1":1%s}' % ("0" * 400), "[" * 15_000, "\xff"])
+@pytest.mark.parametrize(
+    "report",
+    [
+        "{",
+        "[]",
+        '{"x1":NaN}',
+        '{"x1":-1}',
+        '{"x0":Infinity}',
+        '{"x1":"lots"}',
+        '{"x1":1%s}' % ("0" * 400),
+        "[" * 15_000,
+        "\xff",
+    ],
+)
 def test_a_report_that_cannot_be_read_is_ignored_and_its_answer_counts(world, report):
     def play():
         calls, _, sock, _ = begun(world, "m")
         sock.send(http.answer(200, [("X-Load", report)]))
         event = calls.outcome("m")
         assert (event.outcome, event.finished, event.report) == (O.OK, True, {})
+
     world.play(play)
 
 
@@ -167,7 +232,7 @@
     def play():
         peer = Peer(world)
         calls = Calls(world, settings(dial_timeout_us=S), peer.address)
-        full = [socket.socket() for _ in range(80)]     # the listener's queue is full: the dial goes unanswered
+        full = [socket.socket() for _ in range(80)]  # the listener's queue is full: the dial goes unanswered
         for sock in full:
             sock.setblocking(False)
             sock.connect_ex(peer.address)
@@ -179,11 +244,13 @@
         assert calls.outcome("n").outcome is O.CONNECT_FAILED
         for sock in full:
             sock.close()
+
     world.play(play)
 
 
 def test_a_call_that_was_not_all_written_never_ran_however_it_ends(world):
     """Connect failure against reset turns on the last byte: an endpoint that stops reading has not got it."""
+
     def play():
         peer = Peer(world)
         calls = Calls(world, settings(), peer.address)
@@ -198,12 +265,14 @@
             elif name == "cancelled":
                 calls.passes.cancel(name, 0)
             assert calls.outcome(name).outcome is O.CONNECT_FAILED
+
     world.play(play)
 
 
 @pytest.mark.parametrize("ends", ["a repeat's time", "the time of one"])
 def test_a_call_that_is_overtaken_in_its_middle_is_not_completed(world, ends):
     """The endpoint takes its last byte late: by then a repeat would run again, or a message has its final answer."""
+
     def play():
         peer = Peer(world)
         calls = Calls(world, settings(), peer.address)
@@ -218,6 +287,7 @@
             reader.feed(data)
         assert not reader.complete
         assert calls.outcome("early").outcome is calls.outcome("long").outcome is O.CONNECT_FAILED
+
     world.play(play)
 
 
@@ -225,15 +295,17 @@
 def test_what_an_endpoint_does_to_an_idle_connection_just_before_a_call_costs_that_call_alone(world, comes, outcome):
     """Half a line, or its end, between the last look at the connection and the first byte: the call may have run, and
     the connection is of no further use."""
+
     def play():
         calls, peer, sock, _ = begun(world, "first")
         sock.send(http.answer(200, []))
         assert calls.outcome("first").outcome is O.OK
         world.sleep(20 * MS)
 
-        def may_begin(_):       # asked between the two
+        def may_begin(_):  # asked between the two
             sock.send(comes) if comes else sock.close()
             return True
+
         calls.passes._may_begin = may_begin
         calls.begin("second")
         if comes:
@@ -242,8 +314,9 @@
         assert calls.outcome("second").outcome is outcome
         calls.passes._may_begin = lambda _: True
         calls.begin("third")
-        sock = peer.accept()    # on a connection of its own
+        sock = peer.accept()  # on a connection of its own
         assert peer.read(sock).fields["x-request-id"] == "third"
+
     world.play(play)
 
 
@@ -259,14 +332,16 @@
         assert calls.outcome("m").outcome is (O.OK if first == "its answer" else O.CANCELLED)
         world.sleep(S)
         assert len(calls.told) == 1
-        calls.begin("n")        # and no connection on which the answer of another lies
+        calls.begin("n")  # and no connection on which the answer of another lies
         sock = peer.accept() if first == "the cancel" else sock
         assert peer.read(sock).fields["x-request-id"] == "n"
+
     world.play(play)
 
 
 def test_a_batch_stays_whole_until_its_last_message_stops_waiting(world):
     """On an open connection a message counts as out: told as ended before, it could be sent a second time."""
+
     def play():
         peer = Peer(world)
         calls = Calls(world, settings(), peer.address)
@@ -277,11 +352,13 @@
         calls.passes.cancel("short", 0)
         assert calls.told == []
         assert calls.outcome("long").outcome is calls.outcome("short").outcome is O.TIMEOUT and closed(world, sock)
+
     world.play(play)
 
 
 def test_what_may_not_begin_any_more_is_not_sent_and_its_connection_is_kept(world):
     """A dial may end after the endpoint was told to drain, or this sender to wait."""
+
     def play():
         peer = Peer(world)
         calls = Calls(world, settings(), peer.address)
@@ -293,16 +370,19 @@
         world.sleep(20 * MS)
         calls.begin("n")
         assert peer.read(sock).fields["x-request-id"] == "n" and peer.accepted == 1
+
     world.play(play)
 
 
 def test_what_might_take_effect_twice_by_now_is_left_out_of_a_call(world):
     """A call whose dial took past the end of a key's window went out all the same: sent again outside its window."""
+
     def play():
         peer = Peer(world)
         calls = Calls(world, settings(), peer.address)
-        calls.passes.begin(calls.entry, [calls.load("late", begin_by=world.now() - 1),
-                                         calls.load("fine", begin_by=world.now() + S)])
+        calls.passes.begin(
+            calls.entry, [calls.load("late", begin_by=world.now() - 1), calls.load("fine", begin_by=world.now() + S)]
+        )
         sock = peer.accept()
         assert peer.read(sock).fields["x-request-id"] == "fine"
         assert calls.outcome("late").outcome is O.NOT_SENT
@@ -310,28 +390,37 @@
         assert calls.outcome("fine").outcome is O.OK
         calls.passes.begin(calls.entry, [calls.load("alone", begin_by=world.now() - 1)])
         assert calls.outcome("alone").outcome is O.NOT_SENT
+
     world.play(play)
 
 
 def test_what_is_over_by_the_time_its_connection_is_up_is_left_out_of_a_call(world):
     """A call with several messages waits for the one with most time: one whose time had run out meanwhile, and which
     had its final answer, was sent with the others. Seen on a day on which connections come up late."""
+
     def play():
         peer = Peer(world)
         calls = Calls(world, settings(), peer.address)
         calls.passes._wanted = lambda name: name != "withdrawn"
         calls.passes.begin(calls.entry, [calls.load("over", span=10 * MS), calls.load("withdrawn"), calls.load("fine")])
-        world.clock += 20 * MS      # the connection comes up late
+        world.clock += 20 * MS  # the connection comes up late
         sock = peer.accept()
         assert peer.read(sock).fields["x-request-id"] == "fine"
         assert calls.outcome("over").outcome is calls.outcome("withdrawn").outcome is O.NOT_SENT
         sock.send(http.answer(200, []))
         assert calls.outcome("fine").outcome is O.OK
+
     world.play(play)
 
 
-CROWDED = [([], 503, True, O.CROWDED), ([LOAD], 503, True, O.FULL), ([], 429, True, O.FULL), ([], 503, False, O.FULL),
-           ([("Retry-After", "1.25")], 503, True, O.FULL), ([("X-Egress-Full", "1")], 503, True, O.NOT_SENT)]
+CROWDED = [
+    ([], 503, True, O.CROWDED),
+    ([LOAD], 503, True, O.FULL),
+    ([], 429, True, O.FULL),
+    ([], 503, False, O.FULL),
+    ([("Retry-After", "1.25")], 503, True, O.FULL),
+    ([("X-Egress-Full", "1")], 503, True, O.NOT_SENT),
+]
 
 
 @pytest.mark.parametrize("fields, status, reports, outcome", CROWDED)
@@ -340,7 +429,7 @@
         calls, peer, sock, _ = begun(world, "m", told={"answers_report": reports})
         sock.send(http.answer(status, fields, b""))
         assert calls.outcome("m").outcome is outcome
-        if outcome is O.CROWDED:    # on a connection that was let in before it is the call that is refused
+        if outcome is O.CROWDED:  # on a connection that was let in before it is the call that is refused
             calls.begin("n")
             world.sleep(50 * MS)
             sock = peer.accept()
@@ -352,6 +441,7 @@
             peer.read(sock)
             sock.send(http.answer(503, [], b""))
             assert calls.outcome("o").outcome is O.FULL
+
     world.play(play)
 
 
@@ -364,6 +454,7 @@
         answered = world.now()
         assert closed(world, sock)
         assert span * 0.8 <= world.now() - answered <= span + 40 * MS
+
     world.play(play)
 
 
@@ -379,11 +470,13 @@
             socks[n].send(http.answer(200, []))
             calls.outcome(str(n))
         assert closed(world, socks[0]) and len(calls.passes._idle) == 2
+
     world.play(play)
 
 
 def test_a_new_endpoint_at_a_known_address_is_not_the_old_one(world):
     """Connections were kept by address: news of an endpoint that had gone closed those of the one in its place."""
+
     def play():
         calls, peer, sock, _ = begun(world, "m")
         sock.send(http.answer(200, []))
@@ -400,12 +493,14 @@
         world.sleep(20 * MS)
         calls.begin("o")
         assert peer.read(new).fields["x-request-id"] == "o" and peer.accepted == 2
-        assert calls.passes._pools == {}        # nothing is kept for an endpoint with no idle connection
+        assert calls.passes._pools == {}  # nothing is kept for an endpoint with no idle connection
+
     world.play(play)
 
 
 def test_what_must_not_run_twice_avoids_idle_connections_while_these_die_unseen(world):
     """A fifth of the connections kept for 0.1 s were reset at the next request; a fee on one of them had failed."""
+
     def play():
         peer = Peer(world)
         calls, number = Calls(world, settings(idle_close_us=60 * S), peer.address), 0
@@ -421,22 +516,24 @@
             assert calls.outcome(f"m{number}").outcome is (O.RESET if end else O.OK)
             world.sleep(20 * MS)
             return sock
+
         sock = call()
         world.sleep(S)
-        call(sock, once=True)           # no reason for doubt yet
+        call(sock, once=True)  # no reason for doubt yet
         for _ in range(2):
             world.sleep(S)
             call(sock, end=reset)
             sock = call()
-        assert call(sock, once=True) is sock    # used a moment ago
+        assert call(sock, once=True) is sock  # used a moment ago
         world.sleep(S)
         other = call(once=True)
-        call(other)                     # the one used last
+        call(other)  # the one used last
         world.sleep(S)
-        for _ in range(40):             # the others use it on, and find it alive
+        for _ in range(40):  # the others use it on, and find it alive
             call(other)
             world.sleep(S)
         assert call(other, once=True) is other
+
     world.play(play)
 
 
@@ -463,6 +560,7 @@
                 self.world.sleep(MS)
                 end(sock)
             assert self.calls.outcome(name).outcome is outcome
+
         self.step(play)
         return sock
 
@@ -473,12 +571,13 @@
             name = f"m{self.number}"
             self.calls.begin(name, *(f"{name}-{n}" for n in range(1, names)), span=60 * S)
             if self.idle:
-                sock = self.idle.pop()      # the one used last
+                sock = self.idle.pop()  # the one used last
             else:
                 sock, self.known = self.peer.accept(), self.known + 1
             body = self.peer.read(sock)
             assert name in (body.fields.get("x-request-id") or bytes(body.body).decode())
             self.out[name] = sock
+
         self.step(play)
 
     @precondition(lambda self: self.out)
@@ -508,7 +607,7 @@
         for load in list(one.loads):
             self.calls.passes.cancel(load.id, 0)
         sock = self.end(b"", name, O.CANCELLED)
-        self.calls.passes.cancel(name, 0)   # again, when it is over: nothing
+        self.calls.passes.cancel(name, 0)  # again, when it is over: nothing
         self.step(lambda: closed(self.world, sock) or self.fail())
 
     @precondition(lambda self: self.idle)
@@ -520,6 +619,7 @@
         def play():
             sock.send(said) if said else sock.close()
             self.world.sleep(MS)
+
         self.step(play)
 
     @rule()
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -1,4 +1,5 @@
 """The program as a user starts it, spoken to over sockets, with the toy server of example/ as the other side."""
+
 import http.client
 import json
 import os
@@ -18,15 +19,21 @@
 
 ROOT = pathlib.Path(__file__).parent.parent
 EXAMPLE = json.loads((ROOT / "example" / "config.json").read_text())
-LONG = 60       # seconds after which a test gives up; nothing is timed
+LONG = 60  # seconds after which a test gives up; nothing is timed
 
 
 class Process:
     """A child whose lines are waited for."""
 
     def __init__(self, *command, **environ):
-        self.child = subprocess.Popen([sys.executable, *command], cwd=ROOT, env=os.environ | environ, text=True,
-                                      stdout=subprocess.PIPE, stderr=subprocess.STDOUT)
+        self.child = subprocess.Popen(
+            [sys.executable, *command],
+            cwd=ROOT,
+            env=os.environ | environ,
+            text=True,
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+        )
         self.lines, self.seen = queue.Queue(), []
         threading.Thread(target=self._read, daemon=True).start()
 
@@ -41,7 +48,7 @@
             if part in line:
                 self.seen.remove(line)
                 return line
-        until = time.monotonic() + LONG     # other lines may go on coming
+        until = time.monotonic() + LONG  # other lines may go on coming
         while True:
             line = self.lines.get(timeout=max(0, until - time.monotonic()))
             assert line is not None, f"ended without {part!r}: {self.seen}"
@@ -70,12 +77,21 @@
     started = []
 
     def start(*flags):
-        started.append(Process(*flags, "-m", "scalefall", RELAY_CONFIG=str(tmp_path / "config.json"),
-                               RELAY_STATE=str(tmp_path / "state"), RELAY_LISTEN="127.0.0.1:0",
-                               RELAY_DISCOVERY=toy.address))
+        started.append(
+            Process(
+                *flags,
+                "-m",
+                "scalefall",
+                RELAY_CONFIG=str(tmp_path / "config.json"),
+                RELAY_STATE=str(tmp_path / "state"),
+                RELAY_LISTEN="127.0.0.1:0",
+                RELAY_DISCOVERY=toy.address,
+            )
+        )
         host, _, port = started[-1].line("ready: n0 at").split()[-1].rpartition(":")
         started[-1].at = (host, int(port))
         return started[-1]
+
     yield start
     for process in started:
         if process.child.poll() is None:
@@ -129,8 +145,12 @@
 def test_bad_requests_harm_nobody(sender, toy):
     process = sender("-O")
     line = b"POST /fee-order HTTP/1.1\r\n"
-    for data in (b"\x16\x03\x01\x02\r\n\r\n", b"GET / HTTP/9.9\r\n\r\n", line + b"X: " + b"x" * 30_000,
-                 line + b"Content-Length: 999999\r\n\r\n"):
+    for data in (
+        b"\x16\x03\x01\x02\r\n\r\n",
+        b"GET / HTTP/9.9\r\n\r\n",
+        line + b"X: " + b"x" * 30_000,
+        line + b"Content-Length: 999999\r\n\r\n",
+    ):
         with socket.create_connection(process.at, LONG) as sock:
             sock.sendall(data)
             assert sock.recv(100).startswith((b"HTTP/1.1 4", b"HTTP/1.1 505"))
@@ -147,8 +167,11 @@
     try:
         address = other.line("discovery at").split()[-1]
         path = tmp_path / "config.json"
-        for table, says in (("broken", "the old settings stay"), (EXAMPLE | {"discovery": 7}, "the old settings stay"),
-                            (EXAMPLE | {"discovery": address}, f"discovery at {address}")):
+        for table, says in (
+            ("broken", "the old settings stay"),
+            (EXAMPLE | {"discovery": 7}, "the old settings stay"),
+            (EXAMPLE | {"discovery": address}, f"discovery at {address}"),
+        ):
             path.write_text(json.dumps(table))
             process.child.send_signal(signal.SIGHUP)
             process.line(says)
@@ -166,13 +189,20 @@
     return EXAMPLE | {"settings": {k: v for k, v in EXAMPLE["settings"].items() if k != key}}
 
 
-BAD = [("{broken", "cannot be read"), (None, "cannot be read"), ([], "must hold an object"),
-       (settings_without("grades"), "settings: grades is missing"), (EXAMPLE | {"listen": "here"}, "listen must be"),
-       (EXAMPLE | {"seed": "xyz"}, "seed must be"), (EXAMPLE | {"limits": {"disk_mb": -1}}, "limits.disk_mb must be"),
-       (EXAMPLE | {"known": {"seq": 1, "hosts": [{"host": "x"}]}}, "list of endpoints"),
-       (EXAMPLE | {"settings": EXAMPLE["settings"] | {"grades": []}}, "grades names no class"),
-       (EXAMPLE | {"admin": "there"}, "admin must be"),
-       (EXAMPLE | {"listen": "192.0.2.1:80"}, "assign"), (EXAMPLE | {"discovery": 7}, "discovery must be")]
+BAD = [
+    ("{broken", "cannot be read"),
+    (None, "cannot be read"),
+    ([], "must hold an object"),
+    (settings_without("grades"), "settings: grades is missing"),
+    (EXAMPLE | {"listen": "here"}, "listen must be"),
+    (EXAMPLE | {"seed": "xyz"}, "seed must be"),
+    (EXAMPLE | {"limits": {"disk_mb": -1}}, "limits.disk_mb must be"),
+    (EXAMPLE | {"known": {"seq": 1, "hosts": [{"host": "x"}]}}, "list of endpoints"),
+    (EXAMPLE | {"settings": EXAMPLE["settings"] | {"grades": []}}, "grades names no class"),
+    (EXAMPLE | {"admin": "there"}, "admin must be"),
+    (EXAMPLE | {"listen": "192.0.2.1:80"}, "assign"),
+    (EXAMPLE | {"discovery": 7}, "discovery must be"),
+]
 
 
 @pytest.mark.parametrize("config, says", BAD)
@@ -181,19 +211,28 @@
     if config is not None:
         path.write_text(config if isinstance(config, str) else json.dumps(config))
     environ = os.environ | {"RELAY_CONFIG": str(path), "RELAY_STATE": str(tmp_path)}
-    done = subprocess.run([sys.executable, "-m", "scalefall"], cwd=ROOT, env=environ, text=True, capture_output=True,
-                          timeout=LONG)
+    done = subprocess.run(
+        [sys.executable, "-m", "scalefall"], cwd=ROOT, env=environ, text=True, capture_output=True, timeout=LONG
+    )
     assert done.returncode == 2 and says in done.stderr and len(done.stderr.splitlines()) == 1
 
 
-@pytest.mark.parametrize("changes, peers, senders, says", [
-    ({}, ["127.0.0.1:1"] * 2, 2, "2 senders"), ({"siblings": 5}, ["127.0.0.1:1"] * 3, 5, "5 senders"),
-    ({"siblings": 2}, ["127.0.0.1:1"] * 1024, 1024, "1024 senders"),
-    ({"siblings": 2, "index": 6}, None, 7, "7 senders"),
-    ({"siblings": 3}, "all", 3, "left aside"), ({"siblings": 3}, [1, 2], 3, "left aside"),
-    ({"siblings": 3}, ["127.0.0.1:1"] * 3, 3, None), ({"siblings": 3}, [], 3, None)])
-def test_where_peers_and_the_number_of_senders_disagree_the_smaller_part_is_taken_and_said(tmp_path, changes, peers,
-                                                                                           senders, says):
+@pytest.mark.parametrize(
+    "changes, peers, senders, says",
+    [
+        ({}, ["127.0.0.1:1"] * 2, 2, "2 senders"),
+        ({"siblings": 5}, ["127.0.0.1:1"] * 3, 5, "5 senders"),
+        ({"siblings": 2}, ["127.0.0.1:1"] * 1024, 1024, "1024 senders"),
+        ({"siblings": 2, "index": 6}, None, 7, "7 senders"),
+        ({"siblings": 3}, "all", 3, "left aside"),
+        ({"siblings": 3}, [1, 2], 3, "left aside"),
+        ({"siblings": 3}, ["127.0.0.1:1"] * 3, 3, None),
+        ({"siblings": 3}, [], 3, None),
+    ],
+)
+def test_where_peers_and_the_number_of_senders_disagree_the_smaller_part_is_taken_and_said(
+    tmp_path, changes, peers, senders, says
+):
     table = EXAMPLE | {"peers": peers, "settings": EXAMPLE["settings"] | changes}
     (tmp_path / "config.json").write_text(json.dumps(table, indent=4))
     config = read_config({"RELAY_CONFIG": str(tmp_path / "config.json"), "RELAY_STATE": str(tmp_path)})
@@ -216,7 +255,8 @@
     (tmp_path / "config.json").write_text(json.dumps(EXAMPLE | {"limits": limits}))
     config = read_config({"RELAY_CONFIG": str(tmp_path / "config.json"), "RELAY_STATE": str(tmp_path)})
     assert [line.partition(" ")[0] for line in config.doubts] == [
-        f"limits.{name}" for name in ("sockets", "disk_mb", "memory_mb") if name not in limits]
+        f"limits.{name}" for name in ("sockets", "disk_mb", "memory_mb") if name not in limits
+    ]
     assert (config.sockets, config.memory_bytes) == (limits.get("sockets", 1024), limits.get("memory_mb", 192) * 10**6)
 
 
@@ -224,6 +264,7 @@
 def test_a_missing_variable_is_named(tmp_path, variable):
     environ = os.environ | {"RELAY_CONFIG": str(ROOT / "example" / "config.json"), "RELAY_STATE": str(tmp_path)}
     del environ[variable]
-    done = subprocess.run([sys.executable, "-m", "scalefall"], cwd=ROOT, env=environ, text=True, capture_output=True,
-                          timeout=LONG)
+    done = subprocess.run(
+        [sys.executable, "-m", "scalefall"], cwd=ROOT, env=environ, text=True, capture_output=True, timeout=LONG
+    )
     assert done.returncode == 2 and variable in done.stderr and len(done.stderr.splitlines()) == 1
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -1,4 +1,5 @@
 """SIGHUP with other settings: classes come and go, attempts become fewer, and what is open keeps its rules."""
+
 from dataclasses import replace
 
 import pytest
@@ -28,18 +29,19 @@
         sock, _ = firm.call()
         retune(firm, message_class("fresh", i.Effect.UNSAFE), message_class("unsafe"), max_attempts=1)
         assert firm.answer(firm.hand_in("no")).status == 404
-        for _ in range(5):      # attempts as they were when it was taken on
+        for _ in range(5):  # attempts as they were when it was taken on
             sock.send(http.answer(504, [], keep=False))
             sock, request = firm.call()
             assert request.fields["x-request-id"] == "old"
         sock.send(http.answer(200, [], keep=False))
         firm.taken("new", cls="fresh")
         sock, request = firm.call()
-        reset(sock)             # it may have run: under its class's rules it is over
+        reset(sock)  # it may have run: under its class's rules it is over
         assert request.fields["x-request-id"] == "new" and firm.notices() == [{"id": "new", "state": "failed"}]
-        firm.taken("other", cls="unsafe")       # one attempt from now on
+        firm.taken("other", cls="unsafe")  # one attempt from now on
         firm.call()[0].send(http.answer(504, [], keep=False))
         assert [notice["state"] for notice in firm.notices()] == ["returned"]
+
     play(firm, steps)
 
 
@@ -50,6 +52,7 @@
         retune(firm, message_class("unsafe", i.Effect.SAFE))
         reset(sock)
         assert firm.notices() == [{"id": "old", "state": "failed"}] and firm.endpoint.accepted == 1
+
     play(firm, steps)
 
 
@@ -63,11 +66,12 @@
             firm.taken(f"m{again is broken}")
         assert "not taken, the old settings stay: settings: grades[0].deadline" in caplog.text
         assert "retuned" not in caplog.text
+
     play(firm, steps)
 
 
 KEYED = {"effect": i.Effect.KEYED}
-CHANGED = {     # what a class was as its message was taken on, what it is at the next start, and that message's end
+CHANGED = {  # what a class was as its message was taken on, what it is at the next start, and that message's end
     "not to be repeated, now it may be": ({"effect": i.Effect.UNSAFE}, {}, "failed"),
     "its window was shorter": (KEYED | {"key_ttl_us": S}, KEYED | {"key_ttl_us": 7 * S}, "returned"),
     "repeats were dropped in their zone alone": (KEYED | {"key_scope_zone": True}, KEYED, "failed"),
@@ -88,10 +92,11 @@
         firm.call()
         firm.die()
         firm.world.clock += 2 * S
+
     play(firm, steps)
     firm.changes["classes"] = {"c": message_class("c", **after)}
-    firm.known = read_roll(roll(2, listed("e", firm.endpoint.address) | {"site": "b"}))    # another zone than before
-    for _ in range(restarts - 1):       # what was read is written anew
+    firm.known = read_roll(roll(2, listed("e", firm.endpoint.address) | {"site": "b"}))  # another zone than before
+    for _ in range(restarts - 1):  # what was read is written anew
         firm.start()
         firm.host._journal._compact()
         firm.die()
@@ -101,10 +106,11 @@
         if end:
             assert [(n["id"], n["state"]) for n in firm.notices()] == [("m", end)]
             with pytest.raises(BlockingIOError):
-                firm.endpoint.listener.accept()     # nobody dialled since
+                firm.endpoint.listener.accept()  # nobody dialled since
         else:
             sock, request = firm.call()
             assert request.fields["x-request-id"] == "m"
             sock.send(http.answer(200, []))
         firm.world.until(lambda: firm.owed() == [])
+
     play(firm, again)
--- a/tests/test_rolls.py
+++ b/tests/test_rolls.py
@@ -1,4 +1,5 @@
 """Discovery's list as it comes in: cut into objects whatever its layout, and its entries."""
+
 import json
 
 import pytest
@@ -9,9 +10,11 @@
 from scalefall.net.rolls import MOST_DEPTH, Objects, read_roll
 
 HERE = ("127.0.0.1", 1)
-VALUES = st.recursive(st.none() | st.integers() | st.text(st.sampled_from('a"\\{}[]\n é'), max_size=6),
-                      lambda inner: st.lists(inner, max_size=2) | st.dictionaries(st.just("k"), inner, max_size=1),
-                      max_leaves=4)
+VALUES = st.recursive(
+    st.none() | st.integers() | st.text(st.sampled_from('a"\\{}[]\n é'), max_size=6),
+    lambda inner: st.lists(inner, max_size=2) | st.dictionaries(st.just("k"), inner, max_size=1),
+    max_leaves=4,
+)
 TABLES = st.lists(st.dictionaries(st.text(st.sampled_from('ab"\\{}'), max_size=4), VALUES, max_size=4), max_size=4)
 
 
@@ -21,21 +24,40 @@
     data = "".join(json.dumps(table, indent=indent) + between for table in tables).encode()
     objects, found = Objects(10_000), []
     for at in range(0, len(data), piece):
-        found += objects.feed(data[at:at + piece])
+        found += objects.feed(data[at : at + piece])
     assert found == tables
 
 
-@pytest.mark.parametrize("data", [b"junk\n", b"[]", b"{} x", b"}", b'"{"', b"{'a':1}", b'{"a":}',
-                                  b'{"a":1' * (MOST_DEPTH + 1), b'{"a":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
-                                  b'{"a":"' + b"x" * 20_000])
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"junk\n",
+        b"[]",
+        b"{} x",
+        b"}",
+        b'"{"',
+        b"{'a':1}",
+        b'{"a":}',
+        b'{"a":1' * (MOST_DEPTH + 1),
+        b'{"a":' + b"[" * 100_000 + b"]" * 100_000 + b"}",
+        b'{"a":"' + b"x" * 20_000,
+    ],
+)
 def test_what_is_no_list_is_an_error_at_once(data):
     with pytest.raises((ValueError, RecursionError)):
         Objects(10_000 if b"x" in data else 1_000_000).feed(data)
 
 
 def test_an_entry_that_cannot_be_read_costs_itself():
-    wrong = [{"host": "x"}, 7, None, {**listed("y", HERE), "dial": 3}, {**listed("z", HERE), "block": "many"},
-             {**listed("w", HERE), "health": "well"}, {**listed("v", HERE), "share": 10**400}]
+    wrong = [
+        {"host": "x"},
+        7,
+        None,
+        {**listed("y", HERE), "dial": 3},
+        {**listed("z", HERE), "block": "many"},
+        {**listed("w", HERE), "health": "well"},
+        {**listed("v", HERE), "share": 10**400},
+    ]
     found = read_roll(roll(3, listed("a", HERE), *wrong, listed("b", HERE)), strict=False)
     assert [entry.endpoint.id for entry in found.entries] == ["a", "b"]
     assert found.unread == ("x", "", "", "y", "z", "w", "v")
--- a/tests/test_roster.py
+++ b/tests/test_roster.py
@@ -1,4 +1,5 @@
 """A list from the operator's own file: what goes drains under the rule, and a change is there at once or not at all."""
+
 import dataclasses
 import socket
 import threading
@@ -49,6 +50,7 @@
         assert len(told) == 1
         world.sleep(2 * MS)
         assert statuses(told[1]) == {"a": "GONE"}
+
     world.play(play)
 
 
@@ -66,6 +68,7 @@
         farm.replace([entry("b")])
         world.sleep(2 * S)
         assert statuses(told[-1]) == {"a": "GONE"}
+
     world.play(play)
 
 
@@ -75,24 +78,28 @@
     def play():
         farm, told = roster(world, "a", "b")
         assert farm.replace([entry("b", weight=9.0)]) == (0, 1, 1)
-        assert [end.id for end in told[0].endpoints] == ["a", "b"]     # the new limit is told last
+        assert [end.id for end in told[0].endpoints] == ["a", "b"]  # the new limit is told last
         assert farm.replace([entry("b", weight=9.0)]) == (0, 0, 0)
         assert len(told) == 1
+
     world.play(play)
 
 
 # -- the whole sender on a file
 
+
 def read(text, tmp_path, seed=1):
     from scalefall.lang import load, render, sender
+
     loaded = load.text(text, "site.scale")
     assert loaded.usable, render.text(loaded.problems, loaded.source())
     return sender.config(loaded.site, str(tmp_path), seed)
 
 
 def at(*peers):
-    return b"; ".join(b"endpoint e%d { at %s:%d }" % (n, peer.address[0].encode(), peer.address[1])
-                      for n, peer in enumerate(peers))
+    return b"; ".join(
+        b"endpoint e%d { at %s:%d }" % (n, peer.address[0].encode(), peer.address[1]) for n, peer in enumerate(peers)
+    )
 
 
 def hand_in(world, host, name, cls="fee", dest=7, span=5 * S):
@@ -131,6 +138,7 @@
         assert isinstance(hand_in(world, host, "m3", dest=8), UnavailableAnswer)
         reload(world, host, lambda: read(SITE % (at(peer), 4, b"3s", b"classes every"), tmp_path))
         assert hand_in(world, host, "m4", "note") == Taken()
+
     world.play(play)
 
 
@@ -142,7 +150,7 @@
         host = started(world, tmp_path, at(old), 4, b"3s", b"")
         hand_in(world, host, "m1")
         out = old.accept()
-        old.read(out)               # m1 is out there when the file changes, and may end
+        old.read(out)  # m1 is out there when the file changes, and may end
         reload(world, host, lambda: read(SITE % (at(new), 4, b"3s", b""), tmp_path))
         for n in range(3):
             assert hand_in(world, host, f"n{n}") == Taken()
@@ -151,6 +159,7 @@
         out.send(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
         world.sleep(S)
         assert old.accepted == 1 and not host._open
+
     world.play(play)
 
 
@@ -165,10 +174,12 @@
 
         def broken():
             raise ConfigError(error)
+
         reload(world, host, broken)
         assert (dict(host._farm.entries), host._rules, host._farm.seq) == before
         assert hand_in(world, host, "m1") == Taken()
         serve(world, peer, peer.accept())
+
     world.play(play)
     lines = [record.getMessage() for record in caplog.records if "not taken" in record.getMessage()]
     assert lines == [f"configuration not taken, the old settings stay: {line}" for line in error.splitlines()]
@@ -186,15 +197,17 @@
             reads.append(threading.current_thread() is threading.main_thread())
             held.wait(60)
             return read(SITE % (at(peer), 2, b"3s", b""), tmp_path)
+
         host.reload(slow)
         host.reload(slow)
-        assert hand_in(world, host, "m1") == Taken()        # while the thread reads
+        assert hand_in(world, host, "m1") == Taken()  # while the thread reads
         serve(world, peer, peer.accept())
         assert host._rules[7].attempts == 4
         host.reload(slow)
         held.set()
         world.until(lambda: not host._reloading)
         assert reads == [False, False] and host._rules[7].attempts == 2
+
     world.play(play)
 
 
@@ -206,6 +219,7 @@
         transaction = Transaction("m", "fee", 7, world.now(), None, b"")
         assert host._at_most(transaction, 5 * S) == 100 * MS
         assert host._at_most(dataclasses.replace(transaction, destination=8), 5 * S) == 5 * S
+
     world.play(play)
 
 
@@ -217,6 +231,7 @@
         assert hand_in(world, host, "m1", span=2 * S) == Taken()
         world.until(lambda: not host._open)
         assert not host._journal.owed
+
     world.play(play)
     assert [r.fields["id"] for r in caplog.records if r.getMessage().startswith("notice: m1 returned")] == ["m1"]
 
@@ -232,11 +247,13 @@
         assert world.now() - began >= S
         with pytest.raises(ZeroDivisionError):
             world.in_thread(lambda: 1 / 0)
+
     world.play(play)
 
 
 # -- what the file says of one pool's connections
 
+
 def test_a_pools_idle_close_goes_before_the_senders():
     world = World()
 
@@ -248,6 +265,7 @@
         sock, began = peer.accept(), world.now()
         serve(world, peer, sock)
         assert closed(world, sock) and world.now() - began < 2 * S
+
     world.play(play)
 
 
@@ -258,7 +276,7 @@
         peer = Peer(world)
         calls = Calls(world, settings(dial_timeout_us=60 * S), peer.address)
         calls.entry = dataclasses.replace(calls.entry, dial_us=S // 2)
-        full = [socket.socket() for _ in range(80)]     # the listener's queue is full: the dial goes unanswered
+        full = [socket.socket() for _ in range(80)]  # the listener's queue is full: the dial goes unanswered
         for sock in full:
             sock.setblocking(False)
             sock.connect_ex(peer.address)
@@ -268,4 +286,5 @@
         assert told.outcome is i.Outcome.CONNECT_FAILED and S // 2 <= told.latency_us < S
         for sock in full:
             sock.close()
+
     world.play(play)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -3,6 +3,7 @@
 The judge keeps its own books from the events and actions; it reads nothing of the module's state. No server is
 modelled here: outcomes are drawn. For each rule a broken variant of the module must be caught.
 """
+
 import random
 from dataclasses import replace
 
@@ -16,8 +17,14 @@
 from scalefall.policy import Sender
 
 RESTS = {i.Outcome.TIMEOUT, i.Outcome.RESET, i.Outcome.CANCELLED}
-ENDPOINTS = [("a", 1, "one", "a"), ("b", 1, "one", "b"), ("c", 2, "many", "a"), ("d", 2, "many", "a"),
-             ("r", 3, "route", "a"), ("s", 3, "route", "b")]
+ENDPOINTS = [
+    ("a", 1, "one", "a"),
+    ("b", 1, "one", "b"),
+    ("c", 2, "many", "a"),
+    ("d", 2, "many", "a"),
+    ("r", 3, "route", "a"),
+    ("s", 3, "route", "b"),
+]
 KIND = {e: kind for e, _, kind, _ in ENDPOINTS}
 DEST = {e: dest for e, dest, _, _ in ENDPOINTS}
 ZONE = {e: zone for e, _, _, zone in ENDPOINTS}
@@ -80,8 +87,10 @@
             raise Broken(f"effect: two attempts of {a.id} out")
         if a.id in self.ran:
             first, where = self.ran[a.id]
-            if cls.effect is i.Effect.UNSAFE or (cls.effect is i.Effect.KEYED and (
-                    now > first + cls.key_ttl_us or cls.key_scope_zone and ZONE[where] != ZONE[a.endpoint])):
+            if cls.effect is i.Effect.UNSAFE or (
+                cls.effect is i.Effect.KEYED
+                and (now > first + cls.key_ttl_us or cls.key_scope_zone and ZONE[where] != ZONE[a.endpoint])
+            ):
                 raise Broken(f"effect: {a.id} sent again")
         if now > self.left.get(a.endpoint, now) + self.set.drain_grace_us:
             raise Broken(f"drain: {a.id} to {a.endpoint}")
@@ -108,13 +117,18 @@
 
 def play(seed, turns=160, sender_type=Sender):
     draw = random.Random(seed)
-    world = settings(slots=draw.choice([2, 6, 20]), max_held=draw.choice([8, 60]),
-                     tenants={"t": i.Tenant("t", 2.0)}, ask=draw.random() < 0.5)
+    world = settings(
+        slots=draw.choice([2, 6, 20]),
+        max_held=draw.choice([8, 60]),
+        tenants={"t": i.Tenant("t", 2.0)},
+        ask=draw.random() < 0.5,
+    )
     sender, judge, now, number = sender_type(world, seed), Judge(world), 0, 0
     timers, status = [], {e: i.Status.READY for e, *_ in ENDPOINTS}
 
     def listed(names, kind):
         return i.Listed(kind, [i.Endpoint(e, ZONE[e], KIND[e], DEST[e], status[e], 0.0) for e in names])
+
     events = [listed(status, i.ListKind.CACHED)]
     mood = i.Outcome.OK
     for turn in range(turns + 400):
@@ -123,9 +137,16 @@
             for _ in range(draw.choice([0, 0, 1, 2, 8])):
                 number += 1
                 cls = draw.choice(sorted(world.classes))
-                events.append(i.Message(f"m{number}", draw.choice([1, 2, 3, 4]), cls,
-                                        now + draw.choice([1, world.classes[cls].deadline_us]),
-                                        draw.choice([None, "t"]), draw.choice("kl")))
+                events.append(
+                    i.Message(
+                        f"m{number}",
+                        draw.choice([1, 2, 3, 4]),
+                        cls,
+                        now + draw.choice([1, world.classes[cls].deadline_us]),
+                        draw.choice([None, "t"]),
+                        draw.choice("kl"),
+                    )
+                )
             if draw.random() < 0.06:
                 name = draw.choice(sorted(status))
                 status[name] = draw.choice(list(i.Status))
@@ -142,8 +163,18 @@
                 outcome = i.Outcome.TIMEOUT if due else draw.choice([mood, mood, *i.Outcome])
                 finished = outcome is i.Outcome.OK
                 wait = draw.choice([0, 300 * MS, 2 * S]) if outcome is i.Outcome.FULL else 0
-                events.append(i.Attempted(message, attempt, endpoint, outcome, now - sent, finished, wait,
-                                          {"x0": draw.random(), "x1": 5.0}))
+                events.append(
+                    i.Attempted(
+                        message,
+                        attempt,
+                        endpoint,
+                        outcome,
+                        now - sent,
+                        finished,
+                        wait,
+                        {"x0": draw.random(), "x1": 5.0},
+                    )
+                )
         events += [i.Timer(token) for at, token in timers if at <= now]
         timers = [(at, token) for at, token in timers if at > now]
         for event in events:
@@ -164,7 +195,7 @@
 
 
 @limits(derandomize=True, max_examples=120, deadline=None)
-@given(st.integers(0, 2 ** 32))
+@given(st.integers(0, 2**32))
 def test_the_rules_are_kept(seed):
     judge = play(seed)
     assert judge.count or not judge.all
@@ -198,8 +229,16 @@
         return True
 
 
-@pytest.mark.parametrize("variant, rule", [(ForgetsDue, "lost"), (RepeatsUnsafe, "effect"), (IgnoresDrains, "drain"),
-                                           (IgnoresWaits, "wait"), (IgnoresOrder, "order")])
+@pytest.mark.parametrize(
+    "variant, rule",
+    [
+        (ForgetsDue, "lost"),
+        (RepeatsUnsafe, "effect"),
+        (IgnoresDrains, "drain"),
+        (IgnoresWaits, "wait"),
+        (IgnoresOrder, "order"),
+    ],
+)
 def test_the_judge_catches_a_module_that_breaks_a_rule(variant, rule):
     found = []
     for seed in range(40):
--- a/tests/test_run.py
+++ b/tests/test_run.py
@@ -1,4 +1,5 @@
 """`scalefall run` as a user starts it: on a file, told to read it again, and asked for JSON lines."""
+
 import contextlib
 import http.client
 import json
@@ -43,10 +44,21 @@
     started = []
 
     def start(*more):
-        process = Process("-m", "scalefall", "run", "--config", str(site), "--listen", "127.0.0.1:0", *more,
-                          SCALEFALL_STATE=str(site / "state"), SCALEFALL_REPORTS=toy.reports)
+        process = Process(
+            "-m",
+            "scalefall",
+            "run",
+            "--config",
+            str(site),
+            "--listen",
+            "127.0.0.1:0",
+            *more,
+            SCALEFALL_STATE=str(site / "state"),
+            SCALEFALL_REPORTS=toy.reports,
+        )
         started.append(process)
         return process
+
     yield start
     for process in started:
         if process.child.poll() is None:
@@ -67,8 +79,7 @@
     edit(partner, "5 per 1s", "250ms")
     edit(site / "site.scale", "deadline 24s; repeat never", "deadline 24; repeat never")
     sender.child.send_signal(signal.SIGHUP)
-    assert f"{site}/partners/pojistovna.scale:5:9: 250ms is a duration where a rate belongs" in \
-        sender.line("not taken")
+    assert f"{site}/partners/pojistovna.scale:5:9: 250ms is a duration where a rate belongs" in sender.line("not taken")
     assert f"{site}/site.scale:11:36: 24 has no unit" in sender.line("not taken")
     assert ask(sender, "m2").status == 202
     toy.line("delivered m2 at")
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -1,4 +1,5 @@
 """The scheduler: what ends a pause, timers, signals, and failures that end one task alone."""
+
 import os
 import signal
 import socket
@@ -24,6 +25,7 @@
         assert world.wake(task, "word") and not world.wake(task, "again")
         world.sleep(100 * MS)
         assert woken == ["word"] and not world.wake(task) and world._waits == {}
+
     world.play(play)
 
 
@@ -37,6 +39,7 @@
         world.call_at(at + 1, ran.append, "never").cancel()
         world.sleep(5)
         assert ran == ["a", "b", "b2", "c"]
+
     world.play(play)
 
 
@@ -45,6 +48,7 @@
 
     def fails():
         raise RuntimeError("seen in a test")
+
     scheduler.spawn(fails)
     scheduler.call_at(scheduler.now(), fails)
     scheduler.call_at(scheduler.now() + MS, scheduler.stop)
@@ -76,6 +80,7 @@
         os.kill(os.getpid(), signal.SIGUSR1)
         world.sleep(MS)
         assert woken == [False, READY] and not world._waits
+
     before = signal.getsignal(signal.SIGUSR1)
     try:
         world.play(play)
@@ -108,4 +113,5 @@
         world.sleep(2 * S)
         fired.cancel()
         assert kept == ["fired"]
+
     world.play(play)
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -1,4 +1,5 @@
 """The limits that the module and the library keep."""
+
 import ast
 import pathlib
 import sys
@@ -24,9 +25,12 @@
             yield from (f"{node.module}.{alias.name}" for alias in node.names)
 
 
-EXTRAS = {"lang": {"lark", "netaddr"}, "cli": {"click", "structlog"},    # by package; the sender takes none of them
-          "edge": {"grpc", "google", "envoy", "xds", "cryptography"},
-          "proxy": {"grpc", "google", "envoy"}}
+EXTRAS = {
+    "lang": {"lark", "netaddr"},
+    "cli": {"click", "structlog"},  # by package; the sender takes none of them
+    "edge": {"grpc", "google", "envoy", "xds", "cryptography"},
+    "proxy": {"grpc", "google", "envoy"},
+}
 
 
 def test_run_time_imports_are_standard_our_own_or_a_package_s_own_extras():
@@ -41,7 +45,7 @@
     names = {"edge": "scalefall.control.edge"}
     for path in sorted((ROOT / "scalefall").rglob("*.py")):
         if path.parent.name in floors:
-            above = tuple(names.get(up, f"scalefall.{up}") for up in floors[:floors.index(path.parent.name)])
+            above = tuple(names.get(up, f"scalefall.{up}") for up in floors[: floors.index(path.parent.name)])
             assert [name for name in imports(path) if name.startswith(above)] == [], path
 
 
@@ -57,8 +61,9 @@
     for path in sorted((ROOT / "scalefall" / "control").glob("*.py")):
         using = {name.split(".")[0] for name in imports(path)}
         assert not using & {"os", "io", "pathlib", "socket", "time", "asyncio", "grpc", "google", "envoy"}, path
-        assert not [node for node in ast.walk(ast.parse(path.read_text())) if isinstance(node, ast.Name)
-                    and node.id == "open"], path
+        assert not [
+            node for node in ast.walk(ast.parse(path.read_text())) if isinstance(node, ast.Name) and node.id == "open"
+        ], path
 
 
 def test_policy_speaks_only_interface_types():
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -1,4 +1,5 @@
 """Lists at size: 1,024 endpoints and as many senders are taken whole, as asked for, as pushed, and as indented."""
+
 import json
 
 import pytest
@@ -28,7 +29,7 @@
     def tell(table):
         data = json.dumps(table, indent=indent).encode() + b"\n"
         for at in range(0, len(data), 50_000):
-            firm.send(firm.watch, b"%x\r\n%s\r\n" % (len(data[at:at + 50_000]), data[at:at + 50_000]))
+            firm.send(firm.watch, b"%x\r\n%s\r\n" % (len(data[at : at + 50_000]), data[at : at + 50_000]))
 
     def play():
         firm.watched()
@@ -43,7 +44,7 @@
             sock.close()
         tell(roll(3, *(entry(firm, n, health="terminating") for n in range(SIZE) if n % 2), whole=False))
         firm.world.until(lambda: farm.seq == 3)
-        assert len(farm.left_at) == SIZE // 2 + 1       # and the one that the whole list no longer names
+        assert len(farm.left_at) == SIZE // 2 + 1  # and the one that the whole list no longer names
         firm.taken("odd", "even", dest=7)
         firm.taken("free", dest=8)
         _, call = firm.call()
@@ -53,6 +54,7 @@
         tell(roll(4, *(entry(firm, n) for n in range(3))))
         firm.world.until(lambda: farm.seq == 4)
         assert len(farm.left_at) == SIZE - 2
+
     firm.world.play(play)
 
 
@@ -69,4 +71,5 @@
         firm.die()
         kept = paces.load(firm.folder, paces.room(firm.disk), firm.world.wall())
         assert {(row.destination, row.route) for row in kept} == {(n, f"s-{n:08x}") for n in range(SIZE)}
+
     firm.world.play(play)
