--- a/benchmarks/size.py
+++ b/benchmarks/size.py
@@ -58,7 +58,7 @@
 
     from scalefall.net.config import Config
     from scalefall.net.host import PACE_US, Host
-    from scalefall.net.rolls import read_roll
+    from scalefall.net.list_stream import read_list
     from scalefall.net.scheduler import Scheduler
 
     class Timed(Scheduler):
@@ -84,7 +84,7 @@
     listener = socket.create_server(("127.0.0.1", 0))
     threading.Thread(target=discovery, args=(listener, number), daemon=True).start()
     with tempfile.TemporaryDirectory() as folder:
-        known = read_roll({"seq": 1, "whole": True, "hosts": entries(20)})
+        known = read_list({"seq": 1, "whole": True, "hosts": entries(20)})
         config = Config(
             "n0",
             ("127.0.0.1", 0),
@@ -111,7 +111,7 @@
 
         scheduler.call_at(scheduler.now() + 1_900_000, listen)
         scheduler.run()
-        assert len(host._farm.entries) == number, "the list was not taken whole"
+        assert len(host._endpoint_list.entries) == number, "the list was not taken whole"
     memory = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
     print(json.dumps([figures["list"] / 1e6, figures["rest"] / 1e6, 100 * figures["share"], memory]))
 
--- a/scalefall/cli/reader.py
+++ b/scalefall/cli/reader.py
@@ -16,7 +16,7 @@
 from typing import Any
 
 from scalefall.net.config import Config, ConfigError, Fleet
-from scalefall.net.farm import Entry, Roll
+from scalefall.net.endpoint_list import Entry, ListUpdate
 
 PIECE = 200  # endpoints
 MOST_SECONDS = 120
@@ -83,7 +83,7 @@
         piece, at = _next(data, at)
         entries += piece
     config: Config = first.config
-    first.config = replace(config, known=Roll(1, True, entries), fleet=Fleet(entries, config.fleet.routes))
+    first.config = replace(config, known=ListUpdate(1, True, entries), fleet=Fleet(entries, config.fleet.routes))
     return first
 
 
@@ -117,7 +117,7 @@
         return
     config = replace(sender.config(loaded.site, request.state, request.seed), **request.flags)
     left = sender.cannot_change(request.fixed, loaded.site) if request.fixed else []
-    bare = replace(config, known=Roll(1, True, []), fleet=Fleet([], config.fleet.routes), left=tuple(left))
+    bare = replace(config, known=ListUpdate(1, True, []), fleet=Fleet([], config.fleet.routes), left=tuple(left))
     put(Read(bare, sender.fixed(loaded.site), sender.notes(config, loaded.site)))
     for at in range(0, len(config.fleet.entries), PIECE):
         put(config.fleet.entries[at : at + PIECE])
--- a/scalefall/control/judge.py
+++ b/scalefall/control/allocator.py
@@ -1,4 +1,4 @@
-"""The decision module as judge of what proxies do: their reports go in, its allowances become grants. No I/O, no clock.
+"""The allocator: reports of proxies go into the decision module, its allowances become grants. No I/O, no clock.
 
 No second policy stands here. Each figure is the module's own:
 
@@ -44,7 +44,7 @@
     return found, blocked
 
 
-class Judge:
+class Allocator:
     def __init__(self, module: Sender, ledger: Ledger) -> None:
         self._module, self._ledger = module, ledger
         self.allowed: list[i.Allowed] = []  # as of the last turn
--- a/scalefall/control/edge/reports.py
+++ b/scalefall/control/edge/reports.py
@@ -18,7 +18,7 @@
 
 from scalefall import interface as i
 from scalefall.control.edge import resources
-from scalefall.net.farm import Entry
+from scalefall.net.endpoint_list import Entry
 
 PREFIX = "scalefall."
 ENDS = {
--- a/scalefall/control/edge/resources.py
+++ b/scalefall/control/edge/resources.py
@@ -35,11 +35,11 @@
 from google.protobuf import any_pb2, duration_pb2, wrappers_pb2
 
 from scalefall import interface as i
-from scalefall.control import judge
+from scalefall.control import allocator
 from scalefall.control.catalog import CDS, EDS, LDS, RDS, Key, Resource
 from scalefall.control.service import Rows
 from scalefall.net.config import RouteRules
-from scalefall.net.farm import Entry
+from scalefall.net.endpoint_list import Entry
 
 KEY_HEADER = "idempotency-key"
 NOT_SENT = "connect-failure"
@@ -47,9 +47,9 @@
 WHOLE = 100  # the weight of an endpoint that is in no doubt
 STEPS = (1, 2, 5, 10, 20, 50)  # weights of those in doubt, so that not every turn is a change
 HEALTH = {
-    judge.READY: health_check_pb2.HEALTHY,
-    judge.DRAINING: health_check_pb2.DRAINING,
-    judge.RESTING: health_check_pb2.UNHEALTHY,
+    allocator.READY: health_check_pb2.HEALTHY,
+    allocator.DRAINING: health_check_pb2.DRAINING,
+    allocator.RESTING: health_check_pb2.UNHEALTHY,
 }
 
 
@@ -79,7 +79,7 @@
 def endpoints(number: int, rows: list[Entry], allowed: list[i.Allowed], now: int, ttl_us: int) -> Resource:
     """The endpoints of a route as they are now; allowed are the module's rows for it."""
     title = name(number)
-    found, blocked = judge.states((entry.endpoint for entry in rows), allowed, now)
+    found, blocked = allocator.states((entry.endpoint for entry in rows), allowed, now)
     budgets = {named: budget for row in allowed for named, budget in row.endpoints.items()}
     fair = [row.rate / max(1, len(row.endpoints)) for row in allowed if row.rate < inf]
     places: dict[str, list[endpoint_components_pb2.LbEndpoint]] = {}
--- a/scalefall/control/edge/wire.py
+++ b/scalefall/control/edge/wire.py
@@ -16,7 +16,7 @@
 from scalefall.control.catalog import Resource
 from scalefall.control.edge.resources import duration
 from scalefall.control.grants import CALLS, Grant
-from scalefall.control.judge import MOST, UNLIMITED
+from scalefall.control.allocator import MOST, UNLIMITED
 from scalefall.control.streams import Request, Response
 
 MOST_PARTS = 256  # serialized sets of resources that are kept for the next client
--- a/scalefall/control/grants.py
+++ b/scalefall/control/grants.py
@@ -34,7 +34,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from scalefall.net.checks import holds
+from scalefall.net.checks import check
 
 LEAST = 200  # a share below this is not split: one call in 5 s is the least that is of use
 CHANGED = 0.1  # a share that differs by less from what is granted waits for the renewal
@@ -132,7 +132,7 @@
 
     def allow(self, destination: int, amount: int) -> bool:
         """The module's present allowance for a destination, for all proxies together. Whether it is another one."""
-        holds(amount >= 0, "an allowance is no debt")
+        check(amount >= 0, "an allowance is no debt")
         place = self._destinations.setdefault(destination, _Destination())
         if place.allowance == amount:
             return False
@@ -240,7 +240,7 @@
     def _divide(self, number: int, place: _Destination, now: int) -> list[Grant]:
         """What is to be less first; then what is to be more, or goes on, as far as there is room."""
         targets, grants = self._targets(place, now), []
-        holds(sum(targets.values()) <= place.allowance, "shares are no more than the allowance")
+        check(sum(targets.values()) <= place.allowance, "shares are no more than the allowance")
         before = place.in_use()
         place.falls = [
             (fall, now if at == NEVER else at)
@@ -270,7 +270,7 @@
             if not amount or not more and now < share.sent + self.lease // 2:
                 continue
             given(holder, share, amount)
-        holds(place.in_use() <= max(before, place.allowance), "a raise takes free room only")
+        check(place.in_use() <= max(before, place.allowance), "a raise takes free room only")
         return grants
 
     def _grant(self, number: int, holder: str, share: _Share, amount: int, now: int) -> Grant:
--- a/scalefall/control/members.py
+++ b/scalefall/control/members.py
@@ -22,7 +22,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from scalefall.net.checks import holds
+from scalefall.net.checks import check
 
 MOST_INSTANCES = 8  # of one node id, whose grants may be in use at a time: more are turned away
 
@@ -95,7 +95,7 @@
 
 class Members:
     def __init__(self, silence_us: int, forget_us: int) -> None:
-        holds(0 < silence_us <= forget_us, "silence comes before forgetting")
+        check(0 < silence_us <= forget_us, "silence comes before forgetting")
         self._silence, self._forget = silence_us, forget_us
         self._members: OrderedDict[str, Member] = OrderedDict()  # the one heard longest ago first
         self._streams: dict[int, str] = {}
@@ -150,7 +150,7 @@
                 changes.append(Change(member.holder, member.node, member.state))
             if member.state is not State.LIVE and member.heard <= now - self._forget:
                 changes.append(self._drop(member))
-        holds(not self._members or self.next_turn(now) > now, "what was due is done")
+        check(not self._members or self.next_turn(now) > now, "what was due is done")
         return changes
 
     def next_turn(self, now: int) -> int | None:
--- a/scalefall/control/memory.py
+++ b/scalefall/control/memory.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from scalefall import interface as i
-from scalefall.net import paces
+from scalefall.net import learned_rates
 
 FORM = 1
 MOST_WAIT_US = 3_600_000_000  # a wait that ends later than this is no wait but a clock that was set
@@ -31,7 +31,7 @@
         "wall": wall,
         "doubts": sorted(doubts),
         "waits": waits,
-        "paces": [paces.put(row) for row in known],
+        "paces": [learned_rates.put(row) for row in known],
     }
 
 
@@ -41,7 +41,7 @@
         if kept["form"] != FORM:
             raise ValueError(f"form {kept['form']!r} is not known here")
         age = wall - kept["wall"]
-        known: list[i.Event] = [paces.get(*row) for row in kept["paces"]]
+        known: list[i.Event] = [learned_rates.get(*row) for row in kept["paces"]]
         waits = [
             i.Reported(str(name), now, i.Outcome.NOT_SENT, int(until - wall))
             for name, until in kept["waits"].items()
@@ -50,5 +50,5 @@
         doubts = [i.Reported(str(name), now, i.Outcome.CONNECT_FAILED) for name in kept["doubts"]]
     except (KeyError, TypeError, AttributeError, OverflowError) as error:
         raise ValueError(f"missing or wrong value ({error!r})") from error
-    fresh = -MOST_WAIT_US < age < paces.FRESH_US
+    fresh = -MOST_WAIT_US < age < learned_rates.FRESH_US
     return (known if fresh else []) + waits + (doubts if age < DOUBT_US else [])
--- a/scalefall/control/service.py
+++ b/scalefall/control/service.py
@@ -21,11 +21,11 @@
 from scalefall import interface as i
 from scalefall.control.catalog import EDS, Catalog, Key, Resource
 from scalefall.control.grants import CALLS, LEAST, Grant, Ledger
-from scalefall.control.judge import Judge
+from scalefall.control.allocator import Allocator
 from scalefall.control.members import Change, Joined, Members, Refused, State
 from scalefall.control.streams import Action, Request, Stream
 from scalefall.net.config import Fleet, RouteRules
-from scalefall.net.farm import Entry
+from scalefall.net.endpoint_list import Entry
 from scalefall.policy import Sender
 
 SETTLE = 10_000  # us from the first news to the turn that answers them
@@ -63,7 +63,7 @@
         settings.probes = False  # control makes no calls of its own
         self.module = Sender(settings, seed)
         self.ledger = Ledger(now, lease_us, delay_us)
-        self.judge = Judge(self.module, self.ledger)
+        self.allocator = Allocator(self.module, self.ledger)
         self.catalog = Catalog()
         self.members = Members(silence_us, lease_us + delay_us)
         self.told: list[Told] = []
@@ -72,7 +72,7 @@
         self._streams: dict[int, Stream] = {}
         self._beats: list[tuple[int, int]] = []  # when a stream's next heartbeat may be due
         self._planned: set[int] = set()  # streams that are there
-        self._judge_at = now
+        self._allocate_at = now
         self._rows: Rows = {}
         self._events: list[i.Event] = []
         self._due = now
@@ -102,12 +102,12 @@
                     now=_status(end),
                 )
         self.module.handle(now, [i.Listed(i.ListKind.CHANGES, changes)] if changes else [])
-        allowed = self.judge.look()
+        allowed = self.allocator.look()
         made += [self._build.endpoints(number, rows[number], allowed.get(number, []), now) for number in fleet.routes]
         changed = self.catalog.replace(made)
         self._fleet, self._rows = fleet, rows
         self._news(now)
-        self._judge_at = min(self._judge_at, now + SETTLE)
+        self._allocate_at = min(self._allocate_at, now + SETTLE)
         return self._changed(changed)
 
     # -- resource streams
@@ -172,9 +172,11 @@
         """Everything that is due: reports judged, resources that differ, grants, heartbeats, silent proxies."""
         for change in self.members.turn(now):
             self._lost(change)
-        out, grants = self._judged(now) if self._events or now >= self._judge_at else ([], self.judge.grants(now))
-        self._has_news, self._due = False, self._judge_at
-        for route, amount in self.judge.changed.items():
+        out, grants = (
+            self._allocated(now) if self._events or now >= self._allocate_at else ([], self.allocator.grants(now))
+        )
+        self._has_news, self._due = False, self._allocate_at
+        for route, amount in self.allocator.changed.items():
             self._tell("allowance", fine=True, clock=now, route=route, amount=amount)
         for grant in grants:
             member = self.members.get(grant.holder)
@@ -194,19 +196,19 @@
         out += self._beat(now)
         return out
 
-    def _judged(self, now: int) -> tuple[list[Out], list[Grant]]:
+    def _allocated(self, now: int) -> tuple[list[Out], list[Grant]]:
         """The module's turn: it looks at every endpoint, so it comes for reports and by time, not for each demand."""
         events, self._events = self._events, []
-        grants = self.judge.turn(now, events)
-        for line in self.judge.said:
+        grants = self.allocator.turn(now, events)
+        for line in self.allocator.said:
             self._tell("judged", text=line)
-        allowed = self.judge.by_route()
+        allowed = self.allocator.by_route()
         made = [
             self._build.endpoints(number, self._rows[number], allowed.get(number, []), now)
-            for number in self.judge.unsettled
+            for number in self.allocator.unsettled
             if number in self._rows
         ]
-        self._judge_at = now + (WATCHED if self.judge.unsettled else RESTS)
+        self._allocate_at = now + (WATCHED if self.allocator.unsettled else RESTS)
         return self._changed(self.catalog.update(made)) if made else [], grants
 
     def next_turn(self, now: int) -> int:
--- a/scalefall/lab/world.py
+++ b/scalefall/lab/world.py
@@ -19,7 +19,7 @@
 from scalefall.control import memory
 from scalefall.control.catalog import EDS, Resource
 from scalefall.control.grants import Grant
-from scalefall.control.judge import states
+from scalefall.control.allocator import states
 from scalefall.control.members import Joined
 from scalefall.control.service import Builder, Service
 from scalefall.control.streams import Request, Response
@@ -27,7 +27,7 @@
 from scalefall.lab.partner.model import Partner, Shape
 from scalefall.lab.proxy.contract import ASK_US, ATTEMPTS, Contract, Fall, Refuse, Send, given_up, may_repeat
 from scalefall.net.config import Fleet, RouteRules
-from scalefall.net.farm import Entry
+from scalefall.net.endpoint_list import Entry
 
 MS, SECOND = 1000, 1_000_000
 ROUTE = 7
@@ -216,7 +216,7 @@
 
     def keep(self) -> tuple[int, dict]:
         return self.service.ledger.number, memory.keep(
-            self.service.judge.allowed, self.service.module.known(), self._world.now, self._world.now
+            self.service.allocator.allowed, self.service.module.known(), self._world.now, self._world.now
         )
 
     def plan(self) -> None:
--- a/scalefall/lang/sender.py
+++ b/scalefall/lang/sender.py
@@ -14,7 +14,7 @@
 from scalefall.lang.units import SECOND, Rate
 from scalefall.lang.wire import settings_table
 from scalefall.net.config import Config, Fleet, RouteRules
-from scalefall.net.farm import Entry, Roll
+from scalefall.net.endpoint_list import Entry, ListUpdate
 from scalefall.policy import DEPTH_US
 from scalefall.settings import read_settings
 
@@ -38,7 +38,7 @@
         disk_bytes=sender.get("disk"),
         memory_bytes=sender.get("memory"),
         settings=settings,
-        known=Roll(1, True, fleet.entries),
+        known=ListUpdate(1, True, fleet.entries),
         reports=sender.get("reports"),
         fleet=fleet,
     )
--- a/scalefall/lang/wire.py
+++ b/scalefall/lang/wire.py
@@ -17,7 +17,7 @@
 from scalefall.lang.schema import BLOCKS, NAME, POLICY, Repeat, Setting
 from scalefall.lang.text import Problems, listed
 from scalefall.net.config import read_address
-from scalefall.net.farm import Roll, read_roll
+from scalefall.net.endpoint_list import ListUpdate, read_list
 from scalefall.settings import read_settings
 
 EFFECTS = {"never": "unsafe", "keyed": "keyed", "freely": "safe"}
@@ -204,7 +204,7 @@
     if not isinstance(table, dict):
         raise ValueError("the configuration must be an object")
     settings = read_settings(table.get("settings"))
-    known = read_roll(table.get("known") or {"seq": 0, "whole": True, "hosts": []})
+    known = read_list(table.get("known") or {"seq": 0, "whole": True, "hosts": []})
     limits = table.get("limits", {})
     if not isinstance(limits, dict):
         raise ValueError("limits must be an object")
@@ -293,7 +293,7 @@
     }
 
 
-def _pools(known: Roll) -> Iterator[str]:
+def _pools(known: ListUpdate) -> Iterator[str]:
     """A pool and a route for each destination that the list names."""
     states = {i.Status.READY: "ready", i.Status.DRAINING: "draining"}
     pools: dict[tuple[int, str], list[str]] = {}
--- a/scalefall/net/passes.py
+++ b/scalefall/net/attempts.py
@@ -1,6 +1,6 @@
-"""Proxy passes: one call to an endpoint, with one message or several, over connections that are kept in pools.
+"""Attempts: one call to an endpoint, with one message or several, over connections that are kept in pools.
 
-What a pass ends as is read off PROTOCOL's table. A connection that could not be had, or that broke before the call's
+How an attempt ends is read off PROTOCOL's table. A connection that could not be had, or that broke before the call's
 last byte was written, proves that nothing has run; after that byte it may have.
 """
 
@@ -18,9 +18,9 @@
 
 from scalefall import interface as i
 from scalefall.net import http, streams
-from scalefall.net.checks import holds, log
-from scalefall.net.farm import Entry
-from scalefall.net.keeping import Keeping
+from scalefall.net.checks import check, log
+from scalefall.net.endpoint_list import Entry
+from scalefall.net.connection_retention import ConnectionRetention
 from scalefall.net.scheduler import READ, TIME_UP, Scheduler, Task
 
 MS = 1000
@@ -44,7 +44,7 @@
 
 @dataclass(slots=True)
 class Load:
-    """One message in a pass: the number of its attempt, and when its sender stops waiting."""
+    """One message in an attempt: the number of its attempt, and when its sender stops waiting."""
 
     id: str
     attempt: int
@@ -57,7 +57,7 @@
 
 @dataclass(slots=True)
 class Result:
-    """What became of one message of a pass."""
+    """What became of one message of an attempt."""
 
     outcome: i.Outcome
     wait_us: int = 0
@@ -66,7 +66,7 @@
 
 
 @dataclass(slots=True, eq=False)
-class ProxyPass:
+class Attempt:
     entry: Entry
     loads: list[Load]
     begun: int
@@ -89,8 +89,8 @@
     keeper: Task | None = None
 
 
-class Passes:
-    """Carries out Send, Cancel and Close; settle is called once for each message of a pass."""
+class Attempts:
+    """Carries out Send, Cancel and Close; settle is called once for each message of an attempt."""
 
     def __init__(
         self,
@@ -104,10 +104,10 @@
         self._scheduler, self._set, self._most = scheduler, settings, most_sockets
         self._settle, self._may_begin, self._wanted = settle, may_begin, wanted
         self._pools: dict[Place, deque[Kept]] = {}  # idle connections, the one used last at the right; none is empty
-        self._out: dict[tuple[str, int], ProxyPass] = {}
+        self._out: dict[tuple[str, int], Attempt] = {}
         self._idle: dict[Kept, None] = {}  # all idle ones, the longest idle first
         self._busy = 0
-        self._keeping = Keeping(settings.siblings)
+        self._retention = ConnectionRetention(settings.siblings)
         self._lost = 0.0  # share, of late, of calls on idle connections that were reset with no answer
 
     @property
@@ -115,14 +115,14 @@
         return len({id(one) for one in self._out.values()})
 
     def begin(self, entry: Entry, loads: list[Load]) -> None:
-        one = ProxyPass(entry, loads, self._scheduler.now())
+        one = Attempt(entry, loads, self._scheduler.now())
         for load in loads:
-            holds((load.id, load.attempt) not in self._out, "an attempt is begun once")
+            check((load.id, load.attempt) not in self._out, "an attempt is begun once")
             self._out[load.id, load.attempt] = one
         one.task = self._scheduler.spawn(self._carry, one)
 
     def cancel(self, name: str, attempt: int) -> None:
-        """Stop waiting for one message. Its connection is closed with the last of the pass: as long as it is open
+        """Stop waiting for one message. Its connection is closed with the last of the attempt: as long as it is open
         the message counts as out, and must not be told as ended."""
         one = self._out.get((name, attempt))
         if one is None or one.over:
@@ -141,7 +141,7 @@
     def left(self, entry: Entry) -> None:
         """The endpoint wants nothing new any more, or has gone."""
         self.close_idle(entry)
-        self._keeping.forget(_place(entry))
+        self._retention.forget(_place(entry))
 
     def close(self) -> None:
         for kept in list(self._idle):
@@ -149,7 +149,7 @@
 
     # -- connections
 
-    def _connect(self, one: ProxyPass, until: int) -> None:
+    def _connect(self, one: Attempt, until: int) -> None:
         """The connection used last of those that are idle, have rested and are still up; otherwise a new one. More
         than belongs to an answer may come right behind it, and must not answer the next call."""
         now, idle = self._scheduler.now(), self._pools.get(_place(one.entry), ())
@@ -174,9 +174,9 @@
             min(until, self._scheduler.now() + (one.entry.dial_us or self._set.dial_timeout_us)),
         )
 
-    def _keep(self, one: ProxyPass) -> None:
+    def _keep(self, one: Attempt) -> None:
         idle_close = one.entry.idle_us or self._set.idle_close_us
-        if not self._keeping.span(_place(one.entry), idle_close):
+        if not self._retention.span(_place(one.entry), idle_close):
             one.sock.close()
             one.sock = None
             return
@@ -189,7 +189,7 @@
     def _watch_over(self, kept: Kept) -> None:
         """Close an idle connection in time, and at once when its endpoint does or sends what nobody asked for."""
         span = max(kept.idle_close // 2, kept.idle_close - IDLE_MARGIN_US)
-        span = min(span, REST_US + self._keeping.span(kept.place, kept.idle_close))
+        span = min(span, REST_US + self._retention.span(kept.place, kept.idle_close))
         if kept in self._idle:
             why = self._scheduler.pause(self._scheduler.now() + span, kept.sock, READ)
             if why is TIME_UP or kept in self._idle:
@@ -209,9 +209,9 @@
             self._forget(kept)
             kept.sock.close()
 
-    # -- a pass
+    # -- an attempt
 
-    def _carry(self, one: ProxyPass) -> None:
+    def _carry(self, one: Attempt) -> None:
         if one.over:
             return
         self._busy += 1
@@ -229,9 +229,9 @@
                 log.error("pass to %s ended with no result", one.entry.endpoint.id)
                 self._end(one, Result(i.Outcome.ERROR if one.written else i.Outcome.CONNECT_FAILED))
 
-    def _call(self, one: ProxyPass, reader: http.AnswerReader) -> None:
+    def _call(self, one: Attempt, reader: http.AnswerReader) -> None:
         until = max(load.until for load in one.loads)
-        self._keeping.begun(_place(one.entry), self._scheduler.now())
+        self._retention.begun(_place(one.entry), self._scheduler.now())
         self._connect(one, until)
         if one.over:
             self._drop(one)
@@ -275,20 +275,20 @@
         results = self._read(one, reader)
         if one.fresh:
             crowded = isinstance(results, Result) and results.outcome is i.Outcome.CROWDED
-            (self._keeping.turned_away if crowded else self._keeping.taken)(_place(one.entry))
+            (self._retention.turned_away if crowded else self._retention.taken)(_place(one.entry))
         if reader.keep and not reader.rest and results is not None:
             self._keep(one)
         results = results or Result(i.Outcome.ERROR, read_wait(reader.fields))
         self._end(one, results, reader)
 
-    def _leave_out(self, one: ProxyPass, late: list[Load]) -> None:
+    def _leave_out(self, one: Attempt, late: list[Load]) -> None:
         """A dial may take over a second: what might take effect twice by now, or is over, does not go along. A call
         with several waits for the one that has most time."""
         for load in late:
             one.loads.remove(load)
             self._tell(one, load, Result(i.Outcome.NOT_SENT), {})
 
-    def _tell(self, one: ProxyPass, load: Load, result: Result, report: dict[str, float]) -> None:
+    def _tell(self, one: Attempt, load: Load, result: Result, report: dict[str, float]) -> None:
         del self._out[load.id, load.attempt]
         self._settle(
             i.Attempted(
@@ -304,7 +304,7 @@
             result.unreadable,
         )
 
-    def _encode(self, one: ProxyPass) -> bytes:
+    def _encode(self, one: Attempt) -> bytes:
         left = max(1, max(load.until for load in one.loads) - self._scheduler.now())
         host = one.entry.host or one.entry.endpoint.id
         deadline = ("X-Deadline", f"{left // MS}m" if left >= 10 * MS else f"{left}u")
@@ -323,7 +323,7 @@
             json.dumps(rows, separators=(",", ":")).encode(),
         )
 
-    def _broken(self, one: ProxyPass, reader: http.AnswerReader, error: Exception) -> None:
+    def _broken(self, one: Attempt, reader: http.AnswerReader, error: Exception) -> None:
         """The table's lower half: no whole answer came. A first line of 200 is true for a single message; whatever
         else a spoilt answer says, the call may have run."""
         single, status, begun = len(one.loads) == 1, reader.status, reader.begun or reader.interim
@@ -343,18 +343,18 @@
         self._learn(one, result.outcome is i.Outcome.RESET)
         self._end(one, result, reader)
 
-    def _learn(self, one: ProxyPass, lost: bool) -> None:
+    def _learn(self, one: Attempt, lost: bool) -> None:
         """Connections may die while they are idle with no word to us: how often, calls on such ones tell."""
         if one.idled and one.written:
             self._lost += (lost - self._lost) / LOST_OVER
 
-    def _read(self, one: ProxyPass, reader: http.AnswerReader) -> Result | dict[str, Result] | None:
+    def _read(self, one: Attempt, reader: http.AnswerReader) -> Result | dict[str, Result] | None:
         """None if the answer is whole but cannot be used."""
         if reader.status == 200 and len(one.loads) > 1:
             return self._read_batch(one, reader)
         return self._by_status(one, reader)
 
-    def _by_status(self, one: ProxyPass, reader: http.AnswerReader) -> Result:
+    def _by_status(self, one: Attempt, reader: http.AnswerReader) -> Result:
         status, wait = reader.status, read_wait(reader.fields)
         if status == 200:
             return Result(i.Outcome.OK if len(one.loads) == 1 else i.Outcome.ERROR, wait, len(one.loads) == 1)
@@ -379,7 +379,7 @@
             return Result(i.Outcome.NOT_SENT, wait, unreadable=True)
         return Result(i.Outcome.ERROR, wait)
 
-    def _read_batch(self, one: ProxyPass, reader: http.AnswerReader) -> dict[str, Result] | None:
+    def _read_batch(self, one: Attempt, reader: http.AnswerReader) -> dict[str, Result] | None:
         wait, results = read_wait(reader.fields), {}
         try:
             for row in json.loads(bytes(reader.body)):
@@ -389,20 +389,18 @@
             return None
         return {load.id: results.get(load.id) or Result(i.Outcome.ERROR, wait) for load in one.loads}
 
-    def _end(
-        self, one: ProxyPass, results: Result | dict[str, Result], reader: http.AnswerReader | None = None
-    ) -> None:
-        """Tell every message's outcome, once. What a pass that is over still brings touches nothing."""
+    def _end(self, one: Attempt, results: Result | dict[str, Result], reader: http.AnswerReader | None = None) -> None:
+        """Tell every message's outcome, once. What an attempt that is over still brings touches nothing."""
         one.over = True
         report = read_report(reader.fields) if reader is not None and reader.head_done else {}
         self._drop(one)
         for load in one.loads:
             self._tell(one, load, results if isinstance(results, Result) else results[load.id], report)
 
-    def _drop(self, one: ProxyPass) -> None:
-        """Close the pass's connection and end its task's pause on it."""
+    def _drop(self, one: Attempt) -> None:
+        """Close the attempt's connection and end its task's pause on it."""
         if one.task is not None:
-            self._scheduler.wake(one.task, streams.Interrupted("the pass is over"))
+            self._scheduler.wake(one.task, streams.Interrupted("the attempt is over"))
         if one.sock is not None:
             one.sock.close()
             one.sock = None
--- a/scalefall/net/checks.py
+++ b/scalefall/net/checks.py
@@ -10,7 +10,7 @@
 broken: Counter[str] = Counter()
 
 
-def holds(condition: object, name: str) -> bool:
+def check(condition: object, name: str) -> bool:
     """True if the invariant holds. If not: an AssertionError in debug, a count under its name in release."""
     if condition:
         return True
--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 from scalefall.interface import Settings
-from scalefall.net.farm import Entry, Roll, read_roll
+from scalefall.net.endpoint_list import Entry, ListUpdate, read_list
 from scalefall.settings import read_settings
 
 Address = tuple[str, int]
@@ -48,7 +48,7 @@
     disk_bytes: int
     memory_bytes: int
     settings: Settings
-    known: Roll
+    known: ListUpdate
     reports: Address | None = None  # where notices go if there is no discovery; None: to the log
     fleet: Fleet | None = None
     left: tuple[str, ...] = ()  # read again: what differs from the running sender and takes a restart
@@ -84,7 +84,7 @@
         raise ConfigError(f"RELAY_STATE must name a folder, not {state!r}")
     try:
         settings, doubts = _settled(read_settings(table.get("settings")), table.get("peers"))
-        known = read_roll(table.get("known") or {"seq": 0, "whole": True, "hosts": []}, strict=False)
+        known = read_list(table.get("known") or {"seq": 0, "whole": True, "hosts": []}, strict=False)
         if known.unread:
             doubts += (
                 f"known: {len(known.unread)} endpoints cannot be read and are left out, the first {known.unread[0]!r}",
--- a/scalefall/net/keeping.py
+++ b/scalefall/net/connection_retention.py
@@ -14,7 +14,7 @@
 SURE = 2.0  # the span must be so many mean gaps for the connection to be kept at all
 
 
-class Keeping:
+class ConnectionRetention:
     def __init__(self, senders: int) -> None:
         self._senders = max(1, senders)
         self._shares: dict[object, float] = {}  # of the span, by place, where it is less than all
--- a/scalefall/net/farm.py
+++ b/scalefall/net/endpoint_list.py
@@ -1,4 +1,4 @@
-"""The farm: discovery's list of endpoints, kept up by a watch. What it learns goes to the host as Listed events."""
+"""Discovery's list of endpoints, kept up by a watch. What it learns goes to the host as Listed events."""
 
 from __future__ import annotations
 
@@ -11,7 +11,7 @@
 from scalefall import interface as i
 from scalefall.net import http, streams
 from scalefall.net.checks import log
-from scalefall.net.rolls import Entry, Objects, Roll, read_roll
+from scalefall.net.list_stream import Entry, ObjectStream, ListUpdate, read_list
 from scalefall.net.scheduler import Scheduler, Task
 
 SECOND = 1_000_000
@@ -29,12 +29,12 @@
 UNHEARD_US = 2 * SECOND  # and so long after a start the old list is taken as it is, if nothing has been heard
 
 
-class Farm:
+class EndpointList:
     def __init__(
         self,
         scheduler: Scheduler,
         discovery: tuple[str, int] | None,
-        known: Roll,
+        known: ListUpdate,
         tell: Callable[[i.Listed], None],
         pushed: bool = False,
         most: int = MOST_LIST,
@@ -104,7 +104,9 @@
     def _again(self, names: set[str]) -> None:
         known = sorted(name for name in names if self.names(name))
         if known:
-            self._keep(Roll(self.seq, False, [self._listed.pop(name, None) or self.entries[name] for name in known]))
+            self._keep(
+                ListUpdate(self.seq, False, [self._listed.pop(name, None) or self.entries[name] for name in known])
+            )
             if self._introduced:
                 self._tell(i.Listed(i.ListKind.CHANGES, self._endpoints(known)))
 
@@ -134,14 +136,14 @@
         elif self._task is not None:  # the module waits to ask again after a failure at the old address
             self.subscribe()
 
-    def _keep(self, roll: Roll) -> None:
+    def _keep(self, update: ListUpdate) -> None:
         now = self._scheduler.now()
-        if roll.whole:
-            for gone in self.entries.keys() - {entry.endpoint.id for entry in roll.entries} - set(roll.unread):
+        if update.whole:
+            for gone in self.entries.keys() - {entry.endpoint.id for entry in update.entries} - set(update.unread):
                 self._listed.pop(gone, None)
                 self.left_at.setdefault(gone, now)  # what is not in the whole list is gone
                 self._gone.setdefault(gone, now)
-        for entry in roll.entries:
+        for entry in update.entries:
             name = entry.endpoint.id
             if name in self._out and entry.endpoint.status is i.Status.READY:
                 self._listed[name] = entry
@@ -157,7 +159,7 @@
             self._gone.pop(name, None)
             if entry.endpoint.status is i.Status.GONE:
                 self._gone[name] = now
-        self.seq = roll.seq
+        self.seq = update.seq
         self._forget(now)
 
     def _put(self, name: str, entry: Entry | None) -> None:
@@ -192,7 +194,7 @@
             if now < self._moved_at + MOVING_US:
                 self._scheduler.sleep(MOVING_STEP_US)  # it may come up there a moment later than we were told
                 continue
-            log.info("watch on the farm broken: %s", why)
+            log.info("watch on the endpoint list broken: %s", why)
             if self._pushed:
                 pause = AGAIN_US if self._heard_at >= begun else min(2 * pause, MOST_AGAIN_US)
                 self._scheduler.sleep(int(pause * (0.5 + self._random.random())))
@@ -223,7 +225,7 @@
             http.request("GET", f"/v1/servers?stream=1&index={self.seq}", "discovery", []),
             self._scheduler.now() + DIAL_US,
         )
-        reader, objects, first = http.AnswerReader(self._most), Objects(self._most), True
+        reader, objects, first = http.AnswerReader(self._most), ObjectStream(self._most), True
         said_at, most, coming = self._scheduler.now(), FIRST_US, 0
         while not reader.complete:
             self._stays(address)
@@ -245,15 +247,15 @@
             for table in tables:
                 if len(data) >= PIECE:
                     self._scheduler.sleep(0)  # a long list takes its turns
-                roll = read_roll(table, strict=False)
-                if len(roll.entries) >= MANY:
+                update = read_list(table, strict=False)
+                if len(update.entries) >= MANY:
                     self._scheduler.sleep(0)
-                if first and not roll.whole and roll.seq < self.seq:
+                if first and not update.whole and update.seq < self.seq:
                     self.seq, self._silent = 0, True
                     raise OSError("discovery counts its versions anew")
                 first = False
                 self._stays(address)
-                self._learn(roll)
+                self._learn(update)
             coming += len(data)
             if tables or data and between and data.isspace():  # a part of an object is no word: it may drip for good
                 self._introduce()
@@ -271,27 +273,29 @@
         if address != self._discovery:
             raise OSError("discovery has moved")
 
-    def _learn(self, roll: Roll) -> None:
-        if roll.unread:
-            self._unread(roll)
+    def _learn(self, update: ListUpdate) -> None:
+        if update.unread:
+            self._unread(update)
         self._introduce()
-        if not roll.whole and roll.seq <= self.seq:
+        if not update.whole and update.seq <= self.seq:
             return  # what we have already
-        log.info("farm: version %d, %s %d", roll.seq, "all" if roll.whole else "changed", len(roll.entries))
-        self._keep(roll)
+        log.info(
+            "endpoint list: version %d, %s %d", update.seq, "all" if update.whole else "changed", len(update.entries)
+        )
+        self._keep(update)
         self._failed = False
-        kind = i.ListKind.WHOLE if roll.whole else i.ListKind.CHANGES
-        stays = [name for name in roll.unread if roll.whole and name in self.entries]
-        self._tell(i.Listed(kind, self._endpoints([*(entry.endpoint.id for entry in roll.entries), *stays])))
+        kind = i.ListKind.WHOLE if update.whole else i.ListKind.CHANGES
+        stays = [name for name in update.unread if update.whole and name in self.entries]
+        self._tell(i.Listed(kind, self._endpoints([*(entry.endpoint.id for entry in update.entries), *stays])))
 
-    def _unread(self, roll: Roll) -> None:
+    def _unread(self, update: ListUpdate) -> None:
         """Entries that cannot be read: each costs itself, once in the log, and what was known of it stays."""
-        self.unread += len(roll.unread)
-        if roll.unread != self._said:
-            self._said = roll.unread
+        self.unread += len(update.unread)
+        if update.unread != self._said:
+            self._said = update.unread
             log.warning(
-                "farm: %d entries of version %d cannot be read and stay as they were, the first %r",
-                len(roll.unread),
-                roll.seq,
-                roll.unread[0],
+                "endpoint list: %d entries of version %d cannot be read and stay as they were, the first %r",
+                len(update.unread),
+                update.seq,
+                update.unread[0],
             )
--- a/scalefall/net/host.py
+++ b/scalefall/net/host.py
@@ -10,16 +10,16 @@
 from math import inf
 
 from scalefall import interface as i
-from scalefall.net import checks, http, paces
-from scalefall.net.checks import debug, holds, log
+from scalefall.net import checks, http, learned_rates
+from scalefall.net.checks import debug, check, log
 from scalefall.net.config import Config, ConfigError, Fleet
-from scalefall.net.farm import Entry, Farm
+from scalefall.net.endpoint_list import Entry, EndpointList
 from scalefall.net.front import Front
 from scalefall.net.journal import FAILED, RETURNED, Journal, Owed
 from scalefall.net.notices import LoggedNotices, Notices
 from scalefall.net.operators import Duty, Operators, OutFile
-from scalefall.net.passes import Load, Passes, batch_size
-from scalefall.net.roster import Roster
+from scalefall.net.attempts import Load, Attempts, batch_size
+from scalefall.net.static_list import StaticList
 from scalefall.net.scheduler import Scheduler, Timer
 from scalefall.net.transaction import Conflict, Failed, NotCarried, Taken, Transaction, UnavailableAnswer
 from scalefall.policy import Sender
@@ -53,7 +53,7 @@
         self._module = Sender(settings, config.seed)
         self._events: list[i.Event] = []
         self._planned, self._closing_at = False, 0
-        self._paces: list[i.Known] = []  # what the process before knew, until the list is there
+        self._learned_rates: list[i.Known] = []  # what the process before knew, until the list is there
         self.address, self.admin = config.listen, config.admin
         self._open: dict[str, Transaction] = {}  # offered or taken on, and not over for the module
         self._ended: dict[str, tuple[int, int]] = {}  # ids lately taken on and over: when, and what they stood for
@@ -61,15 +61,15 @@
         self._due_timer: Timer | None = None
         self._waits: dict[int | str, int] = {}  # until when, by destination or route apart
         self._wall = scheduler.wall() - scheduler.now()  # to add for wall time
-        self._paces_room = paces.room(config.disk_bytes)
+        self._learned_rates_room = learned_rates.room(config.disk_bytes)
         self._out = OutFile(config.state, config.disk_bytes) if config.admin else None
         self._duty = Duty(self._out.load() if self._out else set())
-        beside = self._paces_room + (self._out.room if self._out else 0)
+        beside = self._learned_rates_room + (self._out.room if self._out else 0)
         self._journal = Journal(config.state, config.disk_bytes - beside)
         self._rules, self._reloading, self._reload_again = None, False, False
         reports = config.discovery or config.reports
         if config.fleet is None:
-            self._farm = Farm(
+            self._endpoint_list = EndpointList(
                 scheduler,
                 config.discovery,
                 config.known,
@@ -80,12 +80,12 @@
                 _listed_for(settings),
             )
         else:
-            self._farm = Roster(scheduler, config.known, self._listed, settings.drain_grace_us)
+            self._endpoint_list = StaticList(scheduler, config.known, self._listed, settings.drain_grace_us)
             self._follow(config.fleet)
         self._notices = (
             Notices(scheduler, reports, self._journal.over) if reports else LoggedNotices(self._journal.over)
         )
-        self._passes = Passes(scheduler, settings, share, self._settled, self._may_begin, self._open.__contains__)
+        self._attempts = Attempts(scheduler, settings, share, self._settled, self._may_begin, self._open.__contains__)
         clients = min(share, config.memory_bytes // 4 // (http.MOST_HEAD + http.MOST_BODY))
         self.front = Front(scheduler, settings.classes, clients, self.offer, self.withdraw)
         self._operators = Operators(scheduler, self._operated) if config.admin else None
@@ -93,9 +93,9 @@
     def start(self) -> None:
         for doubt in self._config.doubts:
             log.warning("configuration: %s", doubt)
-        self._paces = paces.load(self._config.state, self._paces_room, self._scheduler.wall())
-        self._farm.take_out(self._duty.out)
-        self._farm.start()
+        self._learned_rates = learned_rates.load(self._config.state, self._learned_rates_room, self._scheduler.wall())
+        self._endpoint_list.take_out(self._duty.out)
+        self._endpoint_list.start()
         self._restore()
         self._turn()
         self.address = self.front.listen(self._config.listen)
@@ -108,8 +108,12 @@
     def _remember(self) -> None:
         while not self._closing_at:
             rows = self._module.known()
-            paces.save(
-                self._config.state, self._paces_room, rows, self._scheduler.wall(), lambda: self._scheduler.sleep(0)
+            learned_rates.save(
+                self._config.state,
+                self._learned_rates_room,
+                rows,
+                self._scheduler.wall(),
+                lambda: self._scheduler.sleep(0),
             )
             self._scheduler.sleep(max(PACES_US, len(rows) * PACE_US))
 
@@ -123,7 +127,7 @@
 
     def _operated(self, method: str, target: str) -> int:
         """Carry out a call, and only then say yes."""
-        status, what = self._duty.call(method, target, not self._closing_at, self._farm.names)
+        status, what = self._duty.call(method, target, not self._closing_at, self._endpoint_list.names)
         verb, _, name = what.partition(" ")
         match verb:
             case "out" | "back":
@@ -131,9 +135,9 @@
                 if wanted != self._duty.out and not self._out.save(wanted):
                     return 507
                 if verb == "out":
-                    self._farm.take_out({name})
+                    self._endpoint_list.take_out({name})
                 elif name in self._duty.out:
-                    self._farm.put_back(name)
+                    self._endpoint_list.put_back(name)
                     self._cold(name)
             case "drain" | "resume":
                 self.front.drain(verb == "drain")
@@ -143,7 +147,7 @@
     def _cold(self, name: str) -> None:
         """Back from maintenance it has been restarted: to be met as after an outage that others have seen, with a few
         calls and then more. Where its neighbours have served meanwhile, the partner as a whole was not down."""
-        if self._farm.names(name):
+        if self._endpoint_list.names(name):
             now = self._scheduler.now()
             for sent in (now - COLD_SEEN_US, now + 2 * self._set.tick_us):  # the second after the first is told
                 self._gather(i.Reported(name, sent, i.Outcome.CONNECT_FAILED))
@@ -164,7 +168,7 @@
             transaction.decide(UnavailableAnswer(CLOSING_US, True))
         elif not self._carried(transaction):
             transaction.decide(NotCarried())
-        elif not self._farm.serves(transaction.destination):
+        elif not self._endpoint_list.serves(transaction.destination):
             transaction.decide(UnavailableAnswer(FULL_US, True))
         elif len(self._open) >= self._set.max_held or not self._journal.room(len(transaction.body)):
             transaction.decide(UnavailableAnswer(FULL_US, True))
@@ -230,7 +234,7 @@
             verdict = Taken()
         except Exception:  # nothing was promised yet: what came in this turn goes elsewhere, the program carries on
             log.exception("the module failed in a turn")
-            holds(False, "the module failed in a turn")
+            check(False, "the module failed in a turn")
             verdict = UnavailableAnswer(FULL_US, True)
         for name in handed_in:
             transaction = self._open.get(name)
@@ -251,24 +255,24 @@
                 case i.Send(endpoint=endpoint):
                     sends.setdefault(endpoint, []).append(action)
                 case i.Cancel(id=name, attempt=attempt):
-                    self._passes.cancel(name, attempt)
+                    self._attempts.cancel(name, attempt)
                 case i.SetTimer(token=token, delay_us=delay):
                     self._scheduler.call_at(self._scheduler.now() + delay, self._gather, i.Timer(token))
                 case i.Close(endpoint=endpoint):
-                    if endpoint in self._farm.entries:
-                        self._passes.close_idle(self._farm.entries[endpoint])
+                    if endpoint in self._endpoint_list.entries:
+                        self._attempts.close_idle(self._endpoint_list.entries[endpoint])
                 case i.Subscribe():
-                    self._farm.subscribe()
+                    self._endpoint_list.subscribe()
                 case i.Log(line=line):
                     log.info("module: %s", line)
                 case _:
-                    holds(False, f"the module asks only for what is allowed here, not {type(action).__name__}")
+                    check(False, f"the module asks only for what is allowed here, not {type(action).__name__}")
         for name in handed_in:
             if name in self._open:
                 self._take_on(self._open[name])
         for endpoint, calls in sends.items():
-            entry = self._farm.entries.get(endpoint)
-            if not holds(entry is not None, "the module sends to endpoints that the list has"):
+            entry = self._endpoint_list.entries.get(endpoint)
+            if not check(entry is not None, "the module sends to endpoints that the list has"):
                 self._unsent(endpoint, calls)
                 continue
             most = self._set.per_call.get(entry.endpoint.kind, 1)
@@ -347,7 +351,7 @@
             self._look_at(self._due[0][0])
         if late:
             log.error("open past their time, and failed: %s", " ".join(late))
-        holds(not late, "the module ends every message in its time")
+        check(not late, "the module ends every message in its time")
 
     def _unsent(self, endpoint: str, calls: list[i.Send]) -> None:
         for send in calls:
@@ -392,7 +396,7 @@
                 dest=entry.endpoint.destination,
             )
         if self._journal.pass_begun(ids, now + self._wall, entry.endpoint.zone):
-            self._passes.begin(entry, loads)
+            self._attempts.begin(entry, loads)
         else:
             for load in loads:
                 self._gather(i.Attempted(load.id, load.attempt, entry.endpoint.id, i.Outcome.NOT_SENT, 0))
@@ -410,24 +414,26 @@
     def _may_begin(self, entry: Entry) -> bool:
         """Whether the first byte of a call may still go out: asked once its connection is up."""
         now, endpoint = self._scheduler.now(), entry.endpoint
-        left = self._farm.left_at.get(endpoint.id, now)
+        left = self._endpoint_list.left_at.get(endpoint.id, now)
         drained = now - left > self._set.drain_grace_us - DRAIN_MARGIN_US
-        return not drained and not self._farm.replaced(entry) and self._waits.get(self._bound(endpoint), 0) <= now
+        return (
+            not drained and not self._endpoint_list.replaced(entry) and self._waits.get(self._bound(endpoint), 0) <= now
+        )
 
     def _listed(self, event: i.Listed) -> None:
-        """News of the farm; connections to what wants nothing new are of no use any more."""
-        for name in self._farm.left_at:
-            self._passes.left(self._farm.entries[name])
+        """News of the endpoint list; connections to what wants nothing new are of no use any more."""
+        for name in self._endpoint_list.left_at:
+            self._attempts.left(self._endpoint_list.entries[name])
         self._gather(event)
-        for known in self._paces:  # of destinations that the first list has named
+        for known in self._learned_rates:  # of destinations that the first list has named
             self._gather(known)
-        self._paces = []
+        self._learned_rates = []
 
     def _bound(self, endpoint: i.Endpoint) -> int | str:
         return endpoint.id if self._set.apart.get(endpoint.kind) else endpoint.destination
 
     def _settled(self, event: i.Attempted, unreadable: bool) -> None:
-        """A pass has ended for one message. In a call with several that could not be read, one may spoil the others:
+        """An attempt has ended for one message. In a call of several that could not be read, one may spoil the others:
         each goes alone from now on."""
         if unreadable and event.id in self._open:
             self._open[event.id].alone = True
@@ -447,8 +453,8 @@
             latency_us=event.latency_us,
             told=event.report,
         )
-        if event.wait_us and event.endpoint in self._farm.entries:
-            bound = self._bound(self._farm.entries[event.endpoint].endpoint)
+        if event.wait_us and event.endpoint in self._endpoint_list.entries:
+            bound = self._bound(self._endpoint_list.entries[event.endpoint].endpoint)
             self._waits[bound] = max(self._waits.get(bound, 0), self._scheduler.now() + event.wait_us)
         if event.finished:
             self._journal.over(event.id)
@@ -562,7 +568,7 @@
             log.error("configuration not taken, the old settings stay: %s", error)
             return
         log.info("configuration read again: discovery at %s:%d", *config.discovery)
-        self._farm.move(config.discovery)
+        self._endpoint_list.move(config.discovery)
         self._notices.move(config.discovery)
         self._retune(config.settings)
 
@@ -582,7 +588,7 @@
         old.clear()  # the front and the module have the same table
         old.update(now)
         self._set.max_attempts = new.max_attempts
-        self._farm.keep_for(_listed_for(self._set))
+        self._endpoint_list.keep_for(_listed_for(self._set))
 
     def _reload_fleet(self, read_again: Callable[[], Config]) -> None:
         try:
@@ -597,7 +603,7 @@
                 for line in config.left:
                     log.warning("left as it was until a restart: %s", line)
                 self._follow(config.fleet)
-                added, gone, changed = self._farm.replace(config.fleet.entries)
+                added, gone, changed = self._endpoint_list.replace(config.fleet.entries)
                 log.info(
                     "configuration read again: %d endpoints, %d new, %d gone, %d changed; %d routes",
                     len(config.fleet.entries),
@@ -621,7 +627,7 @@
         if self._closing_at:
             return
         self._closing_at = self._scheduler.now()
-        log.info("closing: %d open, %d passes out", len(self._open), self._passes.out)
+        log.info("closing: %d open, %d attempts out", len(self._open), self._attempts.out)
         self._gather(i.Closing(self._closing_at + CLOSED_US))
         self.front.close_idle()
         self._scheduler.spawn(self._wind_up)
@@ -639,16 +645,16 @@
             self._scheduler.sleep(5 * MS)  # whoever was in the listener's queue, and what they handed in
         self.front.end()
         self._scheduler.sleep(5 * MS)
-        log.info("ended: %d left to the journal, %d passes out", len(self._open), self._passes.out)
+        log.info("ended: %d left to the journal, %d attempts out", len(self._open), self._attempts.out)
         checks.report()
-        paces.save(self._config.state, self._paces_room, self._module.known(), self._scheduler.wall())
+        learned_rates.save(self._config.state, self._learned_rates_room, self._module.known(), self._scheduler.wall())
         self._scheduler.stop()
 
     def _may_end(self, since: int) -> bool:
         if since >= END_US:
             return True
         rest = not self._open and self._notices.idle or since >= LAST_CALL_US
-        return since >= LINGER_US and rest and not self._passes.out and not self.front.answering
+        return since >= LINGER_US and rest and not self._attempts.out and not self.front.answering
 
 
 def _listed_for(settings: i.Settings) -> int:
--- a/scalefall/net/journal.py
+++ b/scalefall/net/journal.py
@@ -1,4 +1,4 @@
-"""The sender's journal in the lasting folder: what was taken on, the passes begun, their outcomes and the ends.
+"""The sender's journal in the lasting folder: what was taken on, the attempts begun, their outcomes and the ends.
 
 Records are appended to one file, each with its length and a checksum, with absolute wall time. A torn tail is cut.
 When the file and a fresh copy of what is still owed would no longer both fit into the folder's limit, the copy takes
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from scalefall.interface import Effect
-from scalefall.net.checks import holds, log
+from scalefall.net.checks import check, log
 
 HEAD = struct.Struct("<II")  # length of the record's body, its CRC-32
 TAKEN = struct.Struct("<qiIqBB")  # due, destination, attempts, ran at (0: not), flags, state of the end
@@ -39,7 +39,7 @@
     attempts: int = 0
     ran_wall: int = 0  # begin of the first pass that may have run
     ran_zone: str = ""
-    out: bool = False  # a pass has begun and has no outcome yet
+    out: bool = False  # an attempt has begun and has no outcome yet
     out_wall: int = 0
     out_zone: str = ""
     end: int = 0  # FAILED or RETURNED: a notice is owed
@@ -112,14 +112,14 @@
         size = HEAD.size + len(_snapshot(owed)) + ZONES
         if not self._fits(self._live + size) or not self._append(_snapshot(owed), size):
             return False
-        holds(owed.id not in self.owed, "an id is taken on once")
+        check(owed.id not in self.owed, "an id is taken on once")
         owed.size = size
         self.owed[owed.id] = owed
         self._live += size
         return True
 
     def pass_begun(self, ids: list[str], wall: int, zone: str) -> bool:
-        """False if it can't be written, or a copy would no longer fit: then the pass must not begin."""
+        """False if it can't be written, or a copy would no longer fit: then the attempt must not begin."""
         ids = [name for name in ids if name in self.owed]
         wider = sum(max(0, self._zones(zone) - self.owed[name].zones) for name in ids)
         if wider and not self._fits(self._live, wider):
@@ -143,7 +143,7 @@
             self._live += more
 
     def outcome(self, name: str, may_have_run: bool) -> None:
-        """How the pass that is out ended; a delivery is told by over()."""
+        """How the attempt that is out ended; a delivery is told by over()."""
         if name in self.owed:
             self._append(b"O" + bytes([may_have_run]) + _text(name))
             self._settle(self.owed[name], may_have_run)
--- a/scalefall/net/paces.py
+++ b/scalefall/net/learned_rates.py
@@ -1,4 +1,4 @@
-"""What the module knows of paces, kept in the lasting folder for the process after this one.
+"""The rates that the module has learned, kept in the lasting folder for the process after this one.
 
 It is a help and no promise: a file that is missing, old or unreadable is as good as none.
 """
@@ -44,7 +44,7 @@
             file.write("\n".join(lines) + "\n")
         os.replace(path + ".new", path)
     except OSError as error:
-        log.error("paces: cannot write (%s)", error)
+        log.error("learned rates: cannot write (%s)", error)
 
 
 def load(folder: str, most: int, wall: int) -> list[Known]:
@@ -57,7 +57,7 @@
     except FileNotFoundError:
         return []
     except (OSError, ValueError, TypeError, RecursionError) as error:
-        log.warning("paces: cannot be read (%s)", error)
+        log.warning("learned rates: cannot be read (%s)", error)
         return []
 
 
--- a/scalefall/net/rolls.py
+++ b/scalefall/net/list_stream.py
@@ -30,7 +30,7 @@
 
 
 @dataclass(slots=True, frozen=True)
-class Roll:
+class ListUpdate:
     """The list, or what of it has changed, at a version."""
 
     seq: int
@@ -39,7 +39,7 @@
     unread: tuple[str, ...] = ()  # entries that could not be read, by id where that much could
 
 
-class Objects:
+class ObjectStream:
     """Cuts a stream of JSON objects into single ones, on one line each or indented over many."""
 
     def __init__(self, most: int) -> None:
@@ -91,8 +91,8 @@
         return end
 
 
-def read_roll(table: Any, strict: bool = True) -> Roll:
-    """Discovery's object as a Roll; a ValueError names what is wrong. Where it is not strict, an entry that cannot be
+def read_list(table: Any, strict: bool = True) -> ListUpdate:
+    """Discovery's object as an update; a ValueError names what is wrong. If not strict, an entry that cannot be
     read costs that entry alone, unless none can be read."""
     entries, unread, why = [], [], ""
     try:
@@ -112,7 +112,7 @@
         raise ValueError(f"list of endpoints: missing or wrong value ({error!r})") from error
     if unread and not entries:
         raise ValueError(f"list of endpoints: no entry can be read: {why}")
-    return Roll(seq, bool(whole), entries, tuple(unread))
+    return ListUpdate(seq, bool(whole), entries, tuple(unread))
 
 
 def _read_entry(row: Any) -> Entry:
--- a/scalefall/net/operators.py
+++ b/scalefall/net/operators.py
@@ -66,7 +66,7 @@
 
 
 class OutFile:
-    """Which endpoints are out, kept in the lasting folder: it binds across a restart, unlike what paces keeps."""
+    """Which endpoints are out, kept in the lasting folder: it binds across a restart, unlike the learned rates."""
 
     def __init__(self, folder: str, disk_bytes: int) -> None:
         self.room = max(LEAST_ROOM, disk_bytes // OUT_PART)
--- a/scalefall/net/roster.py
+++ b/scalefall/net/static_list.py
@@ -1,4 +1,4 @@
-"""The farm where a file of the operator's own is the list: nothing is watched, and a new file replaces it at once.
+"""A list of endpoints from a file of the operator's own: nothing is watched, and a new file replaces it at once.
 
 An endpoint that the new list no longer has drains first, so that calls which are out may end and fresh work stops under
 the drain rule, and is gone after the grace. One that comes back meanwhile is ready again, and is not gone later.
@@ -10,12 +10,14 @@
 from dataclasses import replace
 
 from scalefall import interface as i
-from scalefall.net.farm import Entry, Farm, Roll
+from scalefall.net.endpoint_list import Entry, EndpointList, ListUpdate
 from scalefall.net.scheduler import Scheduler
 
 
-class Roster(Farm):
-    def __init__(self, scheduler: Scheduler, known: Roll, tell: Callable[[i.Listed], None], grace_us: int) -> None:
+class StaticList(EndpointList):
+    def __init__(
+        self, scheduler: Scheduler, known: ListUpdate, tell: Callable[[i.Listed], None], grace_us: int
+    ) -> None:
         super().__init__(scheduler, None, known, tell)
         self._grace = grace_us
         self._leaving: dict[str, int] = {}  # endpoints that drain as they are no more in the list: since which one
@@ -47,7 +49,9 @@
         for entry in gone:
             self._leaving[entry.endpoint.id] = version
         if new or gone or changed:
-            self._learn(Roll(version, False, [*(_as(entry, i.Status.DRAINING) for entry in gone), *new, *changed]))
+            self._learn(
+                ListUpdate(version, False, [*(_as(entry, i.Status.DRAINING) for entry in gone), *new, *changed])
+            )
         if gone:
             self._scheduler.call_at(self._scheduler.now() + self._grace, self._left, version)
         return len(new), len(gone), len(changed)
@@ -62,7 +66,7 @@
         for name in names:
             del self._leaving[name]
         if names:
-            self._learn(Roll(self.seq + 1, False, [_as(self.entries[name], i.Status.GONE) for name in names]))
+            self._learn(ListUpdate(self.seq + 1, False, [_as(self.entries[name], i.Status.GONE) for name in names]))
 
 
 def _as(entry: Entry, status: i.Status) -> Entry:
--- a/tests/control/test_judge.py
+++ b/tests/control/test_allocator.py
@@ -7,7 +7,7 @@
 
 from scalefall import interface as i
 from scalefall.control.grants import CALLS, Ledger
-from scalefall.control.judge import UNLIMITED, Judge
+from scalefall.control.allocator import UNLIMITED, Allocator
 from scalefall.policy import Sender
 
 MS, S = 1000, 1_000_000
@@ -20,11 +20,11 @@
 
 
 def started(*holders, **changes):
-    judge = Judge(Sender(settings(siblings=1, **changes), 3), Ledger(-LEASE - DELAY, LEASE, DELAY))
+    allocator = Allocator(Sender(settings(siblings=1, **changes), 3), Ledger(-LEASE - DELAY, LEASE, DELAY))
     for holder in holders:
-        judge._ledger.join(holder)
-        judge._ledger.want(holder, 1, 1000 * CALLS)
-    return judge
+        allocator._ledger.join(holder)
+        allocator._ledger.want(holder, 1, 1000 * CALLS)
+    return allocator
 
 
 def reports(outcome, times=1, at=0, wait=0, report=None, endpoint="e"):
@@ -36,74 +36,74 @@
 
 
 def test_what_the_module_does_not_pace_is_not_held_back():
-    judge = started("a")
-    assert amounts(judge.turn(0, [listed("e")])) == {"a": UNLIMITED}
+    allocator = started("a")
+    assert amounts(allocator.turn(0, [listed("e")])) == {"a": UNLIMITED}
 
 
 def test_a_limit_that_answers_tell_is_divided_among_all():
-    judge = started("a", "b")
-    judge.turn(0, [listed("e")])
-    grants = judge.turn(S, reports(O.OK, report={"x0": 0.0, "x1": 8.0}))
-    assert sum(amounts(grants).values()) <= 8 * CALLS and judge.allowed[0].rate <= 8
+    allocator = started("a", "b")
+    allocator.turn(0, [listed("e")])
+    grants = allocator.turn(S, reports(O.OK, report={"x0": 0.0, "x1": 8.0}))
+    assert sum(amounts(grants).values()) <= 8 * CALLS and allocator.allowed[0].rate <= 8
 
 
 def test_a_told_wait_stops_every_proxy_until_it_is_over():
-    judge = started("a", "b")
-    judge.turn(0, [listed("e")])
-    assert amounts(judge.turn(S, reports(O.OK, wait=3 * S))) == {"a": 0, "b": 0}  # a good answer may tell one too
-    assert judge.allowed[0].silent_until == 4 * S and judge.allowed[0].rate == inf
-    assert not any(amounts(judge.turn(4 * S - 1, [])).values())
-    assert any(amounts(judge.turn(20 * S, [])).values())
+    allocator = started("a", "b")
+    allocator.turn(0, [listed("e")])
+    assert amounts(allocator.turn(S, reports(O.OK, wait=3 * S))) == {"a": 0, "b": 0}  # a good answer may tell one too
+    assert allocator.allowed[0].silent_until == 4 * S and allocator.allowed[0].rate == inf
+    assert not any(amounts(allocator.turn(4 * S - 1, [])).values())
+    assert any(amounts(allocator.turn(20 * S, [])).values())
 
 
 def test_after_a_failure_nothing_goes_out_for_a_while_and_then_little():
-    judge = started("a")
-    judge.turn(0, [listed("e")])
-    judge.turn(S, reports(O.CONNECT_FAILED, at=S))
-    assert judge.allowed[0].rate == 0
-    judge.turn(60 * S, [])
-    assert 0 < judge.allowed[0].rate < 10
+    allocator = started("a")
+    allocator.turn(0, [listed("e")])
+    allocator.turn(S, reports(O.CONNECT_FAILED, at=S))
+    assert allocator.allowed[0].rate == 0
+    allocator.turn(60 * S, [])
+    assert 0 < allocator.allowed[0].rate < 10
 
 
 def test_a_pace_that_was_cut_grows_with_the_calls_that_are_reported():
-    judge = started("a")
-    judge.turn(0, [listed("e")])
-    judge.turn(S, reports(O.OK, 40, S) + reports(O.FULL, at=S))
+    allocator = started("a")
+    allocator.turn(0, [listed("e")])
+    allocator.turn(S, reports(O.OK, 40, S) + reports(O.FULL, at=S))
     rates = []
     for tenth in range(11, 18):
-        judge.turn(tenth * S // 10, reports(O.OK, at=tenth * S // 10))
-        rates.append(judge.allowed[0].rate)
+        allocator.turn(tenth * S // 10, reports(O.OK, at=tenth * S // 10))
+        rates.append(allocator.allowed[0].rate)
     assert rates == sorted(rates) and 1.2 * rates[0] < rates[-1] < inf
 
 
 def test_a_draining_endpoint_is_no_state_of_ready_and_the_last_one_leaves_no_allowance():
-    judge = started("a")
-    judge.turn(0, [listed("e", "f")])
-    judge.turn(1, [listed("e", status=i.Status.DRAINING)])
-    assert set(judge.allowed[0].endpoints) == {"f"}
-    assert amounts(judge.turn(2, [listed("f", status=i.Status.DRAINING)])) == {"a": 0}
+    allocator = started("a")
+    allocator.turn(0, [listed("e", "f")])
+    allocator.turn(1, [listed("e", status=i.Status.DRAINING)])
+    assert set(allocator.allowed[0].endpoints) == {"f"}
+    assert amounts(allocator.turn(2, [listed("f", status=i.Status.DRAINING)])) == {"a": 0}
 
 
 def test_an_endpoint_in_doubt_beside_one_that_serves_has_a_budget_of_its_own():
-    judge = started("a")
-    judge.turn(0, [listed("e", "f")])
+    allocator = started("a")
+    allocator.turn(0, [listed("e", "f")])
     for second in range(1, 8):
-        judge.turn(
+        allocator.turn(
             second * S,
             reports(O.OK, 5, second * S, endpoint="f") + reports(O.CONNECT_FAILED, 2, second * S - 1, endpoint="e"),
         )
-    [row] = judge.allowed
+    [row] = allocator.allowed
     assert row.endpoints["f"] == inf and row.endpoints["e"] < 5 and row.rate == inf
-    judge.turn(9 * S, [listed("f", status=i.Status.DRAINING)])  # now that one's budget is all there is
-    assert judge.allowed[0].rate == inf and judge._ledger._destinations[1].allowance < 5 * CALLS
+    allocator.turn(9 * S, [listed("f", status=i.Status.DRAINING)])  # now that one's budget is all there is
+    assert allocator.allowed[0].rate == inf and allocator._ledger._destinations[1].allowance < 5 * CALLS
 
 
 def test_a_report_on_an_endpoint_that_nobody_knows_changes_nothing():
-    judge = started("a")
-    judge.turn(0, [listed("e")])
-    before = judge.allowed
-    judge.turn(1, reports(O.TIMEOUT, 5, endpoint="never"))
-    assert judge.allowed == before
+    allocator = started("a")
+    allocator.turn(0, [listed("e")])
+    before = allocator.allowed
+    allocator.turn(1, reports(O.TIMEOUT, 5, endpoint="never"))
+    assert allocator.allowed == before
 
 
 class Partner:
@@ -154,27 +154,27 @@
     set_ = settings(siblings=1)
     partner = Partner(30.0, 20 * S, 35 * S, set_)
     proxies = [Proxy(name, 30.0) for name in "abc"]
-    judge, wire = started("a", "b", "c"), []
-    judge.turn(0, [listed("e")])
+    allocator, wire = started("a", "b", "c"), []
+    allocator.turn(0, [listed("e")])
     for now in range(0, seconds * S, 10 * MS):
         for _, kind, proxy, what in [row for row in wire if row[0] <= now]:
             if kind == "grant":
                 proxy.get(what, now)
                 wire.append((now + 50 * MS, "ack", proxy, what))
             else:
-                judge._ledger.acknowledged(proxy.name, 1, what.number, now)
+                allocator._ledger.acknowledged(proxy.name, 1, what.number, now)
         wire = [row for row in wire if row[0] > now]
         for proxy in proxies:
             proxy.send(now, partner)
             linked = not (cut and proxy.name == cut[0] and cut[1] <= now < cut[2])
             if linked != proxy.linked:
-                (judge._ledger.join if linked else judge._ledger.lost)(proxy.name)
+                (allocator._ledger.join if linked else allocator._ledger.lost)(proxy.name)
                 proxy.linked = linked
         if now % (100 * MS) == 0:
             told = [report for proxy in proxies if proxy.linked for report in proxy.report]
             for proxy in proxies:
                 proxy.report = proxy.report if not proxy.linked else []
-            for grant in judge.turn(now, told):
+            for grant in allocator.turn(now, told):
                 proxy = next(one for one in proxies if one.name == grant.holder)
                 if proxy.linked:
                     wire.append((now + 50 * MS, "grant", proxy, grant))
--- a/tests/nethelp.py
+++ b/tests/nethelp.py
@@ -11,8 +11,8 @@
 
 from scalefall import interface as i
 from scalefall.net import http, streams
-from scalefall.net.farm import Entry
-from scalefall.net.passes import Load, Passes
+from scalefall.net.endpoint_list import Entry
+from scalefall.net.attempts import Load, Attempts
 from scalefall.net.scheduler import READ, READY, Scheduler
 
 MS, S = 1000, 1_000_000
@@ -164,7 +164,7 @@
     }
 
 
-def roll(seq, *hosts, whole=True):
+def list_update(seq, *hosts, whole=True):
     return {"seq": seq, "whole": whole, "hosts": list(hosts)}
 
 
@@ -177,18 +177,20 @@
 
 
 class Calls:
-    """Passes to one endpoint, and the outcomes that they told."""
+    """Attempts to one endpoint, and the outcomes that they told."""
 
     def __init__(self, world, settings, address, most=100):
         self.world, self.told, self.may = world, [], True
         self.entry = Entry(i.Endpoint("e", "a", "many", 1, i.Status.READY, 1.0), address)
-        self.passes = Passes(world, settings, most, lambda event, _: self.told.append(event), lambda entry: self.may)
+        self.attempts = Attempts(
+            world, settings, most, lambda event, _: self.told.append(event), lambda entry: self.may
+        )
 
     def load(self, name, attempt=0, span=2 * S, **more):
         return Load(name, attempt, self.world.now() + span, "k", b"body", **more)
 
     def begin(self, *names, **more):
-        self.passes.begin(self.entry, [self.load(name, **more) for name in names])
+        self.attempts.begin(self.entry, [self.load(name, **more) for name in names])
 
     def outcome(self, name, attempt=0):
         """Waits for it; told exactly once."""
--- a/tests/test_passes.py
+++ b/tests/test_attempts.py
@@ -1,4 +1,4 @@
-"""Proxy passes against an endpoint that the test plays: the table of outcomes, and a model of connections' states."""
+"""Attempts against an endpoint that the test plays: the table of outcomes, and a model of connections' states."""
 
 import dataclasses
 import json
@@ -13,7 +13,7 @@
 
 from scalefall import interface as i
 from scalefall.net import http, streams
-from scalefall.net.farm import Entry
+from scalefall.net.endpoint_list import Entry
 
 O = i.Outcome  # noqa: E741
 
@@ -61,7 +61,7 @@
         sock.send(http.answer(status, [LOAD, *fields], b"whatever"))
         event = calls.outcome("m")
         assert (event.outcome, event.wait_us, event.finished) == (outcome, wait, finished)
-        assert event.report == {"x0": 0.4, "x1": 25} and event.endpoint == "e" and calls.passes.out == 0
+        assert event.report == {"x0": 0.4, "x1": 25} and event.endpoint == "e" and calls.attempts.out == 0
 
     world.play(play)
 
@@ -161,7 +161,7 @@
         sock.send(sent)
         event = calls.outcome("m")
         assert (event.outcome, event.finished, event.wait_us) == (outcome, outcome is O.OK, 0)
-        assert world.now() - began < 2 * S and closed(world, sock) and not calls.passes._idle
+        assert world.now() - began < 2 * S and closed(world, sock) and not calls.attempts._idle
 
     world.play(play)
 
@@ -257,13 +257,13 @@
         for name, end in (("broken", reset), ("slow", None), ("cancelled", None)):
             load = calls.load(name)
             load.body = b"x" * (8 << 20)
-            calls.passes.begin(calls.entry, [load])
+            calls.attempts.begin(calls.entry, [load])
             sock = peer.accept()
             world.sleep(10 * MS)
             if end:
                 end(sock)
             elif name == "cancelled":
-                calls.passes.cancel(name, 0)
+                calls.attempts.cancel(name, 0)
             assert calls.outcome(name).outcome is O.CONNECT_FAILED
 
     world.play(play)
@@ -279,7 +279,7 @@
         early = {"begin_by": world.now() + S} if ends == "a repeat's time" else {"span": S}
         loads = [calls.load("long", span=5 * S), calls.load("early", **{"span": 5 * S} | early)]
         loads[0].body = b"x" * (8 << 20)
-        calls.passes.begin(calls.entry, loads)
+        calls.attempts.begin(calls.entry, loads)
         sock = peer.accept()
         world.sleep(2 * S)
         reader = http.RequestReader(1 << 24)
@@ -306,13 +306,13 @@
             sock.send(comes) if comes else sock.close()
             return True
 
-        calls.passes._may_begin = may_begin
+        calls.attempts._may_begin = may_begin
         calls.begin("second")
         if comes:
             peer.read(sock)
             sock.send(http.answer(200, []))
         assert calls.outcome("second").outcome is outcome
-        calls.passes._may_begin = lambda _: True
+        calls.attempts._may_begin = lambda _: True
         calls.begin("third")
         sock = peer.accept()  # on a connection of its own
         assert peer.read(sock).fields["x-request-id"] == "third"
@@ -328,7 +328,7 @@
         sock.send(http.answer(200, []))
         if first == "its answer":
             calls.outcome("m")
-        calls.passes.cancel("m", 0)
+        calls.attempts.cancel("m", 0)
         assert calls.outcome("m").outcome is (O.OK if first == "its answer" else O.CANCELLED)
         world.sleep(S)
         assert len(calls.told) == 1
@@ -345,11 +345,11 @@
     def play():
         peer = Peer(world)
         calls = Calls(world, settings(), peer.address)
-        calls.passes.begin(calls.entry, [calls.load("short", span=S), calls.load("long", span=3 * S)])
+        calls.attempts.begin(calls.entry, [calls.load("short", span=S), calls.load("long", span=3 * S)])
         sock = peer.accept()
         peer.read(sock)
         world.sleep(2 * S)
-        calls.passes.cancel("short", 0)
+        calls.attempts.cancel("short", 0)
         assert calls.told == []
         assert calls.outcome("long").outcome is calls.outcome("short").outcome is O.TIMEOUT and closed(world, sock)
 
@@ -380,7 +380,7 @@
     def play():
         peer = Peer(world)
         calls = Calls(world, settings(), peer.address)
-        calls.passes.begin(
+        calls.attempts.begin(
             calls.entry, [calls.load("late", begin_by=world.now() - 1), calls.load("fine", begin_by=world.now() + S)]
         )
         sock = peer.accept()
@@ -388,7 +388,7 @@
         assert calls.outcome("late").outcome is O.NOT_SENT
         sock.send(http.answer(200, []))
         assert calls.outcome("fine").outcome is O.OK
-        calls.passes.begin(calls.entry, [calls.load("alone", begin_by=world.now() - 1)])
+        calls.attempts.begin(calls.entry, [calls.load("alone", begin_by=world.now() - 1)])
         assert calls.outcome("alone").outcome is O.NOT_SENT
 
     world.play(play)
@@ -401,8 +401,10 @@
     def play():
         peer = Peer(world)
         calls = Calls(world, settings(), peer.address)
-        calls.passes._wanted = lambda name: name != "withdrawn"
-        calls.passes.begin(calls.entry, [calls.load("over", span=10 * MS), calls.load("withdrawn"), calls.load("fine")])
+        calls.attempts._wanted = lambda name: name != "withdrawn"
+        calls.attempts.begin(
+            calls.entry, [calls.load("over", span=10 * MS), calls.load("withdrawn"), calls.load("fine")]
+        )
         world.clock += 20 * MS  # the connection comes up late
         sock = peer.accept()
         assert peer.read(sock).fields["x-request-id"] == "fine"
@@ -469,7 +471,7 @@
             peer.read(socks[n])
             socks[n].send(http.answer(200, []))
             calls.outcome(str(n))
-        assert closed(world, socks[0]) and len(calls.passes._idle) == 2
+        assert closed(world, socks[0]) and len(calls.attempts._idle) == 2
 
     world.play(play)
 
@@ -488,12 +490,12 @@
         peer.read(new)
         new.send(http.answer(200, []))
         calls.outcome("n")
-        calls.passes.close_idle(old)
+        calls.attempts.close_idle(old)
         assert closed(world, sock)
         world.sleep(20 * MS)
         calls.begin("o")
         assert peer.read(new).fields["x-request-id"] == "o" and peer.accepted == 2
-        assert calls.passes._pools == {}  # nothing is kept for an endpoint with no idle connection
+        assert calls.attempts._pools == {}  # nothing is kept for an endpoint with no idle connection
 
     world.play(play)
 
@@ -603,11 +605,11 @@
     @rule(data=st.data())
     def cancel(self, data):
         name = data.draw(st.sampled_from(sorted(self.out)))
-        one = self.calls.passes._out[name, 0]
+        one = self.calls.attempts._out[name, 0]
         for load in list(one.loads):
-            self.calls.passes.cancel(load.id, 0)
+            self.calls.attempts.cancel(load.id, 0)
         sock = self.end(b"", name, O.CANCELLED)
-        self.calls.passes.cancel(name, 0)  # again, when it is over: nothing
+        self.calls.attempts.cancel(name, 0)  # again, when it is over: nothing
         self.step(lambda: closed(self.world, sock) or self.fail())
 
     @precondition(lambda self: self.idle)
@@ -624,7 +626,7 @@
 
     @rule()
     def close_idle(self):
-        self.calls.passes.close_idle(self.calls.entry)
+        self.calls.attempts.close_idle(self.calls.entry)
         self.all_closed()
 
     @rule()
@@ -643,8 +645,8 @@
     @invariant()
     def books_agree(self):
         if hasattr(self, "world"):
-            assert self.peer.accepted == self.known and self.calls.passes.out == len(self.out)
-            assert len(self.calls.passes._idle) == len(self.idle)
+            assert self.peer.accepted == self.known and self.calls.attempts.out == len(self.out)
+            assert len(self.calls.attempts._idle) == len(self.idle)
             told = [(e.id, e.attempt) for e in self.calls.told]
             assert len(told) == len(set(told))
 
--- a/tests/test_keeping.py
+++ b/tests/test_connection_retention.py
@@ -1,17 +1,17 @@
 """How long idle connections are kept at endpoints that take few."""
 
-from scalefall.net.keeping import Keeping
+from scalefall.net.connection_retention import ConnectionRetention
 
 S = 1_000_000
 
 
 def test_each_of_many_senders_keeps_an_idle_connection_for_its_part_of_the_time():
-    assert Keeping(1).span("e", 10 * S) == 10 * S
-    assert Keeping(40).span("e", 10 * S) == S // 4
+    assert ConnectionRetention(1).span("e", 10 * S) == 10 * S
+    assert ConnectionRetention(40).span("e", 10 * S) == S // 4
 
 
 def test_the_span_halves_with_each_connection_turned_away_and_comes_back_with_those_let_in():
-    keeping = Keeping(2)
+    keeping = ConnectionRetention(2)
     for _ in range(3):
         keeping.turned_away("e")
     assert keeping.span("e", 8 * S) == S // 2 and keeping.span("f", 8 * S) == 4 * S
@@ -25,7 +25,7 @@
 
 
 def test_what_was_learnt_of_an_endpoint_goes_with_it():
-    keeping = Keeping(2)
+    keeping = ConnectionRetention(2)
     keeping.turned_away("e")
     keeping.forget("e")
     keeping.forget("never met")
@@ -34,7 +34,7 @@
 
 def test_no_connection_is_kept_that_calls_too_rare_would_not_meet():
     """40 senders with 160 calls/s between them: a quarter of all calls met a table full of connections kept in vain."""
-    keeping = Keeping(40)
+    keeping = ConnectionRetention(40)
     for n in range(10):
         keeping.begun("rare", n * S // 4)
         keeping.begun("busy", n * S // 10)
--- a/tests/test_farm.py
+++ b/tests/test_endpoint_list.py
@@ -4,11 +4,11 @@
 import socket
 
 import pytest
-from nethelp import MS, STREAM, Peer, S, World, chunk, closed, listed, reset, roll, woken
+from nethelp import MS, STREAM, Peer, S, World, chunk, closed, list_update, listed, reset, woken
 
 from scalefall import interface as i
 from scalefall.net import http
-from scalefall.net.farm import Farm, read_roll
+from scalefall.net.endpoint_list import EndpointList, read_list
 from scalefall.net.notices import Notices
 from scalefall.net.scheduler import READY
 
@@ -18,41 +18,50 @@
 
 def watched(world, **more):
     peer, told = Peer(world), []
-    farm = Farm(world, peer.address, read_roll(roll(41, listed("e", HERE))), told.append, **more)
-    return peer, farm, told
+    endpoint_list = EndpointList(
+        world, peer.address, read_list(list_update(41, listed("e", HERE))), told.append, **more
+    )
+    return peer, endpoint_list, told
 
 
 def opened(world):
     """The same with a watch open that has said nothing yet; its socket on discovery's side."""
-    peer, farm, told = watched(world)
-    farm.subscribe()
+    peer, endpoint_list, told = watched(world)
+    endpoint_list.subscribe()
     sock = peer.accept()
     peer.read(sock)
-    return peer, farm, told, sock
+    return peer, endpoint_list, told, sock
 
 
 def test_a_watch_begins_from_the_known_version_and_tells_what_changes():
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
-        assert farm.known().kind is K.CACHED and [e.id for e in farm.known().endpoints] == ["e"]
-        farm.subscribe()
-        farm.subscribe()  # one watch at a time
+        peer, endpoint_list, told = watched(world)
+        assert endpoint_list.known().kind is K.CACHED and [e.id for e in endpoint_list.known().endpoints] == ["e"]
+        endpoint_list.subscribe()
+        endpoint_list.subscribe()  # one watch at a time
         sock = peer.accept()
         assert peer.read(sock).target == "/v1/servers?stream=1&index=41"
-        data = STREAM + chunk(roll(42, listed("f", HERE), whole=False), None, roll(42, listed("f", HERE), whole=False))
+        data = STREAM + chunk(
+            list_update(42, listed("f", HERE), whole=False), None, list_update(42, listed("f", HERE), whole=False)
+        )
         for at in range(0, len(data), 7):
             sock.send(data[at : at + 7])
             world.sleep(MS)
-        sock.send(chunk(roll(43, listed("e", HERE, health="terminating"), whole=False), roll(50, listed("f", HERE))))
+        sock.send(
+            chunk(
+                list_update(43, listed("e", HERE, health="terminating"), whole=False),
+                list_update(50, listed("f", HERE)),
+            )
+        )
         world.until(lambda: len(told) == 3)
         assert [(t.kind, [(e.id, e.status) for e in t.endpoints]) for t in told] == [
             (K.CHANGES, [("f", i.Status.READY)]),
             (K.CHANGES, [("e", i.Status.DRAINING)]),
             (K.WHOLE, [("f", i.Status.READY)]),
         ]
-        assert set(farm.left_at) == {"e"} and farm.seq == 50 and peer.accepted == 1
+        assert set(endpoint_list.left_at) == {"e"} and endpoint_list.seq == 50 and peer.accepted == 1
 
     world.play(play)
 
@@ -70,7 +79,7 @@
                 http.answer(503, []),
                 b"junk\r\n",
                 STREAM + chunk({"seq": 1}),
-                STREAM + chunk(roll(42, {"host": "x"})),
+                STREAM + chunk(list_update(42, {"host": "x"})),
                 STREAM + b"0\r\n\r\n",
             )
             for end in (reset, socket.socket.close, None)
@@ -83,9 +92,9 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
+        peer, endpoint_list, told = watched(world)
         for times in (1, 2):
-            farm.subscribe()
+            endpoint_list.subscribe()
             sock = peer.accept()
             peer.read(sock)
             sock.send(said)
@@ -95,7 +104,7 @@
                 end(sock)
             world.until(lambda times=times: len(told) == times)
             assert [t.kind for t in told] == [K.FAILED] * times and world.now() - began < 5 * S
-            assert farm.seq == 41 and peer.accepted == times
+            assert endpoint_list.seq == 41 and peer.accepted == times
 
     world.play(play)
 
@@ -109,9 +118,9 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world, pushed=pushed)
-        farm.start()
-        farm.subscribe()
+        peer, endpoint_list, told = watched(world, pushed=pushed)
+        endpoint_list.start()
+        endpoint_list.subscribe()
         sock = peer.accept()
         peer.read(sock)
         began = world.now()
@@ -137,8 +146,8 @@
     world = World()
 
     def play():
-        peer, farm, told, sock = opened(world)
-        data = STREAM + chunk(roll(42, *(listed(f"e{number}", HERE) for number in range(2000))))
+        peer, endpoint_list, told, sock = opened(world)
+        data = STREAM + chunk(list_update(42, *(listed(f"e{number}", HERE) for number in range(2000))))
         for at in range(0, len(data), 48 * 1024):  # 6 s in all
             sock.send(data[at : at + 48 * 1024])
             world.sleep(S)
@@ -154,17 +163,19 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world, pushed=pushed)
-        farm.subscribe()
+        peer, endpoint_list, told = watched(world, pushed=pushed)
+        endpoint_list.subscribe()
         sock = peer.accept()
         assert peer.read(sock).target == "/v1/servers?stream=1&index=41"
-        sock.send(STREAM + chunk(roll(3, listed("f", HERE), whole=False)))
+        sock.send(STREAM + chunk(list_update(3, listed("f", HERE), whole=False)))
         began, again = world.now(), peer.accept()
         assert peer.read(again).target == "/v1/servers?stream=1&index=0" and world.now() - began < 2500 * MS
-        again.send(STREAM + chunk(roll(3, listed("f", HERE))))
-        again.send(chunk(roll(2, listed("g", HERE), whole=False), roll(4, listed("h", HERE), whole=False)))
-        world.until(lambda: "h" in farm.entries)
-        assert farm.seq == 4 and "g" not in farm.entries and K.FAILED not in [t.kind for t in told]
+        again.send(STREAM + chunk(list_update(3, listed("f", HERE))))
+        again.send(
+            chunk(list_update(2, listed("g", HERE), whole=False), list_update(4, listed("h", HERE), whole=False))
+        )
+        world.until(lambda: "h" in endpoint_list.entries)
+        assert endpoint_list.seq == 4 and "g" not in endpoint_list.entries and K.FAILED not in [t.kind for t in told]
 
     world.play(play)
 
@@ -173,17 +184,17 @@
     world = World()
 
     def play():
-        peer, farm, told, sock = opened(world)
+        peer, endpoint_list, told, sock = opened(world)
         sock.send(STREAM + chunk(None))
         world.sleep(MS)
         woken(world)
-        sock.send(chunk(roll(42, listed("f", HERE), whole=False)))  # unread when the time is up
+        sock.send(chunk(list_update(42, listed("f", HERE), whole=False)))  # unread when the time is up
         world.clock += 4 * S
         again = peer.accept()
         assert peer.read(again).target == "/v1/servers?stream=1&index=41"
-        again.send(STREAM + chunk(roll(42, listed("f", HERE), whole=False)))
-        world.until(lambda: farm.seq == 42)
-        assert "f" in farm.entries
+        again.send(STREAM + chunk(list_update(42, listed("f", HERE), whole=False)))
+        world.until(lambda: endpoint_list.seq == 42)
+        assert "f" in endpoint_list.entries
 
     world.play(play)
 
@@ -198,16 +209,18 @@
     world = World()
 
     def play():
-        peer, farm, told, sock = opened(world)
+        peer, endpoint_list, told, sock = opened(world)
         for seq in (50, 51):
-            data = STREAM * (seq == 50) + indented(roll(seq, listed("f", HERE), {"host": "e"})) + chunk(None)
+            data = STREAM * (seq == 50) + indented(list_update(seq, listed("f", HERE), {"host": "e"})) + chunk(None)
             for at in range(0, len(data), 50):
                 sock.send(data[at : at + 50])
                 world.sleep(MS)
-        world.until(lambda: farm.seq == 51)
+        world.until(lambda: endpoint_list.seq == 51)
         assert [(t.kind, [e.id for e in t.endpoints]) for t in told] == [(K.WHOLE, ["f", "e"])] * 2
-        assert set(farm.entries) == {"e", "f"} and not farm.left_at  # what could not be read stays as it was
-        assert peer.accepted == 1 and farm.unread == 2
+        assert (
+            set(endpoint_list.entries) == {"e", "f"} and not endpoint_list.left_at
+        )  # what could not be read stays as it was
+        assert peer.accepted == 1 and endpoint_list.unread == 2
         assert sum("cannot be read" in line for line in caplog.messages) == 1
 
     world.play(play)
@@ -218,8 +231,8 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
-        farm.subscribe()
+        peer, endpoint_list, told = watched(world)
+        endpoint_list.subscribe()
         for _ in range(5):
             sock = peer.accept()
             peer.read(sock)
@@ -231,7 +244,7 @@
             again.close()  # an ask that fails is the module's to repeat
             world.until(lambda: told)
             assert [t.kind for t in told] == [K.FAILED]
-            farm.subscribe()
+            endpoint_list.subscribe()
             sock = peer.accept()
             sock.send(STREAM + chunk(None))
             world.until(lambda: len(told) == 2)
@@ -239,7 +252,7 @@
             sock.close()
             world.until(lambda: len(told) == 3)
             told.clear()
-            farm.subscribe()
+            endpoint_list.subscribe()
 
     world.play(play)
 
@@ -250,14 +263,14 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world, pushed=True)
-        farm.start()
+        peer, endpoint_list, told = watched(world, pushed=True)
+        endpoint_list.start()
         sock = peer.accept()
         assert peer.read(sock).target.endswith("index=41")
         sock.send(STREAM)
         world.sleep(100 * MS)
         assert told == []
-        sock.send(chunk(roll(42, listed("f", HERE), whole=False)))
+        sock.send(chunk(list_update(42, listed("f", HERE), whole=False)))
         world.until(lambda: len(told) == 2)
         assert [(t.kind, [e.id for e in t.endpoints]) for t in told] == [(K.CACHED, ["e"]), (K.CHANGES, ["f"])]
         for times in range(8):  # closed, or silent for so long that it is broken
@@ -277,8 +290,8 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world, pushed=True)
-        farm.start()
+        peer, endpoint_list, told = watched(world, pushed=True)
+        endpoint_list.start()
         began = world.now()
         world.until(lambda: told)
         assert [t.kind for t in told] == [K.CACHED] and world.now() - began < 3 * S
@@ -295,8 +308,8 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
-        farm.subscribe()
+        peer, endpoint_list, told = watched(world)
+        endpoint_list.subscribe()
         sock = peer.accept()
         sock.send(STREAM)
         for _ in range(10):
@@ -449,30 +462,30 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
+        peer, endpoint_list, told = watched(world)
         new, done = Peer(world), []
         notices = Notices(world, peer.address, done.append)
-        farm.subscribe()
+        endpoint_list.subscribe()
         old = peer.accept()
         peer.read(old)
         old.send(STREAM + chunk(None))
         notices.failed("a")
         post = peer.accept()
         peer.read(post)
-        for part in (farm, notices):
+        for part in (endpoint_list, notices):
             part.move(new.address)
         sock = new.accept()
         assert new.read(sock).target == "/v1/servers?stream=1&index=0" and closed(world, old)
-        sock.send(STREAM + chunk(roll(3, listed("f", HERE))))  # its versions may be numbered anew
+        sock.send(STREAM + chunk(list_update(3, listed("f", HERE))))  # its versions may be numbered anew
         world.until(lambda: told)
-        assert told[0].kind is K.WHOLE and farm.seq == 3 and set(farm.left_at) == {"e"}
+        assert told[0].kind is K.WHOLE and endpoint_list.seq == 3 and set(endpoint_list.left_at) == {"e"}
         reset(post)  # the notice that was out there goes out again at the new one
         post = new.accept()
         assert b'"a"' in new.read(post).body
         post.send(http.answer(204, []))
         world.until(lambda: done == ["a"])
-        farm.move(new.address)  # no move at all: the watch stays
-        sock.send(chunk(roll(4, listed("g", HERE), whole=False)))
+        endpoint_list.move(new.address)  # no move at all: the watch stays
+        sock.send(chunk(list_update(4, listed("g", HERE), whole=False)))
         world.until(lambda: len(told) == 2)
         assert (peer.accepted, new.accepted) == (2, 2)
 
@@ -481,10 +494,10 @@
 
 def about_to_move(world):
     """A watch that has had its first word from one discovery, and another one that is to be moved to."""
-    peer, farm, told, old = opened(world)
+    peer, endpoint_list, told, old = opened(world)
     old.send(STREAM + chunk(None))
     world.sleep(MS)
-    return farm, told, old, Peer(world)
+    return endpoint_list, told, old, Peer(world)
 
 
 @pytest.mark.parametrize("length", [1, 400])
@@ -495,17 +508,17 @@
     world = World()
 
     def play():
-        farm, told, old, new = about_to_move(world)
+        endpoint_list, told, old, new = about_to_move(world)
         woken(world)
-        old.send(chunk(roll(99, *(listed(f"x{n}", HERE) for n in range(length)), whole=False)))
+        old.send(chunk(list_update(99, *(listed(f"x{n}", HERE) for n in range(length)), whole=False)))
         if said_first:  # its task has been woken by these bytes as the move comes
-            world.wake(farm._task, READY)
-        farm.move(new.address)
+            world.wake(endpoint_list._task, READY)
+        endpoint_list.move(new.address)
         sock = new.accept()
         assert new.read(sock).target == "/v1/servers?stream=1&index=0"
-        sock.send(STREAM + chunk(roll(3, listed("f", HERE))))
+        sock.send(STREAM + chunk(list_update(3, listed("f", HERE))))
         world.until(lambda: told)
-        assert [event.kind for event in told] == [K.WHOLE] and set(farm.left_at) == {"e"}
+        assert [event.kind for event in told] == [K.WHOLE] and set(endpoint_list.left_at) == {"e"}
 
     world.play(play)
 
@@ -514,18 +527,20 @@
     world = World()
 
     def play():
-        farm, told, old, new = about_to_move(world)
-        moved = farm._learn
+        endpoint_list, told, old, new = about_to_move(world)
+        moved = endpoint_list._learn
 
-        def learn(roll):
-            moved(roll)
-            farm.move(new.address)  # while the watch's task runs, so that nothing wakes it
+        def learn(update):
+            moved(update)
+            endpoint_list.move(new.address)  # while the watch's task runs, so that nothing wakes it
 
-        farm._learn = learn
-        old.send(chunk(roll(50, listed("f", HERE), whole=False), roll(51, listed("g", HERE), whole=False)))
+        endpoint_list._learn = learn
+        old.send(
+            chunk(list_update(50, listed("f", HERE), whole=False), list_update(51, listed("g", HERE), whole=False))
+        )
         sock = new.accept()
         assert new.read(sock).target == "/v1/servers?stream=1&index=0"
-        assert "f" in farm.entries and "g" not in farm.entries and len(told) == 1
+        assert "f" in endpoint_list.entries and "g" not in endpoint_list.entries and len(told) == 1
 
     world.play(play)
 
@@ -536,18 +551,18 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
-        farm.subscribe()
+        peer, endpoint_list, told = watched(world)
+        endpoint_list.subscribe()
         sock = peer.accept()
         if not watching:
             sock.close()
             world.until(lambda: told)
         new, failures = Peer(world), len(told)
         began = world.now()
-        farm.move(new.address)
+        endpoint_list.move(new.address)
         new.accept().close()
         sock = new.accept()
-        sock.send(STREAM + chunk(roll(1, listed("f", HERE))))
+        sock.send(STREAM + chunk(list_update(1, listed("f", HERE))))
         world.until(lambda: len(told) > failures)
         assert told[-1].kind is K.WHOLE and world.now() - began < S
 
@@ -579,27 +594,35 @@
     world = World()
 
     def play():
-        peer, farm, told = watched(world)
-        farm.subscribe()
+        peer, endpoint_list, told = watched(world)
+        endpoint_list.subscribe()
         sock = peer.accept()
         sock.send(STREAM)
-        old = farm.entries["e"]
+        old = endpoint_list.entries["e"]
         for n in range(200):
             health = "terminated" if n % 2 else "in_service"
             one = listed(f"f{n // 2}", ("127.0.0.1", 1000 + n // 2), health=health)
-            sock.send(chunk(None, roll(42 + n, one, whole=False)))
-            world.until(lambda n=n: farm.seq == 42 + n)
+            sock.send(chunk(None, list_update(42 + n, one, whole=False)))
+            world.until(lambda n=n: endpoint_list.seq == 42 + n)
             world.sleep(S)
-        assert len(farm.entries) < 35 and len(farm.left_at) == len(farm._gone) < 33 and len(farm._owners) < 35
-        assert farm.serves(7) and not farm.serves(8) and not farm.replaced(old)
-        sock.send(chunk(roll(300, listed("g", HERE))))
-        world.until(lambda: farm.seq == 300)
-        assert farm.replaced(old) and not farm.replaced(farm.entries["g"])
+        assert (
+            len(endpoint_list.entries) < 35
+            and len(endpoint_list.left_at) == len(endpoint_list._gone) < 33
+            and len(endpoint_list._owners) < 35
+        )
+        assert endpoint_list.serves(7) and not endpoint_list.serves(8) and not endpoint_list.replaced(old)
+        sock.send(chunk(list_update(300, listed("g", HERE))))
+        world.until(lambda: endpoint_list.seq == 300)
+        assert endpoint_list.replaced(old) and not endpoint_list.replaced(endpoint_list.entries["g"])
         for _ in range(31):
             sock.send(chunk(None))
             world.sleep(2 * S)
-        sock.send(chunk(roll(301, listed("g", HERE))))
-        world.until(lambda: farm.seq == 301)
-        assert set(farm.entries) == {"g"} and farm.left_at == farm._gone == {} and farm._owners == {HERE: "g"}
+        sock.send(chunk(list_update(301, listed("g", HERE))))
+        world.until(lambda: endpoint_list.seq == 301)
+        assert (
+            set(endpoint_list.entries) == {"g"}
+            and endpoint_list.left_at == endpoint_list._gone == {}
+            and endpoint_list._owners == {HERE: "g"}
+        )
 
     world.play(play)
--- a/tests/test_host.py
+++ b/tests/test_host.py
@@ -5,13 +5,13 @@
 
 import pytest
 from helpers import settings
-from nethelp import MS, STREAM, Peer, S, World, chunk, listed, read, roll
+from nethelp import MS, STREAM, Peer, S, World, chunk, listed, read, list_update
 
 from scalefall import interface as i
 from scalefall.net import host as module
 from scalefall.net import http, streams
 from scalefall.net.config import Config
-from scalefall.net.farm import read_roll
+from scalefall.net.endpoint_list import read_list
 from scalefall.net.host import Host
 from scalefall.net.journal import Owed
 
@@ -22,7 +22,7 @@
     def __init__(self, folder, kind="one", disk=3_000_000, host="127.0.0.1", admin=None, **changes):
         self.world, self.folder, self.disk, self.changes = World(), folder, disk, {"ask": True} | changes
         self.endpoint, self.platform = Peer(self.world, host), Peer(self.world)
-        self.known = read_roll(roll(1, listed("e", self.endpoint.address, kind=kind)))
+        self.known = read_list(list_update(1, listed("e", self.endpoint.address, kind=kind)))
         self.watch, self.posts, self.admin = None, [], admin
         self.start()
 
@@ -295,11 +295,11 @@
     names = [f"m{number}" for number in range(24)]
 
     def gone(health):
-        firm.watch.send(chunk(roll(2, listed("e", firm.endpoint.address, health=health))))
+        firm.watch.send(chunk(list_update(2, listed("e", firm.endpoint.address, health=health))))
 
     def steps():
         gone("terminating")  # so nothing goes out before the death
-        firm.world.until(lambda: firm.host._farm.seq == 2)
+        firm.world.until(lambda: firm.host._endpoint_list.seq == 2)
         for name in names:
             firm.host._journal.take_on(owed(firm, name, cls))
             if ran:
@@ -336,7 +336,7 @@
 
 def test_a_told_wait_and_a_drain_stop_what_has_not_begun(firm):
     """A dial may last past either: both are looked at again before a call's first byte."""
-    entry = firm.host._farm.entries["e"]
+    entry = firm.host._endpoint_list.entries["e"]
 
     def steps():
         assert firm.host._may_begin(entry)
@@ -347,8 +347,8 @@
         assert not firm.host._may_begin(entry)
         firm.world.sleep(600 * MS)
         assert firm.host._may_begin(entry)
-        firm.watch.send(chunk(roll(2, listed("e", firm.endpoint.address, health="terminating"), whole=False)))
-        firm.world.until(lambda: "e" in firm.host._farm.left_at)
+        firm.watch.send(chunk(list_update(2, listed("e", firm.endpoint.address, health="terminating"), whole=False)))
+        firm.world.until(lambda: "e" in firm.host._endpoint_list.left_at)
         firm.world.sleep(900 * MS)
         assert not firm.host._may_begin(entry)
 
@@ -388,7 +388,7 @@
 
 def test_a_module_that_fails_in_a_turn_refuses_what_came_and_the_rest_carries_on(firm, monkeypatch):
     counted, handle = [], firm.host._module.handle
-    monkeypatch.setattr(module, "holds", lambda condition, name: bool(condition) or counted.append(name))
+    monkeypatch.setattr(module, "check", lambda condition, name: bool(condition) or counted.append(name))
 
     def fails(now, events):
         if any(isinstance(event, i.Message) for event in events):
@@ -410,7 +410,7 @@
 def test_what_the_module_never_ends_has_its_notice_all_the_same(firm, monkeypatch, restart):
     """Its end hung on the module's own book alone: lost from it, a message taken on stayed open for good."""
     counted = []
-    monkeypatch.setattr(module, "holds", lambda condition, name: bool(condition) or counted.append(name))
+    monkeypatch.setattr(module, "check", lambda condition, name: bool(condition) or counted.append(name))
 
     def steps():
         firm.taken("m")
@@ -433,8 +433,8 @@
     """The module's timer and the host's own came due in one look, and the host's failed what may come again."""
 
     def steps():
-        firm.watch.send(chunk(roll(2, listed("e", firm.endpoint.address, health="terminating"), whole=False)))
-        firm.world.until(lambda: firm.host._farm.seq == 2)
+        firm.watch.send(chunk(list_update(2, listed("e", firm.endpoint.address, health="terminating"), whole=False)))
+        firm.world.until(lambda: firm.host._endpoint_list.seq == 2)
         firm.taken("m", deadline="4000m")
         if held_up:
             firm.world.clock += 10 * S
@@ -445,7 +445,7 @@
 
 def test_a_send_to_an_endpoint_that_no_list_has_costs_that_attempt_and_not_the_turn(firm, monkeypatch):
     counted, handle, outcomes = [], firm.host._module.handle, []
-    monkeypatch.setattr(module, "holds", lambda condition, name: bool(condition) or counted.append(name))
+    monkeypatch.setattr(module, "check", lambda condition, name: bool(condition) or counted.append(name))
 
     def strays(now, events):
         outcomes.extend(event for event in events if isinstance(event, i.Attempted))
--- a/tests/test_host_crossings.py
+++ b/tests/test_host_crossings.py
@@ -7,7 +7,7 @@
 
 import pytest
 from helpers import message_class
-from nethelp import MS, STREAM, S, chunk, listed, reset, roll, woken
+from nethelp import MS, STREAM, S, chunk, list_update, listed, reset, woken
 from test_host import Firm, owed, play
 from test_journal import used
 
@@ -279,7 +279,7 @@
     """Where the word came first it holds; where the break came first the next watch brings it."""
 
     def steps():
-        word = chunk(roll(2, listed("e", firm.endpoint.address, health="terminating")))
+        word = chunk(list_update(2, listed("e", firm.endpoint.address, health="terminating")))
         woken(firm.world)
         if first == "the list":
             firm.watch.send(word)
@@ -287,7 +287,7 @@
         if first != "the list":
             firm.watched()
             firm.watch.send(word)
-        firm.world.until(lambda: "e" in firm.host._farm.left_at)
+        firm.world.until(lambda: "e" in firm.host._endpoint_list.left_at)
 
     play(firm, steps)
 
--- a/tests/test_journal.py
+++ b/tests/test_journal.py
@@ -11,7 +11,7 @@
 
 from scalefall.interface import Effect, Known
 from scalefall.net import journal as j
-from scalefall.net import paces
+from scalefall.net import learned_rates
 
 MOST = 400_000
 
@@ -214,19 +214,23 @@
 def test_paces_are_kept_for_the_next_process_while_they_are_fresh_and_within_their_room(tmp_path, caplog):
     """A restart in an outage forgot what its partners had taken, and gave them almost nothing once they were back."""
     rows = [Known(7, "", 12.5, 40.0), Known(8, "e-1", 0.25, 0.0)]
-    room = paces.room(3_000_000)
-    assert paces.load(tmp_path, room, 0) == []
-    paces.save(tmp_path, room, rows, 10**15)
-    assert paces.load(tmp_path, room, 10**15 + 10**6) == rows and caplog.text == ""
-    assert paces.load(tmp_path, room, 10**15 + paces.FRESH_US) == paces.load(tmp_path, room, 10**15 - 1) == []
+    room = learned_rates.room(3_000_000)
+    assert learned_rates.load(tmp_path, room, 0) == []
+    learned_rates.save(tmp_path, room, rows, 10**15)
+    assert learned_rates.load(tmp_path, room, 10**15 + 10**6) == rows and caplog.text == ""
+    assert (
+        learned_rates.load(tmp_path, room, 10**15 + learned_rates.FRESH_US)
+        == learned_rates.load(tmp_path, room, 10**15 - 1)
+        == []
+    )
     many = [Known(n, f"s-{n:08x}", 0.125 + n, 0.0) for n in range(1024)]
-    paces.save(tmp_path, room, many, 10**15)
-    assert paces.load(tmp_path, room, 10**15) == many
+    learned_rates.save(tmp_path, room, many, 10**15)
+    assert learned_rates.load(tmp_path, room, 10**15) == many
     for disk in (100_000, 3_000_000):
-        room = paces.room(disk)
-        paces.save(tmp_path, room, many * 5, 10**15)
+        room = learned_rates.room(disk)
+        learned_rates.save(tmp_path, room, many * 5, 10**15)
         assert (tmp_path / "paces").stat().st_size <= room // 2
-        kept = paces.load(tmp_path, room, 10**15)
+        kept = learned_rates.load(tmp_path, room, 10**15)
         assert len(kept) > disk // 1200 and kept[0] == many[-1]  # those with the largest part
     for torn in (
         b"",
@@ -239,12 +243,12 @@
         b"1000000000000000\n" + b"[" * 9000,
     ):
         (tmp_path / "paces").write_bytes(torn)
-        assert paces.load(tmp_path, room, 10**15) == []
-    assert "paces: cannot be read" in caplog.text
+        assert learned_rates.load(tmp_path, room, 10**15) == []
+    assert "learned rates: cannot be read" in caplog.text
 
 
 def test_a_record_of_the_version_before_is_read_and_one_of_this_version_is_no_less_careful_there(tmp_path):
-    """It had 0 or 1 where the flags stand, whether a pass was out, and read any other value as one that was."""
+    """It had 0 or 1 where the flags stand, whether an attempt was out, and read any other value as one that was."""
     book = j.Journal(str(tmp_path), MOST)
     for number, out in enumerate((False, True)):
         before = owed(f"m{number}")
--- a/tests/test_rolls.py
+++ b/tests/test_list_stream.py
@@ -5,9 +5,9 @@
 import pytest
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
-from nethelp import listed, roll
+from nethelp import listed, list_update
 
-from scalefall.net.rolls import MOST_DEPTH, Objects, read_roll
+from scalefall.net.list_stream import MOST_DEPTH, ObjectStream, read_list
 
 HERE = ("127.0.0.1", 1)
 VALUES = st.recursive(
@@ -22,7 +22,7 @@
 @given(TABLES, st.sampled_from([None, 0, 2, "\t"]), st.sampled_from(["", "\n", " \r\n\n"]), st.integers(1, 40))
 def test_objects_come_out_one_by_one_in_any_layout_and_cut_anywhere(tables, indent, between, piece):
     data = "".join(json.dumps(table, indent=indent) + between for table in tables).encode()
-    objects, found = Objects(10_000), []
+    objects, found = ObjectStream(10_000), []
     for at in range(0, len(data), piece):
         found += objects.feed(data[at : at + piece])
     assert found == tables
@@ -45,7 +45,7 @@
 )
 def test_what_is_no_list_is_an_error_at_once(data):
     with pytest.raises((ValueError, RecursionError)):
-        Objects(10_000 if b"x" in data else 1_000_000).feed(data)
+        ObjectStream(10_000 if b"x" in data else 1_000_000).feed(data)
 
 
 def test_an_entry_that_cannot_be_read_costs_itself():
@@ -58,11 +58,11 @@
         {**listed("w", HERE), "health": "well"},
         {**listed("v", HERE), "share": 10**400},
     ]
-    found = read_roll(roll(3, listed("a", HERE), *wrong, listed("b", HERE)), strict=False)
+    found = read_list(list_update(3, listed("a", HERE), *wrong, listed("b", HERE)), strict=False)
     assert [entry.endpoint.id for entry in found.entries] == ["a", "b"]
     assert found.unread == ("x", "", "", "y", "z", "w", "v")
     for row in wrong:
         with pytest.raises((ValueError, OverflowError)):
-            read_roll(roll(3, listed("a", HERE), row))
+            read_list(list_update(3, listed("a", HERE), row))
         with pytest.raises(ValueError):
-            read_roll(roll(3, row), strict=False)
+            read_list(list_update(3, row), strict=False)
--- a/tests/test_operators.py
+++ b/tests/test_operators.py
@@ -4,7 +4,7 @@
 import socket
 
 import pytest
-from nethelp import MS, Peer, S, chunk, closed, listed, read, roll
+from nethelp import MS, Peer, S, chunk, closed, listed, read, list_update
 from test_host import Firm
 
 from scalefall.net import http
@@ -38,13 +38,13 @@
 def test_an_endpoint_in_maintenance_gets_nothing_whatever_the_list_says_and_across_a_restart(firm):
     def steps():
         assert call(firm, "PUT", "/endpoints/e/maint") == call(firm, "PUT", "/endpoints/e/maint") == 200
-        firm.send(firm.watch, chunk(roll(2, listed("e", firm.endpoint.address))))
-        firm.world.until(lambda: firm.host._farm.seq == 2)
+        firm.send(firm.watch, chunk(list_update(2, listed("e", firm.endpoint.address))))
+        firm.world.until(lambda: firm.host._endpoint_list.seq == 2)
         firm.taken("a")
         firm.die()
         firm.start()
         firm.watched()
-        assert firm.host._farm.entries["e"].endpoint.status.name == "DRAINING"
+        assert firm.host._endpoint_list.entries["e"].endpoint.status.name == "DRAINING"
         firm.taken("b")
         firm.world.sleep(2 * S)
         assert firm.endpoint.accepted == 0
@@ -58,7 +58,7 @@
         firm.start()
         firm.watched()
         assert not firm.host._duty.out
-        firm.world.until(lambda: "e" not in firm.host._farm.left_at)
+        firm.world.until(lambda: "e" not in firm.host._endpoint_list.left_at)
 
     play(firm, steps)
 
@@ -76,8 +76,8 @@
 
     def steps():
         if neighbour:
-            firm.send(firm.watch, chunk(roll(2, listed("e", firm.endpoint.address), listed("f", other.address))))
-            firm.world.until(lambda: firm.host._farm.seq == 2)
+            firm.send(firm.watch, chunk(list_update(2, listed("e", firm.endpoint.address), listed("f", other.address))))
+            firm.world.until(lambda: firm.host._endpoint_list.seq == 2)
         assert call(firm, "PUT", "/endpoints/e/maint") == 200
         if neighbour:
             firm.taken("n")
@@ -119,10 +119,10 @@
 def test_what_has_gone_while_it_was_out_does_not_come_back(firm):
     def steps():
         assert call(firm, "PUT", "/endpoints/e/maint") == 200
-        firm.send(firm.watch, chunk(roll(2, listed("f", firm.endpoint.address))))
-        firm.world.until(lambda: firm.host._farm.seq == 2)
+        firm.send(firm.watch, chunk(list_update(2, listed("f", firm.endpoint.address))))
+        firm.world.until(lambda: firm.host._endpoint_list.seq == 2)
         assert call(firm, "PUT", "/endpoints/e/ready") == 200
-        assert "e" in firm.host._farm.left_at and not firm.host._farm.names("e")
+        assert "e" in firm.host._endpoint_list.left_at and not firm.host._endpoint_list.names("e")
         assert call(firm, "PUT", "/endpoints/e/maint") == 404
 
     play(firm, steps)
--- a/tests/test_retune.py
+++ b/tests/test_retune.py
@@ -4,13 +4,13 @@
 
 import pytest
 from helpers import message_class, settings
-from nethelp import S, listed, reset, roll
+from nethelp import S, listed, reset, list_update
 from test_host import Firm, play
 
 from scalefall import interface as i
 from scalefall.net import http
 from scalefall.net.config import ConfigError
-from scalefall.net.farm import read_roll
+from scalefall.net.endpoint_list import read_list
 
 
 @pytest.fixture
@@ -95,7 +95,9 @@
 
     play(firm, steps)
     firm.changes["classes"] = {"c": message_class("c", **after)}
-    firm.known = read_roll(roll(2, listed("e", firm.endpoint.address) | {"site": "b"}))  # another zone than before
+    firm.known = read_list(
+        list_update(2, listed("e", firm.endpoint.address) | {"site": "b"})
+    )  # another zone than before
     for _ in range(restarts - 1):  # what was read is written anew
         firm.start()
         firm.host._journal._compact()
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -90,9 +90,9 @@
 
 
 def test_an_invariant_is_asserted_in_debug_and_logged_once_counted(caplog, monkeypatch):
-    assert checks.holds(True, "fine")
+    assert checks.check(True, "fine")
     with pytest.raises(AssertionError, match="this breaks"):
-        checks.holds(False, "this breaks")
+        checks.check(False, "this breaks")
     monkeypatch.setitem(checks.broken, "this breaks", 2)
     checks.report()
     assert "invariant broken: this breaks, 2 times" in caplog.text
--- a/tests/test_size.py
+++ b/tests/test_size.py
@@ -3,11 +3,11 @@
 import json
 
 import pytest
-from nethelp import S, listed, roll
+from nethelp import S, listed, list_update
 from test_host import Firm
 
-from scalefall.net import paces
-from scalefall.net.farm import read_roll
+from scalefall.net import learned_rates
+from scalefall.net.endpoint_list import read_list
 
 SIZE = 1024
 
@@ -33,34 +33,37 @@
 
     def play():
         firm.watched()
-        tell(roll(2, *(entry(firm, n) for n in range(SIZE))))
-        farm = firm.host._farm
-        firm.world.until(lambda: farm.seq == 2)
-        assert sum(e.endpoint.id.startswith("s-") for e in farm.entries.values()) == SIZE and farm.unread == 0
+        tell(list_update(2, *(entry(firm, n) for n in range(SIZE))))
+        endpoint_list = firm.host._endpoint_list
+        firm.world.until(lambda: endpoint_list.seq == 2)
+        assert (
+            sum(e.endpoint.id.startswith("s-") for e in endpoint_list.entries.values()) == SIZE
+            and endpoint_list.unread == 0
+        )
         for n in (0, 511, SIZE - 1):
             firm.taken(f"m{n}", dest=n)
             sock, call = firm.call()
             assert (sock.getsockname(), call.fields["x-request-id"]) == (address(firm, n), f"m{n}")
             sock.close()
-        tell(roll(3, *(entry(firm, n, health="terminating") for n in range(SIZE) if n % 2), whole=False))
-        firm.world.until(lambda: farm.seq == 3)
-        assert len(farm.left_at) == SIZE // 2 + 1  # and the one that the whole list no longer names
+        tell(list_update(3, *(entry(firm, n, health="terminating") for n in range(SIZE) if n % 2), whole=False))
+        firm.world.until(lambda: endpoint_list.seq == 3)
+        assert len(endpoint_list.left_at) == SIZE // 2 + 1  # and the one that the whole list no longer names
         firm.taken("odd", "even", dest=7)
         firm.taken("free", dest=8)
         _, call = firm.call()
         assert call.fields["x-request-id"] == "free"
         for n in range(0, SIZE, 2):
-            assert farm.serves(n)
-        tell(roll(4, *(entry(firm, n) for n in range(3))))
-        firm.world.until(lambda: farm.seq == 4)
-        assert len(farm.left_at) == SIZE - 2
+            assert endpoint_list.serves(n)
+        tell(list_update(4, *(entry(firm, n) for n in range(3))))
+        firm.world.until(lambda: endpoint_list.seq == 4)
+        assert len(endpoint_list.left_at) == SIZE - 2
 
     firm.world.play(play)
 
 
 def test_what_is_known_of_1024_partners_outlasts_the_process(tmp_path):
     firm = Firm(tmp_path, siblings=SIZE, host="0.0.0.0")
-    firm.known = read_roll(roll(2, *(entry(firm, n, kind="route") for n in range(SIZE))))
+    firm.known = read_list(list_update(2, *(entry(firm, n, kind="route") for n in range(SIZE))))
 
     def play():
         firm.watched()
@@ -69,7 +72,7 @@
         firm.watched()
         firm.world.sleep(3 * S)
         firm.die()
-        kept = paces.load(firm.folder, paces.room(firm.disk), firm.world.wall())
+        kept = learned_rates.load(firm.folder, learned_rates.room(firm.disk), firm.world.wall())
         assert {(row.destination, row.route) for row in kept} == {(n, f"s-{n:08x}") for n in range(SIZE)}
 
     firm.world.play(play)
--- a/tests/test_roster.py
+++ b/tests/test_static_list.py
@@ -10,9 +10,9 @@
 
 from scalefall import interface as i
 from scalefall.net.config import ConfigError
-from scalefall.net.farm import Entry, Roll
+from scalefall.net.endpoint_list import Entry, ListUpdate
 from scalefall.net.host import Host
-from scalefall.net.roster import Roster
+from scalefall.net.static_list import StaticList
 from scalefall.net.transaction import NotCarried, Taken, Transaction, UnavailableAnswer
 
 SITE = b"""
@@ -32,20 +32,20 @@
     return {end.id: end.status.name for end in event.endpoints}
 
 
-def roster(world, *names):
+def static_list(world, *names):
     told = []
-    return Roster(world, Roll(1, True, [entry(name) for name in names]), told.append, S), told
+    return StaticList(world, ListUpdate(1, True, [entry(name) for name in names]), told.append, S), told
 
 
 def test_what_goes_drains_at_once_and_is_gone_after_the_grace():
     world = World()
 
     def play():
-        farm, told = roster(world, "a", "b")
-        assert farm.known().kind is i.ListKind.WHOLE
-        assert farm.replace([entry("b"), entry("c")]) == (1, 1, 0)
+        endpoint_list, told = static_list(world, "a", "b")
+        assert endpoint_list.known().kind is i.ListKind.WHOLE
+        assert endpoint_list.replace([entry("b"), entry("c")]) == (1, 1, 0)
         assert [statuses(event) for event in told] == [{"a": "DRAINING", "c": "READY"}]
-        assert farm.left_at["a"] == world.now()
+        assert endpoint_list.left_at["a"] == world.now()
         world.sleep(S - 1)
         assert len(told) == 1
         world.sleep(2 * MS)
@@ -58,14 +58,14 @@
     world = World()
 
     def play():
-        farm, told = roster(world, "a", "b")
-        farm.replace([entry("b")])
+        endpoint_list, told = static_list(world, "a", "b")
+        endpoint_list.replace([entry("b")])
         world.sleep(S // 2)
-        assert farm.replace([entry("a"), entry("b")]) == (1, 0, 0)
+        assert endpoint_list.replace([entry("a"), entry("b")]) == (1, 0, 0)
         world.sleep(2 * S)
         assert [statuses(event) for event in told] == [{"a": "DRAINING"}, {"a": "READY"}]
-        assert "a" not in farm.left_at
-        farm.replace([entry("b")])
+        assert "a" not in endpoint_list.left_at
+        endpoint_list.replace([entry("b")])
         world.sleep(2 * S)
         assert statuses(told[-1]) == {"a": "GONE"}
 
@@ -76,10 +76,10 @@
     world = World()
 
     def play():
-        farm, told = roster(world, "a", "b")
-        assert farm.replace([entry("b", weight=9.0)]) == (0, 1, 1)
+        endpoint_list, told = static_list(world, "a", "b")
+        assert endpoint_list.replace([entry("b", weight=9.0)]) == (0, 1, 1)
         assert [end.id for end in told[0].endpoints] == ["a", "b"]  # the new limit is told last
-        assert farm.replace([entry("b", weight=9.0)]) == (0, 0, 0)
+        assert endpoint_list.replace([entry("b", weight=9.0)]) == (0, 0, 0)
         assert len(told) == 1
 
     world.play(play)
@@ -170,13 +170,13 @@
     def play():
         peer = Peer(world)
         host = started(world, tmp_path, at(peer), 4, b"3s", b"")
-        before = dict(host._farm.entries), host._rules, host._farm.seq
+        before = dict(host._endpoint_list.entries), host._rules, host._endpoint_list.seq
 
         def broken():
             raise ConfigError(error)
 
         reload(world, host, broken)
-        assert (dict(host._farm.entries), host._rules, host._farm.seq) == before
+        assert (dict(host._endpoint_list.entries), host._rules, host._endpoint_list.seq) == before
         assert hand_in(world, host, "m1") == Taken()
         serve(world, peer, peer.accept())
 
