Control: a service may be given its ledger and a view of who may have what

Room for destinations that are divided among senders: the service asks its ledger through a protocol, and a process that comes or goes passes through one place.

--- a/scalefall/control/allocator.py
+++ b/scalefall/control/allocator.py
@@ -16,7 +16,7 @@
 from math import inf
 
 from scalefall import interface as i
-from scalefall.control.grants import CALLS, Grant, Ledger
+from scalefall.control.grants import CALLS, Grant, Leases
 from scalefall.policy import Sender
 
 UNLIMITED = 10**12  # thousandths of a call a second, where the module sets no pace
@@ -49,7 +49,7 @@
     figures may change by time alone (`unsettled`), not for all. Every other destination has no pace, wait or guard,
     and only an event can give it one."""
 
-    def __init__(self, module: Sender, ledger: Ledger) -> None:
+    def __init__(self, module: Sender, ledger: Leases) -> None:
         self._module, self._ledger = module, ledger
         self.allowed: list[i.Allowed] = []  # rows of the last turn
         self.said: list[str] = []  # the module's lines of the last turn
--- a/scalefall/control/grants.py
+++ b/scalefall/control/grants.py
@@ -33,6 +33,7 @@
 import heapq
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from scalefall.net.checks import check
 
@@ -53,6 +54,40 @@
     lease_us: int
 
 
+class Leases(Protocol):
+    """What the service and the allocator ask of a ledger of grants, by destination or otherwise divided."""
+
+    delay: int  # us, the longest that a message may be under way
+
+    @property
+    def number(self) -> int:
+        """The highest number that was given."""
+
+    def stand_by(self) -> None:
+        """Another service grants; nothing goes out from here until begin()."""
+
+    def begin(self, now: int) -> None:
+        """Another service may have granted until now."""
+
+    def resume(self, number: int) -> None:
+        """Numbers go on above this one."""
+
+    def allow(self, destination: int, amount: int) -> bool:
+        """A destination's allowance for all holders together. Whether it is another one."""
+
+    def join(self, holder: str) -> None:
+        """A holder can be heard."""
+
+    def lost(self, holder: str) -> None:
+        """A holder cannot be heard any more."""
+
+    def turn(self, now: int) -> list:
+        """The grants to send now."""
+
+    def next_turn(self, now: int) -> int:
+        """When turn() is due if no news come before."""
+
+
 @dataclass(slots=True)
 class _Out:
     """A grant as the service has to count it."""
--- a/scalefall/control/service.py
+++ b/scalefall/control/service.py
@@ -19,8 +19,8 @@
 from math import inf
 
 from scalefall import interface as i
-from scalefall.control.catalog import EDS, Catalog, Key, Resource
-from scalefall.control.grants import CALLS, LEAST, Grant, Ledger
+from scalefall.control.catalog import EDS, Catalog, Key, Resource, View
+from scalefall.control.grants import CALLS, LEAST, Grant, Leases, Ledger
 from scalefall.control.allocator import Allocator, by_destination
 from scalefall.control.members import Change, Joined, Members, Refused, State
 from scalefall.control.streams import Action, Request, Stream
@@ -58,13 +58,24 @@
 
 class Service:
     def __init__(
-        self, now: int, settings: i.Settings, seed: int, builder: Builder, lease_us: int, delay_us: int, silence_us: int
+        self,
+        now: int,
+        settings: i.Settings,
+        seed: int,
+        builder: Builder,
+        lease_us: int,
+        delay_us: int,
+        silence_us: int,
+        ledger: Leases | None = None,
+        view: View | None = None,
     ) -> None:
+        """ledger: who may use how much, where it is not by destination; view: which node may have which destinations'
+        resources, where not all may."""
         settings.probes = False  # control makes no calls of its own
         self.module = Sender(settings, seed)
-        self.ledger = Ledger(now, lease_us, delay_us)
+        self.ledger = ledger if ledger is not None else Ledger(now, lease_us, delay_us)
         self.allocator = Allocator(self.module, self.ledger)
-        self.catalog = Catalog()
+        self.catalog = Catalog(view)
         self.members = Members(silence_us, lease_us + delay_us)
         self.told: list[Told] = []
         self._fleet = Fleet([], {})
@@ -152,7 +163,7 @@
         """A quota stream has named its process."""
         answer = self.members.join(stream, node, instance, now)
         if isinstance(answer, Joined):
-            self.ledger.join(answer.holder)
+            self._enter(answer.holder, now)
             self._news(now)
             self._tell("proxy joined", holder=answer.holder, came_back=answer.came_back, twin=answer.twin)
         return answer
@@ -160,7 +171,7 @@
     def left(self, stream: int, now: int) -> None:
         change = self.members.ended(stream, now)
         if change is not None:
-            self._lost(change)
+            self._lost(change, now)
             self._news(now)
 
     def used(self, stream: int, route: int, calls: float, had: int, now: int) -> bool:
@@ -170,7 +181,7 @@
         if holder is None or route not in self._rows:
             return False
         if self.members.heard(stream, now) is not None:
-            self.ledger.join(holder)
+            self._enter(holder, now)
             self._tell("proxy heard again", holder=holder)
         if had and self.ledger.acknowledged(holder, route, had, now):
             self._tell("had", fine=True, clock=now, holder=holder, route=route, number=had)
@@ -187,7 +198,7 @@
     def turn(self, now: int) -> list[Out]:
         """Everything that is due: reports judged, resources that differ, grants, heartbeats, silent proxies."""
         for change in self.members.turn(now):
-            self._lost(change)
+            self._lost(change, now)
         out, grants = (
             self._allocated(now) if self._events or now >= self._allocate_at else ([], self.allocator.grants(now))
         )
@@ -198,22 +209,25 @@
             member = self.members.get(grant.holder)
             if member is not None and member.state is State.LIVE:
                 out.append((member.stream, grant))
-                self._tell(
-                    "granted",
-                    fine=True,
-                    clock=now,
-                    holder=grant.holder,
-                    route=grant.destination,
-                    number=grant.number,
-                    amount=grant.amount,
-                    lease_ms=grant.lease_us // 1000,
-                    delay_ms=self.ledger.delay // 1000,
-                )
+                self._tell_granted(grant, now)
         out += self._beat(now)
         return out
 
+    def _tell_granted(self, grant: Grant, now: int) -> None:
+        self._tell(
+            "granted",
+            fine=True,
+            clock=now,
+            holder=grant.holder,
+            route=grant.destination,
+            number=grant.number,
+            amount=grant.amount,
+            lease_ms=grant.lease_us // 1000,
+            delay_ms=self.ledger.delay // 1000,
+        )
+
     def _allocated(self, now: int) -> tuple[list[Out], list[Grant]]:
-        """The module's turn: it looks at every endpoint, so it comes for reports and by time, not for each demand."""
+        """The module's turn: it comes for reports and by time, not for each demand."""
         events, self._events = self._events, []
         grants = self.allocator.turn(now, events)
         for line in self.allocator.said:
@@ -259,7 +273,11 @@
                 out += [(stream, action) for stream, client in self._streams.items() for action in client.changed(part)]
         return out
 
-    def _lost(self, change: Change) -> None:
+    def _enter(self, holder: str, now: int) -> None:
+        """A process can be heard, for the first time or again."""
+        self.ledger.join(holder)
+
+    def _lost(self, change: Change, now: int) -> None:
         self.ledger.lost(change.holder)
         self._tell("proxy lost", holder=change.holder, state=change.state.value)
 
