Judge the ramp of a returning destination over a fleet of 30 senders with a backlog

Need: cold destinations fall under the sum of what all processes send. The tests judged it only where no sender had more to send than comes in, and only where two thirds of the calls came from told senders.

Not held: smaller limits, and an outage whose end is told.

--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -2,6 +2,10 @@
 
 from __future__ import annotations
 
+import heapq
+import random
+from dataclasses import dataclass
+
 from scalefall import interface as i
 from scalefall.policy import Sender
 
@@ -112,3 +116,87 @@
     def tick(self, after=20 * MS):
         self.turn(i.Timer(1), after=after)
         return [send.id for send in self.of(i.Send)]
+
+
+ANSWER, TICK = 80 * MS, 5 * MS  # of a fleet's destination, and of its senders
+FALL, COLD, FALL_MULTIPLE, COLD_FROM = 1500 * MS, 12 * S, 1.5, 0.26  # of the settings of a fleet
+
+
+def cold_budget(since, limit):
+    """Calls that a destination may get from all senders in FALL, so long after its return; the limit is in calls/s."""
+    share = COLD_FROM + (1 - COLD_FROM) * since / COLD
+    return FALL_MULTIPLE * share * limit * FALL / S
+
+
+@dataclass(slots=True, frozen=True)
+class Outage:
+    """A destination that takes limit calls a second when warm, answers fails within down, and tells when it is back
+    if wait is set."""
+
+    limit: float
+    fails: i.Outcome
+    wait: bool = False
+    down: tuple[int, int] = (12 * S, 20 * S)
+
+    def answer(self, now):
+        up = not self.down[0] <= now < self.down[1]
+        return (i.Outcome.OK, 0) if up else (self.fails, self.down[1] - now if self.wait else 0)
+
+
+class Fleet:
+    """Senders that share nothing on one clock, with so many messages a second each, at one destination."""
+
+    def __init__(self, sender_type, rates, outage, seed=1, siblings=None, deadline_us=5 * S):
+        self.rates, self.outage, self.deadline_us = rates, outage, deadline_us
+        self.draw, self.queue, self.number = random.Random(seed), [], 0
+        self.calls, self.told, self.attempts = [], set(), {}
+        world = dict(
+            siblings=siblings or len(rates),
+            weights="nominal",
+            fall_us=FALL,
+            cold_us=COLD,
+            cold_from=COLD_FROM,
+            fall_multiple=FALL_MULTIPLE,
+            classes={"safe": message_class(deadline_us=deadline_us)},
+        )
+        self.senders = [sender_type(settings(index=n, **world), seed * 1000 + n) for n in range(len(rates))]
+
+    def push(self, at, n, event):
+        self.number += 1
+        heapq.heappush(self.queue, (at, self.number, n, event))
+
+    def hand_in(self, at, n, name):
+        """Events come in ticks; its time runs from when it was sent."""
+        self.push(at // TICK * TICK, n, i.Message(name, 1, "safe", at + self.deadline_us))
+
+    def play(self, end=34 * S, backlog=0):
+        """All calls until the end, as (time, whether its sender was told of a failure before). During the outage
+        each sender is handed so many messages more, as its backlog."""
+        for n, rate in enumerate(self.rates):
+            self.push(
+                0, n, i.Listed(i.ListKind.WHOLE, [i.Endpoint("e", "a", "one", 1, i.Status.READY, self.outage.limit)])
+            )
+            at = self.draw.expovariate(rate)
+            while at * S < end:
+                self.hand_in(int(at * S), n, f"m{n}-{at}")
+                at += self.draw.expovariate(rate)
+            began, ended = self.outage.down
+            for number in range(backlog):
+                self.hand_in(began + number * (ended - began) // backlog, n, f"b{n}-{number}")
+        while self.queue and self.queue[0][0] < end:
+            now, _, n, event = heapq.heappop(self.queue)
+            for action in self.senders[n].handle(now, [event]):
+                self.perform(now, n, action)
+            if isinstance(event, i.Attempted) and event.outcome is not i.Outcome.OK:
+                self.told.add(n)
+        return self.calls
+
+    def perform(self, now, n, action):
+        if isinstance(action, i.SetTimer):
+            self.push(now + max(TICK, action.delay_us), n, i.Timer(action.token))
+        elif isinstance(action, i.Send):
+            self.calls.append((now, n in self.told))
+            attempt = self.attempts[action.id] = self.attempts.get(action.id, -1) + 1
+            outcome, wait = self.outage.answer(now)
+            done = outcome is i.Outcome.OK
+            self.push(now + ANSWER, n, i.Attempted(action.id, attempt, "e", outcome, ANSWER, done, wait))
--- /dev/null
+++ b/tests/test_fleet_failback.py
@@ -0,0 +1,43 @@
+"""A destination that returns cold falls under the sum of what all processes send: the ramp holds for the fleet.
+
+Beyond its budget of N calls in the settings' fall time, 2 * sqrt(N) + 2 are chance. Every sender has a backlog from the
+outage, so none sends less than it may. The destination only answers, as in test_failback.py.
+"""
+
+from bisect import bisect_left
+from math import sqrt
+
+import pytest
+from helpers import COLD, FALL, MS, Fleet, Outage, S, cold_budget
+
+from scalefall import interface as i
+from scalefall.policy import Sender
+
+SEEDS = range(8)
+BACKLOG = 10  # messages of each sender beside those that come all the time, for as long as the play lasts
+DEADLINE = 30 * S
+THIRTY = ([2.0] * 30, 60.0)  # messages a second of each sender; calls a second that the warm destination takes
+
+
+def most_over(rates, outage, seed, siblings=None):
+    """By how many calls the worst window after the return is above its budget and what may be chance."""
+    calls = Fleet(Sender, rates, outage, seed, siblings, DEADLINE).play(backlog=BACKLOG)
+    times, back = [at for at, _ in calls], outage.down[1]
+    over = []
+    for start in range(back, back + COLD - FALL, 100 * MS):
+        budget = cold_budget(start - back, outage.limit)
+        window = bisect_left(times, start + FALL) - bisect_left(times, start)
+        over.append(window - budget - 2 * sqrt(budget) - 2)
+    return max(over)
+
+
+@pytest.mark.parametrize("fails", [i.Outcome.CONNECT_FAILED, i.Outcome.FULL])
+def test_a_returning_destination_gets_its_ramp_and_no_more_from_all_senders_together(fails):
+    rates, limit = THIRTY
+    assert max(most_over(rates, Outage(limit, fails), seed) for seed in SEEDS) <= 0
+
+
+@pytest.mark.parametrize("outage", [Outage(60.0, i.Outcome.CONNECT_FAILED), Outage(60.0, i.Outcome.FULL, True)])
+def test_the_judge_catches_senders_that_each_take_the_budget_of_one_alone(outage):
+    rates, _ = THIRTY
+    assert min(most_over(rates, outage, seed, siblings=1) for seed in SEEDS) > 100
