--- /dev/null
+++ b/scalefall/assignment/sharding.py
@@ -0,0 +1,94 @@
+"""From a destination to its shard.
+
+A destination's shard is a fixed hash of its number, so senders and control agree without exchanging a list. The hash
+takes no seed of the process (PYTHONHASHSEED changes nothing). A destination that is too heavy for a shared shard is
+isolated: it gets a shard of its own, numbered from `count` up. A Sharding is a value: isolating or merging gives a new
+one.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from types import MappingProxyType
+
+from scalefall.assignment.model import AssignmentError
+
+MOST_SHARDS = 1_048_576  # 2**20, shared and isolated: about 100 bytes each keeps control's table near 100 MB
+MOST_DESTINATION = 10**9  # destinations are numbered 0 to this
+WORD = 2**64 - 1
+
+
+def mix(value: int) -> int:
+    """The finaliser of splitmix64: a 64-bit integer in, a well mixed one out."""
+    value = (value + 0x9E3779B97F4A7C15) & WORD
+    value = ((value ^ (value >> 30)) * 0xBF58476D1CE4E5B9) & WORD
+    value = ((value ^ (value >> 27)) * 0x94D049BB133111EB) & WORD
+    return value ^ (value >> 31)
+
+
+class Sharding:
+    """How many shared shards there are, and which destinations have one of their own."""
+
+    __slots__ = ("count", "_isolated")
+
+    def __init__(self, count: int, isolated: Mapping[int, int] | None = None) -> None:
+        """count is the number of shared shards; isolated maps a destination to its own shard's number."""
+        own = dict(isolated or {})
+        if count < 1:
+            raise AssignmentError(f"a sharding needs at least one shard, not {count}")
+        if count + len(own) > MOST_SHARDS:
+            raise AssignmentError(f"more shards than the budget: {count + len(own)}, of at most {MOST_SHARDS}")
+        _check_isolated(count, own)
+        self.count = count
+        self._isolated = own
+
+    def shard_of(self, destination: int) -> int:
+        """The destination's shard; below `count` unless the destination is isolated."""
+        own = self._isolated.get(destination)
+        if own is not None:
+            return own
+        return (mix(destination) * self.count) >> 64
+
+    @property
+    def isolated(self) -> Mapping[int, int]:
+        """Each isolated destination's own shard (a read-only view)."""
+        return MappingProxyType(self._isolated)
+
+    def isolate(self, destination: int) -> Sharding:
+        """The same with a shard for this destination alone: the lowest free number from `count` up."""
+        if destination in self._isolated:
+            raise AssignmentError(f"destination {destination} already has a shard of its own")
+        taken = set(self._isolated.values())
+        number = self.count
+        while number in taken:
+            number += 1
+        return Sharding(self.count, {**self._isolated, destination: number})
+
+    def merge(self, destination: int) -> Sharding:
+        """The same with this destination back in its shared shard."""
+        if destination not in self._isolated:
+            raise AssignmentError(f"destination {destination} has no shard of its own to merge")
+        return Sharding(self.count, {key: own for key, own in self._isolated.items() if key != destination})
+
+    def shards(self) -> Iterable[int]:
+        """All shard numbers, ascending."""
+        return [*range(self.count), *sorted(self._isolated.values())]
+
+    def __eq__(self, other: object) -> bool:
+        if not isinstance(other, Sharding):
+            return NotImplemented
+        return self.count == other.count and self._isolated == other._isolated
+
+    __hash__ = None  # type: ignore[assignment]
+
+
+def _check_isolated(count: int, isolated: Mapping[int, int]) -> None:
+    owner: dict[int, int] = {}
+    for destination, shard in isolated.items():
+        if not 0 <= destination <= MOST_DESTINATION:
+            raise AssignmentError(f"destination {destination} is outside 0 to {MOST_DESTINATION}")
+        if not count <= shard < MOST_SHARDS:
+            raise AssignmentError(f"shard {shard} of destination {destination} is outside {count} to {MOST_SHARDS - 1}")
+        if shard in owner:
+            raise AssignmentError(f"shard {shard} is given to destinations {owner[shard]} and {destination}")
+        owner[shard] = destination
--- /dev/null
+++ b/tests/assignment/test_sharding.py
@@ -0,0 +1,59 @@
+"""Destinations to shards: a fixed hash, and shards of one destination's own."""
+
+import subprocess
+import sys
+
+import pytest
+
+from scalefall.assignment.model import AssignmentError
+from scalefall.assignment.sharding import MOST_SHARDS, Sharding, mix
+
+
+def test_the_hash_is_fixed_and_does_not_depend_on_the_process():
+    assert (
+        mix(0) == 0xE220A8397B1DCDAF and mix(0x9E3779B97F4A7C15) == 0x6E789E6AA1B965F4
+    )  # splitmix64's published start
+    here = [Sharding(14_400).shard_of(number) for number in (0, 1, 2, 419_999, 10**9)]
+    assert here == [12719, 8158, 8513, 12471, 4654]  # a change of the hash moves every destination of a running fleet
+    program = "from scalefall.assignment.sharding import Sharding; print(Sharding(14_400).shard_of(419_999))"
+    for seed in ("1", "2"):
+        out = subprocess.run([sys.executable, "-c", program], env={"PYTHONHASHSEED": seed}, capture_output=True)
+        assert int(out.stdout) == here[3]
+
+
+@pytest.mark.parametrize("count", [1, 1_000, 1_024])
+def test_destinations_spread_evenly(count):
+    sharding, counts = Sharding(count), [0] * count
+    for destination in range(100 * count):
+        counts[sharding.shard_of(destination)] += 1
+    assert 50 <= min(counts) and max(counts) <= 150  # five standard deviations of an even random spread
+
+
+def test_isolation_takes_the_lowest_free_number_and_merging_undoes_it():
+    before = Sharding(8)
+    both = before.isolate(5).isolate(7)
+    assert (both.shard_of(5), both.shard_of(7)) == (8, 9)
+    assert list(both.shards()) == list(range(10)) and dict(both.isolated) == {5: 8, 7: 9}
+    again = both.merge(5)
+    assert again.shard_of(5) == before.shard_of(5) and list(again.shards()) == [*range(8), 9]
+    assert again.isolate(6).shard_of(6) == 8 and again.merge(7) == before
+    assert dict(before.isolated) == {}  # a value: nothing above changed it
+
+
+@pytest.mark.parametrize(
+    ("make", "said"),
+    [
+        (lambda: Sharding(0), "a sharding needs at least one shard, not 0"),
+        (lambda: Sharding(MOST_SHARDS + 1), "more shards than the budget"),
+        (lambda: Sharding(MOST_SHARDS).isolate(1), "more shards than the budget"),
+        (lambda: Sharding(8).isolate(5).isolate(5), "destination 5 already has a shard of its own"),
+        (lambda: Sharding(8).merge(5), "destination 5 has no shard of its own"),
+        (lambda: Sharding(8, {5: 7}), "shard 7 of destination 5 is outside 8"),
+        (lambda: Sharding(8, {5: 9, 6: 9}), "shard 9 is given to destinations 5 and 6"),
+        (lambda: Sharding(8).isolate(-1), "destination -1 is outside"),
+    ],
+)
+def test_what_is_refused(make, said):
+    with pytest.raises(AssignmentError, match=said) as caught:
+        make()
+    assert "\n" not in str(caught.value)
