Assignment: placement of shards on nodes within a bound, moving only what has to move

Need: a lost node's or zone's shards spread over its region, a new node filled from the most loaded, load within 1.25 of the mean, and nothing moved without cause.

Ruled out: load sums in floating point (the same table summed in another order may differ and move shards on unchanged input; weights are whole numbers here), one round of balancing (a model run with it found tables that a second call changed), and balance by the region's own mean (a region that lost half its nodes would stay at 1.5 of the fleet's mean). The signature has one more argument at its end, `former`: the lost node's region is in no other input.

--- /dev/null
+++ b/scalefall/assignment/node_loads.py
@@ -0,0 +1,81 @@
+"""The load of each node while a placement is worked out, and the least loaded node of a zone.
+
+Nodes and zones are numbers here: nodes by ascending name, so that a placement does not depend on the order in which its
+caller lists them. Loads are whole numbers, so that sums are exact whatever their order. Each zone has a heap; an entry
+that no longer tells its node's load is stale, and is dropped when it comes up.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Container, Sequence
+from heapq import heapify, heappop, heappush
+
+from scalefall.assignment.model import AssignmentError, Node
+
+
+class NodeLoads:
+    """Nodes by number, their zones, and their loads."""
+
+    def __init__(self, nodes: Sequence[Node]) -> None:
+        ordered = sorted(nodes, key=lambda node: node.name)
+        self.names = [node.name for node in ordered]
+        for one, other in zip(self.names, self.names[1:]):
+            if one == other:
+                raise AssignmentError(f"node {one} is named twice")
+        self.number = {name: number for number, name in enumerate(self.names)}
+        self.load = [0] * len(ordered)
+        self.region = [node.region for node in ordered]
+        places = sorted({(node.region, node.zone) for node in ordered})
+        zone_numbers = {place: zone for zone, place in enumerate(places)}
+        self.zone = [zone_numbers[node.region, node.zone] for node in ordered]
+        self._zones: dict[str, list[int]] = {}
+        for (region, _), zone in zone_numbers.items():
+            self._zones.setdefault(region, []).append(zone)
+        self._all_zones = list(zone_numbers.values())
+        self._heaps: list[list[tuple[int, int]]] = [[] for _ in places]
+
+    def start(self) -> None:
+        """Build the heaps, after the loads of what stays have been added up."""
+        for number, zone in enumerate(self.zone):
+            self._heaps[zone].append((self.load[number], number))
+        for heap in self._heaps:
+            heapify(heap)
+
+    def change(self, node: int, by: int) -> None:
+        """Add to a node's load (after start)."""
+        load = self.load[node] + by
+        self.load[node] = load
+        heappush(self._heaps[self.zone[node]], (load, node))
+
+    def tiers(self, region: str | None) -> list[list[int]]:
+        """The zones to look in, first those of the region, then all others; all at once without a known region."""
+        own = self._zones.get(region) if region is not None else None
+        if own is None:
+            return [self._all_zones]
+        return [own, [zone for zone in self._all_zones if zone not in own]]
+
+    def regions(self) -> list[str]:
+        return list(self._zones)
+
+    def least(self, zone: int, excluded: Container[int] = ()) -> int | None:
+        """The least loaded node of a zone, by name among equals; None if all are excluded."""
+        heap, load = self._heaps[zone], self.load
+        aside = []
+        found = None
+        while heap:
+            entry = heap[0]
+            if entry[0] != load[entry[1]]:
+                heappop(heap)
+            elif entry[1] in excluded:
+                aside.append(heappop(heap))
+            else:
+                found = entry[1]
+                break
+        for entry in set(aside):
+            heappush(heap, entry)
+        return found
+
+    def least_of_each(self, zones: Sequence[int], excluded: Container[int] = ()) -> list[int]:
+        """The least loaded node of each zone that has one left."""
+        found = (self.least(zone, excluded) for zone in zones)
+        return [node for node in found if node is not None]
--- /dev/null
+++ b/scalefall/assignment/placement.py
@@ -0,0 +1,207 @@
+"""Placement: which nodes hold which shard.
+
+Theory of operation
+-------------------
+Pure: the present table, the measured loads and the nodes in, the next table out; the same input gives the same table,
+in whatever order the nodes are listed, and the next table placed again gives itself.
+
+1. A holder that is still a node stays. A shard above `Limits.replica_load` gets that many more holders, at once; it
+   gives holders back only when three quarters of them would do, so that noise in a load does not move it to and fro.
+2. What lacks a holder is placed, the heaviest first, on the least loaded node with room: of the region of the shard's
+   other holders, or of the lost one; of another region only where that one has no node left (or too few). Holders of
+   one shard are on different nodes, and in different zones where a node with room allows.
+3. Nodes above `bound` times the mean give shards away; nodes below the mean over `bound` (new ones) take some
+   (`rebalance`). Nothing else moves. Balance comes before region: a region that lost so much that all its nodes are
+   above the bound passes the excess to the other.
+
+A shard without a measured load counts a sixteenth of the mean shard, so that idle shards are spread by number as well.
+Cost: one pass over the table, and a few heap operations for each shard that moves.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from math import ceil, fsum, inf
+
+from scalefall.assignment.model import AssignmentError, Node
+from scalefall.assignment.node_loads import NodeLoads
+from scalefall.assignment.rebalance import rebalance
+from scalefall.assignment.working_table import WorkingTable
+
+Table = dict[int, tuple[str, ...]]  # shard -> node names that hold it, in order
+
+UNIT = 2**40  # the heaviest shard's load as a whole number: sums are exact, and the smallest differences count
+IDLE_PART = 1 / 16  # of the mean shard's load: what an unmeasured shard counts; sixteen of them weigh as one
+SHRINK_AT = 0.75  # holders are taken back when this part of them would do: loads measured twice differ by less
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """bound: most load of a node over the mean. replica_load: a shard above it gets ceil(load / replica_load) nodes;
+    0: never more than one."""
+
+    bound: float = 1.25
+    replica_load: float = 0
+
+    def __post_init__(self) -> None:
+        if not 1 <= self.bound < inf:
+            raise AssignmentError(f"the bound of a node's load over the mean has to be at least 1, not {self.bound}")
+        if not 0 <= self.replica_load < inf:
+            raise AssignmentError(f"the load of one replica has to be 0 or more, not {self.replica_load}")
+
+
+@dataclass(slots=True, frozen=True)
+class Plan:
+    """The next table. moved: shards whose set of nodes changed, those that are gone (not in the table) among them.
+    forced: those of them that could not stay: new, gone, a holder lost, or another number of holders.
+    load_ratio: the most loaded node over the mean, 0 without nodes."""
+
+    table: Table
+    moved: frozenset[int]
+    forced: frozenset[int] = frozenset()
+    load_ratio: float = 0.0
+
+
+def place(
+    table: Table,
+    loads: Mapping[int, float],
+    nodes: Sequence[Node],
+    limits: Limits,
+    shards: Iterable[int],
+    may_move: bool = True,
+    former: Iterable[Node] = (),
+) -> Plan:
+    """The next table for these shards on these nodes.
+
+    loads are measured, in any one unit, and above 0; a shard that had none is left out. A holder in the table that is
+    not among the nodes counts as lost; `former` tells where such nodes stood (one told nowhere has no region, and its
+    shards go to any). may_move=False only places what lacks a holder. Raises AssignmentError for a node named twice or
+    a load that is no number above 0.
+    """
+    _check_loads(loads)
+    node_loads = NodeLoads(nodes)
+    if not nodes:
+        gone = frozenset(shard for shard, names in table.items() if names)
+        return Plan({}, gone, gone)
+    wanted = sorted(set(shards))
+    weights = _weights(loads, wanted)
+    mean = sum(weights.values()) / len(nodes)
+    working = WorkingTable(node_loads, cap=int(mean * limits.bound), floor=ceil(mean / limits.bound))
+    counts = {shard: _count(loads.get(shard), len(table.get(shard, ())), limits, len(nodes)) for shard in wanted}
+    if not may_move:
+        counts = {shard: max(count, _living(table, shard, node_loads)) for shard, count in counts.items()}
+    lacking = _keep(working, table, weights, counts)
+    node_loads.start()
+    _place_lacking(working, table, lacking, counts, {node.name: node.region for node in former})
+    if may_move:
+        rebalance(working)
+    return _plan(working, table, counts, mean)
+
+
+def _check_loads(loads: Mapping[int, float]) -> None:
+    for shard, load in loads.items():
+        if not 0 < load < inf:
+            raise AssignmentError(f"shard {shard} has a load of {load}: a load is a finite number above 0")
+
+
+def _weights(loads: Mapping[int, float], shards: Sequence[int]) -> dict[int, int]:
+    """Each shard's load as a whole number, the heaviest about UNIT."""
+    measured = [load for shard in shards if (load := loads.get(shard)) is not None]
+    if not measured:
+        return dict.fromkeys(shards, UNIT)
+    scale = max(measured)
+    idle = max(1, int(fsum(load / scale for load in measured) / len(shards) * IDLE_PART * UNIT))
+    weights = {}
+    for shard in shards:
+        load = loads.get(shard)
+        weights[shard] = idle if load is None else max(1, int(load / scale * UNIT))
+    return weights
+
+
+def _count(load: float | None, present: int, limits: Limits, nodes: int) -> int:
+    """How many nodes a shard should have."""
+    if limits.replica_load == 0:
+        return 1
+    if load is None:
+        return min(max(present, 1), nodes)  # a missing measurement takes no holder away
+    needed = max(1, ceil(min(load / limits.replica_load, nodes)))
+    if present > needed > present * SHRINK_AT:
+        return min(present, nodes)
+    return needed
+
+
+def _living(table: Table, shard: int, loads: NodeLoads) -> int:
+    return len({name for name in table.get(shard, ()) if name in loads.number})
+
+
+def _keep(working: WorkingTable, table: Table, weights: dict[int, int], counts: dict[int, int]) -> list[int]:
+    """Enter what stays; the shards that lack holders."""
+    numbers = working.loads.number
+    lacking = []
+    for shard, weight in weights.items():
+        count = counts[shard]
+        living = [numbers[name] for name in dict.fromkeys(table.get(shard, ())) if name in numbers]
+        if len(living) > count:
+            living = _shrunk(working.loads, living, count)
+        working.keep(shard, max(1, weight // count), living)
+        if len(living) < count:
+            lacking.append(shard)
+    return lacking
+
+
+def _shrunk(loads: NodeLoads, holders: list[int], count: int) -> list[int]:
+    """The holders that stay when there are too many: from the zone that has the most, the last goes first."""
+    left = list(holders)
+    zones = Counter(loads.zone[node] for node in left)
+    while len(left) > count:
+        last = max(range(len(left)), key=lambda position: (zones[loads.zone[left[position]]], position))
+        zones[loads.zone[left.pop(last)]] -= 1
+    return left
+
+
+def _place_lacking(
+    working: WorkingTable, table: Table, lacking: list[int], counts: dict[int, int], former: Mapping[str, str]
+) -> None:
+    lacking.sort(key=lambda shard: (-working.part[shard], shard))
+    for shard in lacking:
+        region = working.region_of(shard)
+        if region is None:
+            region = next((former[name] for name in table.get(shard, ()) if name in former), None)
+        tiers = working.loads.tiers(region)
+        zones = working.by_zone(shard)
+        while len(working.holders[shard]) < counts[shard]:
+            node = _choose(working, shard, tiers, zones)
+            working.give(shard, node)
+            zones[working.loads.zone[node]] += 1
+
+
+def _choose(working: WorkingTable, shard: int, tiers: list[list[int]], zones: Mapping[int, int]) -> int:
+    """The node for one more holder: in the first tier with one left, with room, in the zone with the fewest holders."""
+    loads, room = working.loads, working.cap - working.part[shard]
+    holders = set(working.holders[shard])
+    for tier in tiers:
+        found = loads.least_of_each(tier, holders)
+        with_room = [node for node in found if loads.load[node] <= room]
+        if with_room:
+            return min(with_room, key=lambda node: (zones[loads.zone[node]], loads.load[node], node))
+        if found:
+            return min(found, key=lambda node: (loads.load[node], node))
+    raise AssertionError("a shard has never more holders than there are nodes")
+
+
+def _plan(working: WorkingTable, before: Table, counts: dict[int, int], mean: float) -> Plan:
+    names = working.loads.names
+    after = {shard: tuple([names[node] for node in holders]) for shard, holders in working.holders.items()}
+    moved, forced = set(), set()
+    for shard, holders in after.items():
+        old = before.get(shard, ())
+        if old == holders or set(old) == set(holders):
+            continue
+        moved.add(shard)
+        if len(old) != counts[shard] or any(name not in working.loads.number for name in old):
+            forced.add(shard)
+    gone = {shard for shard, holders in before.items() if holders and shard not in after}
+    ratio = max(working.loads.load) / mean if mean else 0.0
+    return Plan(after, frozenset(moved | gone), frozenset(forced | gone), ratio)
--- /dev/null
+++ b/scalefall/assignment/rebalance.py
@@ -0,0 +1,162 @@
+"""Moves that better a placement in which every shard has its holders.
+
+Theory of operation
+-------------------
+Three steps are repeated until none of them finds a move, so a second run on the same input finds none either:
+
+spread  a shard with two holders in one zone, while a zone of the region has none, has one of the two moved there;
+shed    a node above the cap gives shards away, to the least loaded node of its region that stays within the cap, else
+        of another region, else to any node that ends up below where the giver was;
+fill    a node below the floor (a new one) takes shards from the most loaded nodes of its region, else of another; the
+        giver stays above the floor, the taker below the cap.
+
+Each move either spreads the holders of a shard over more zones, or keeps that spread and makes the larger of the two
+nodes' loads smaller; so the steps end. A shard is chosen by size: the smallest one that is enough, else the largest.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from heapq import heapify, heappop, heappush
+
+from scalefall.assignment.working_table import WorkingTable
+
+
+def rebalance(table: WorkingTable) -> None:
+    """Bring nodes within floor and cap as far as moves of whole shards can."""
+    several = sorted(shard for shard, holders in table.holders.items() if len(holders) > 1)
+    while _spread(table, several) + _shed(table) + _fill(table):
+        pass
+
+
+def _spread(table: WorkingTable, shards: list[int]) -> int:
+    moves = 0
+    for shard in shards:
+        while _spread_one(table, shard):
+            moves += 1
+    return moves
+
+
+def _spread_one(table: WorkingTable, shard: int) -> bool:
+    """Move one holder out of a zone with several, into one of its region that has none and a node with room."""
+    loads, counts = table.loads, table.by_zone(shard)
+    crowded = [node for node in table.holders[shard] if counts[loads.zone[node]] > 1]
+    if not crowded:
+        return False
+    empty = [zone for zone in loads.tiers(table.region_of(shard))[0] if not counts[zone]]
+    room = table.cap - table.part[shard]
+    targets = [node for node in loads.least_of_each(empty) if loads.load[node] <= room]
+    if not targets:
+        return False
+    source = max(crowded, key=lambda node: (counts[loads.zone[node]], loads.load[node], node))
+    table.move(shard, source, min(targets, key=lambda node: (loads.load[node], node)))
+    return True
+
+
+def _shed(table: WorkingTable) -> int:
+    load = table.loads.load
+    over = [(-load[node], node) for node in range(len(load)) if load[node] > table.cap]
+    heapify(over)
+    moves = 0
+    while over:
+        before, source = heappop(over)
+        if -before != load[source]:
+            continue  # it took a shard since; there is an entry of its new load
+        while load[source] > table.cap:
+            target = _shed_one(table, source)
+            if target is None:
+                break
+            moves += 1
+            if load[target] > table.cap:
+                heappush(over, (-load[target], target))
+    return moves
+
+
+def _shed_one(table: WorkingTable, source: int) -> int | None:
+    """Move one shard off an overloaded node; the node that took it."""
+    load, excess = table.loads.load, table.loads.load[source] - table.cap
+    targets = list(_targets(table, source))
+    for target in targets:
+        shard = table.pick(source, target, excess, table.cap - load[target])
+        if shard is not None:
+            table.move(shard, source, target)
+            return target
+    for target in targets:
+        shard = table.pick(source, target, excess, load[source] - load[target] - 1)
+        if shard is not None:
+            table.move(shard, source, target)
+            return target
+    return None
+
+
+def _targets(table: WorkingTable, source: int) -> Iterator[int]:
+    """The least loaded node of each zone, least loaded first, those of the source's region before the others."""
+    loads = table.loads
+    for zones in loads.tiers(loads.region[source]):
+        yield from sorted(loads.least_of_each(zones, (source,)), key=lambda node: (loads.load[node], node))
+
+
+class _Givers:
+    """The most loaded nodes of each region."""
+
+    def __init__(self, table: WorkingTable) -> None:
+        self._table = table
+        self._heaps: dict[str, list[tuple[int, int]]] = {region: [] for region in table.loads.regions()}
+        for node, load in enumerate(table.loads.load):
+            self._heaps[table.loads.region[node]].append((-load, node))
+        for heap in self._heaps.values():
+            heapify(heap)
+
+    def take(self, target: int) -> bool:
+        """Move one shard to the target from the most loaded node that can give one, of its own region first."""
+        loads = self._table.loads
+        own = loads.region[target]
+        regions = [own, *(region for region in self._heaps if region != own)]
+        return any(self._take_in(self._heaps[region], target) for region in regions)
+
+    def _take_in(self, heap: list[tuple[int, int]], target: int) -> bool:
+        table, load = self._table, self._table.loads.load
+        aside = []
+        found = False
+        while heap and not found:
+            before, source = heappop(heap)
+            if -before != load[source]:
+                heappush(heap, (-load[source], source))
+                continue
+            aside.append(source)
+            if load[source] <= max(table.floor, load[target]):
+                break
+            found = _fill_one(table, source, target)
+        for source in aside:
+            heappush(heap, (-load[source], source))
+        return found
+
+
+def _fill(table: WorkingTable) -> int:
+    """Shards for the nodes below the floor, the emptiest first; ends with the first for which there is no shard."""
+    load = table.loads.load
+    under = [(load[node], node) for node in range(len(load)) if load[node] < table.floor]
+    if not under:
+        return 0
+    heapify(under)
+    givers = _Givers(table)
+    moves = 0
+    while under:
+        _, target = under[0]
+        if not givers.take(target):
+            break
+        moves += 1
+        heappop(under)
+        if load[target] < table.floor:
+            heappush(under, (load[target], target))
+    return moves
+
+
+def _fill_one(table: WorkingTable, source: int, target: int) -> bool:
+    load = table.loads.load
+    most = min(load[source] - table.floor, table.cap - load[target], load[source] - load[target] - 1)
+    shard = table.pick(source, target, table.floor - load[target], most)
+    if shard is None:
+        return False
+    table.move(shard, source, target)
+    return True
--- /dev/null
+++ b/tests/assignment/test_placement.py
@@ -0,0 +1,236 @@
+"""Placement: who holds which shard after nodes come and go and loads change."""
+
+from __future__ import annotations
+
+import random
+from math import inf, nan
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from scalefall.assignment.model import AssignmentError, Node
+from scalefall.assignment.placement import IDLE_PART, Limits, place
+
+FLEET = [Node(f"n{k:02}", f"r{k % 2}", f"z{k // 2 % 4}") for k in range(40)]  # five nodes in each of 2 x 4 zones
+SMALL = [Node(f"n{k:02}", f"r{k % 2}", f"z{k // 2 % 2}") for k in range(16)]  # few zones: replicas crowd them
+NEAR = 1e-6  # weights are whole numbers inside
+
+
+def drawn_loads(count, seed, sigma=0.5):
+    draw = random.Random(seed)
+    return {shard: draw.lognormvariate(0, sigma) for shard in range(count)}
+
+
+def weights(shards, loads):
+    idle = sum(loads.values()) / len(shards) * IDLE_PART if loads else 1.0
+    return {shard: loads.get(shard, idle) for shard in shards}
+
+
+def node_loads(table, loads, nodes):
+    found = dict.fromkeys((node.name for node in nodes), 0.0)
+    for shard, weight in weights(table, loads).items():
+        for name in table[shard]:
+            found[name] += weight / len(table[shard])
+    return found
+
+
+def check(plan, loads, nodes, limits, shards):
+    """Shards are held by different nodes, in zones as different as room allows; no overloaded node could be helped."""
+    at = {node.name: node for node in nodes}
+    found = node_loads(plan.table, loads, nodes)
+    cap = sum(found.values()) / len(nodes) * limits.bound
+    assert sorted(plan.table) == sorted(shards)
+    assert plan.load_ratio == pytest.approx(max(found.values()) / cap * limits.bound, rel=1e-3)
+    for shard, holders in plan.table.items():
+        part = weights(shards, loads)[shard] / len(holders)
+        assert 1 <= len(holders) == len(set(holders)) and set(holders) <= set(at)
+        assert (
+            not limits.replica_load
+            or loads.get(shard, 0) / len(holders) <= limits.replica_load
+            or len(holders) == len(nodes)
+        )
+        zones = [(at[name].region, at[name].zone) for name in holders]
+        if len(set(zones)) < len(zones):
+            free = [n for n in nodes if n.region == zones[0][0] and (n.region, n.zone) not in zones]
+            assert all(found[node.name] + part > cap * (1 - NEAR) for node in free), (shard, holders)
+        if len(holders) == 1 and found[holders[0]] > cap * (1 + NEAR):
+            assert min(found.values()) + part > cap * (1 - NEAR), (shard, holders)
+
+
+@st.composite
+def histories(draw):
+    """Fleets and loads of a few steps: (node numbers, loads by shard), and limits."""
+    limits = Limits(draw(st.sampled_from([1.0, 1.1, 1.25, 2.0])), draw(st.sampled_from([0, 0.5, 3.0])))
+    shards = range(draw(st.integers(1, 60)))
+    load = st.sampled_from([1e-9, 0.2, 1.0, 1.1, 1.5, 2.0, 40.0])
+    step = st.tuples(st.sets(st.sampled_from(range(16)), max_size=12), st.dictionaries(st.sampled_from(shards), load))
+    return limits, shards, draw(st.lists(step, min_size=1, max_size=4)), draw(st.randoms(use_true_random=False))
+
+
+@given(histories())
+@settings(max_examples=300, derandomize=True, deadline=None)
+def test_any_history_keeps_the_rules_and_settles_at_once(history):
+    limits, shards, steps, shuffle = history
+    table = {}
+    for numbers, loads in steps:
+        nodes = [SMALL[number] for number in sorted(numbers)]
+        plan = place(table, loads, nodes, limits, shards, former=SMALL)
+        if nodes:
+            check(plan, loads, nodes, limits, shards)
+        changed = {s for s in {*table, *plan.table} if set(table.get(s, ())) != set(plan.table.get(s, ()))}
+        assert plan.moved == changed and plan.forced <= changed
+        assert place(plan.table, loads, nodes, limits, shards, former=SMALL).moved == frozenset()
+        shuffle.shuffle(nodes)
+        assert place(table, loads, nodes, limits, shards, former=SMALL).table == plan.table
+        table = plan.table
+
+
+def test_what_is_within_the_bound_stays():
+    loads = drawn_loads(640, 1)
+    first = place({}, loads, FLEET, Limits(), range(640))
+    draw = random.Random(2)
+    noisy = {shard: load * draw.uniform(0.9, 1.1) for shard, load in loads.items()}
+    found = node_loads(first.table, noisy, FLEET).values()
+    mean = sum(found) / 40
+    assert mean / 1.25 < min(found) and max(found) < mean * 1.25
+    assert place(first.table, noisy, FLEET, Limits(), range(640)).table == first.table
+
+
+def test_a_lost_zone_is_spread_over_its_region_and_nothing_else_moves():
+    loads = drawn_loads(1_200, 3)
+    before = place({}, loads, FLEET, Limits(), range(1_200)).table
+    left = [node for node in FLEET if (node.region, node.zone) != ("r1", "z2")]
+    alive = {node.name for node in left}
+    plan = place(before, loads, left, Limits(), range(1_200), former=FLEET)
+    lost = {shard for shard, (name,) in before.items() if name not in alive}
+    assert plan.moved == plan.forced == lost
+    receivers = [plan.table[shard][0] for shard in lost]
+    region = [node.name for node in left if node.region == "r1"]
+    assert set(receivers) == set(region)
+    assert max(map(receivers.count, region)) <= 2 * len(lost) / len(region)
+    found = node_loads(plan.table, loads, left)
+    assert max(found[name] for name in region) <= 1.05 * sum(found[name] for name in region) / len(region)
+
+
+def test_another_region_is_used_only_when_none_is_left():
+    loads = drawn_loads(400, 4)
+    before = place({}, loads, FLEET, Limits(), range(400)).table
+    only = [node for node in FLEET if node.region == "r0"]
+    one = [*only, FLEET[1]]  # one node of r1: what r1 lost goes there first, and balance alone takes it further
+    there = {shard for shard, (name,) in before.items() if int(name[1:]) % 2}
+    kept = place(before, loads, one, Limits(), range(400), may_move=False, former=FLEET).table
+    assert {shard for shard, holders in kept.items() if holders == ("n01",)} == there
+    none = place(before, loads, only, Limits(), range(400), former=FLEET)
+    assert none.moved == there and none.load_ratio < 1.05
+
+
+def test_a_new_node_takes_from_the_most_loaded_no_more_than_the_bound_asks():
+    loads = drawn_loads(1_200, 5)
+    before = place({}, loads, FLEET[:-1], Limits(), range(1_200)).table
+    plan = place(before, loads, FLEET, Limits(), range(1_200))
+    found = node_loads(plan.table, loads, FLEET)
+    mean = sum(loads.values()) / 40
+    assert {plan.table[shard] for shard in plan.moved} == {("n39",)}
+    assert mean / 1.25 <= found["n39"] <= mean / 1.25 + 0.1 * mean
+    assert all(int(before[shard][0][1:]) % 2 for shard in plan.moved)  # of its own region, which had enough to give
+    assert min(found.values()) >= mean / 1.25 * (1 - NEAR)
+
+
+def test_a_heavy_shard_has_replicas_in_all_zones_and_gives_them_back_late():
+    loads = {**drawn_loads(400, 6), 400: 100.0}
+    limits = Limits(1.25, 6.0)
+
+    def holders(table, load):
+        return place(table, {**loads, 400: load}, FLEET, limits, range(401)).table
+
+    table = holders({}, 100.0)
+    assert len(table[400]) == 17  # ceil(100 / 6)
+    assert len({(FLEET[int(name[1:])].region, FLEET[int(name[1:])].zone) for name in table[400]}) == 8
+    assert len(holders(table, 103.0)[400]) == 18
+    assert holders(table, 79.0)[400] == table[400]  # 14 would do, of 17: kept
+    assert len(holders(table, 70.0)[400]) == 12  # 12 of 17 are below three quarters: given back
+    unmeasured = place(table, drawn_loads(400, 6), FLEET, limits, range(401)).table
+    assert unmeasured[400] == table[400]
+
+
+@pytest.mark.parametrize("present", [(), ("n1",), ("n1", "n2")])
+def test_replicas_are_in_different_zones_from_the_start_or_brought_there(present):
+    nodes = [Node("n1", "r", "b"), Node("n2", "r", "b"), Node("n3", "r", "b"), Node("n4", "r", "a")]
+    loads, limits = {shard: 1.0 for shard in range(1, 13)} | {0: 2.0}, Limits(1.25, 1.0)
+    before = {0: present}
+    plan = place(before, loads, nodes, limits, range(13), may_move=len(present) > 1)
+    assert plan.table[0][0] == "n1" and plan.table[0][1:] == ("n4",)
+
+
+def test_balance_does_not_bring_replicas_into_one_zone():
+    nodes = [Node("n1", "r", "a"), Node("n2", "r", "a"), Node("n3", "r", "b")]
+    table = {0: ("n1", "n3"), 1: ("n3",), 2: ("n3",), 3: ("n1",), 4: ("n2",)}
+    loads = {0: 3.0, 1: 1.9, 2: 1.95, 3: 1.5, 4: 1.9}
+    plan = place(table, loads, nodes, Limits(1.2, 2.0), range(5))  # shard 0's part is the smallest that is enough
+    assert plan.moved == {1} and plan.table[1] == ("n2",)
+
+
+def moved(before, loads, nodes, bound):
+    table = {shard: (name,) for shard, name in enumerate(before)}
+    plan = place(table, dict(enumerate(loads)), nodes, Limits(bound), range(len(before)))
+    return {shard: plan.table[shard][0] for shard in plan.moved}
+
+
+def test_an_overloaded_node_gives_the_smallest_shard_that_is_enough_within_its_region():
+    nodes = [Node("n1", "r0"), Node("n2", "r0"), Node("n3", "r1")]
+    before = ["n1", "n1", "n1", "n2", "n3"]
+    assert moved(before, [1.0, 2.0, 3.0, 4.0, 3.9], nodes, 1.2) == {0: "n2"}  # n3 is emptier, in the other region
+    assert moved(before, [1.2, 2.0, 3.0, 5.0, 3.9], nodes, 1.2) == {0: "n3"}  # n2 has no room
+
+
+def test_shards_too_heavy_for_the_bound_are_still_parted():
+    nodes = [Node(f"n{number}") for number in range(4)]
+    assert moved(["n0", "n0", "n1", "n2", "n3"], [10.0, 11.0, 1.0, 1.0, 1.0], nodes, 1.25) == {1: "n1", 2: "n2"}
+
+
+def test_a_node_is_not_filled_at_the_cost_of_another():
+    nodes = [Node("n1"), Node("n2"), Node("n3")]
+    assert moved(["n1", "n1", "n2", "n3", "n3"], [0.9, 0.9, 0.5, 0.9, 0.9], nodes, 1.4) == {}
+
+
+def test_idle_shards_are_spread_by_number():
+    loads = {0: 1000.0}
+    plan = place({}, loads, FLEET[:4], Limits(), range(101))
+    counts = [sum(holders == (node.name,) for holders in plan.table.values()) for node in FLEET[:4]]
+    assert sorted(counts) == [1, 33, 33, 34]
+
+
+def test_nothing_is_taken_from_a_node_when_told_not_to():
+    loads = drawn_loads(100, 7)
+    before = place({}, loads, FLEET[:2], Limits(), range(90)).table
+    plan = place(before, loads, FLEET, Limits(), range(100), may_move=False)
+    assert plan.moved == set(range(90, 100)) and all(plan.table[shard] == before[shard] for shard in range(90))
+
+
+def test_no_nodes_is_no_error():
+    plan = place({1: ("n00",)}, {1: 2.0}, [], Limits(), range(3))
+    assert plan.table == {} and plan.moved == {1}
+
+
+@pytest.mark.parametrize("load", [nan, inf, -inf, 0, -1.0])
+def test_a_load_that_is_no_weight_is_refused(load):
+    with pytest.raises(AssignmentError, match="^shard 7 has a load of .*: a load is a finite number above 0$"):
+        place({}, {1: 1.0, 7: load}, FLEET, Limits(), range(9))
+
+
+@pytest.mark.parametrize("load", [5e-324, 1e-300, 1e300, 1.7e308])
+def test_any_finite_weight_is_taken(load):
+    plan = place({}, {0: load, 1: load, 2: 1.0}, FLEET[:2], Limits(1.25, 1e-5), range(4))
+    assert sorted(plan.table) == [0, 1, 2, 3]
+
+
+def test_nodes_and_limits_that_are_refused():
+    with pytest.raises(AssignmentError, match="^node n03 is named twice$"):
+        place({}, {}, [*FLEET, Node("n03", "elsewhere")], Limits(), range(9))
+    for bound in (0.9, nan, inf):
+        with pytest.raises(AssignmentError, match="bound"):
+            Limits(bound)
+    for replica_load in (-1, nan, inf):
+        with pytest.raises(AssignmentError, match="replica"):
+            Limits(1.25, replica_load)
