--- /dev/null
+++ b/tests/assignment/test_snapshot.py
@@ -0,0 +1,91 @@
+"""The table to text and back; anything else is refused with one line."""
+
+import json
+from hashlib import blake2b
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from scalefall.assignment.model import AssignmentError, Node
+from scalefall.assignment.snapshot import TableState, decode, encode
+
+STATE = TableState({0: ("n1", "é\n"), 3: ("n1",), 9: ()}, {7: 9}, 12, (Node("n1", "r", "z"), Node("n2")))
+TEXT = encode(STATE, "settings 1")
+
+
+def refusal(text, fingerprint="settings 1"):
+    with pytest.raises(AssignmentError) as caught:
+        decode(text, fingerprint)
+    assert "\n" not in str(caught.value) and str(caught.value).startswith("snapshot: ")
+    return str(caught.value)
+
+
+def sealed(body):
+    return f"scalefall-assignment 1 {blake2b(body.encode(), digest_size=16).hexdigest()}\n{body}\n"
+
+
+def changed(**fields):
+    return sealed(json.dumps({**json.loads(TEXT.split("\n")[1]), **fields}))
+
+
+names = st.text(max_size=4)
+tables = st.dictionaries(st.integers(0, 2**20), st.lists(names, max_size=3, unique=True).map(tuple))
+
+
+@given(tables, st.sets(st.integers(0, 10**9)), st.integers(0, 2**70), names)
+@settings(max_examples=100, derandomize=True, deadline=None)
+def test_what_is_written_is_read(table, isolated, generation, fingerprint):
+    state = TableState(table, {destination: number for number, destination in enumerate(isolated)}, generation)
+    assert decode(encode(state, fingerprint), fingerprint) == state
+    assert decode(TEXT, "settings 1") == STATE
+
+
+def test_the_fleet_s_table_is_under_a_megabyte():
+    table = {shard: (f"sender-eu-west-1a-{shard % 900:04}",) for shard in range(14_400)}
+    table |= {14_400 + k: tuple(f"sender-eu-west-1a-{n:04}" for n in range(900 // (k + 1))) for k in range(300)}
+    assert len(encode(TableState(table, {k: 14_400 + k for k in range(300)}, 10**9), "f")) < 1_000_000
+
+
+def test_a_text_torn_or_changed_at_any_byte_is_refused():
+    for end in range(len(TEXT)):
+        refusal(TEXT[:end])
+        refusal(TEXT[:end] + chr(ord(TEXT[end]) ^ 1) + TEXT[end + 1 :])
+        refusal(TEXT[:end] + TEXT[end + 1 :])
+    refusal(TEXT + "\n")
+    refusal(TEXT + TEXT)
+
+
+@pytest.mark.parametrize(
+    ("text", "said"),
+    [
+        ("", "does not begin with scalefall-assignment"),
+        (TEXT.replace("assignment 1", "assignment 2"), "version '2', not 1"),
+        (TEXT[:-10], "not whole"),
+        (TEXT[:-10] + "\n", "checksum"),
+        (sealed("{"), "not JSON"),
+        (sealed("[" * 100_000), "not JSON"),
+        (sealed("9" * 10_000), "not JSON"),
+        (sealed("[]"), "not an object"),
+        (sealed('{"names":[],"names":[]}'), "a field is there twice"),
+        (sealed("{}"), "the field fingerprint is missing"),
+        (changed(epochs=[]), "unknown field 'epochs'"),
+        (changed(fingerprint=None), "the field fingerprint is not a string"),
+        (changed(generation=True), "the field generation is not a number"),
+        (changed(generation=-1), "the field generation is not a number"),
+        (changed(names=[1]), "the field names is not a list of strings"),
+        (changed(nodes=[["n1", "r"]]), "the field nodes is not a list of"),
+        (changed(nodes=[["n1", "r", "z"], ["n1", "r", "y"]]), "nodes: a node is there twice"),
+        (changed(table={"0": [0]}), "the field table is not a list of"),
+        (changed(table=[[]]), "the field table is not a list of"),
+        (changed(table=[[0, 0.5]]), "the field table is not a list of"),
+        (changed(table=[[4, 0], [4, 1]]), "table: shard 4 is there twice"),
+        (changed(table=[[4, 2]]), "table: shard 4 is held by name 2 of 2"),
+        (changed(table=[[4, 1, 1]]), "table: shard 4 is held twice by one node"),
+        (changed(isolated=[[1, 8], [1, 9]]), "isolated: destination 1 is there twice"),
+        (changed(isolated=[[1, 8], [2, 8]]), "isolated: a shard is given to two destinations"),
+        (changed(fingerprint="settings 2"), "of other settings"),
+    ],
+)
+def test_each_refusal_names_what_is_wrong(text, said):
+    assert said in refusal(text)
