Lease shards to senders, with epochs, cumulative limits and moves that wait

Need: grants cost senders x destinations today. At the size aimed at (900 senders, 420,000 destinations) they have to be by shard: one lease for all destinations of it, with an epoch that fences the tenure before.

Ruled out: one entry a shard in the ledger of scalefall/control/grants.py. Its rule on falls is on the granted amount; here the shares never fall below what was given (their sum is a constant) and the falls are of the limits inside a grant, which must be cumulative since the holder's last acknowledgement. It also has no tenure and no way to move a destination between entries.

An epoch is the number of the tenure's first grant, so no counter of its own has to outlast a restart.

--- /dev/null
+++ b/scalefall/assignment/holder.py
@@ -0,0 +1,110 @@
+"""What a sender process keeps of its grants: which destinations it may call now, and how often. No I/O, no clock.
+
+Times are microseconds of the process's own clock; only how long a lease lasts comes from elsewhere.
+
+  1. Of a shard the grant of the highest number counts, for its lease from `since`. A lower number that comes late, or
+     an epoch below one that was had for the shard, is dropped: a service that no longer grants cannot bring back a
+     tenure that is over.
+  2. A grant of a newer epoch begins with no limits; any other adds its limits to what is known. A destination never
+     named is UNLIMITED.
+  3. A shard of one isolated destination goes before the hash while it is held.
+  4. Whoever hands grants in has thrown away messages older than the service's `delay`. A tenure that was withdrawn more
+     than `delay` ago may therefore be forgotten: nothing of it can come any more. One that has only run out is kept, as
+     the service may go on with it, and counts on the limits that were acknowledged.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from scalefall.assignment.model import UNLIMITED, WHOLE, ShardGrant
+
+
+@dataclass(slots=True)
+class _Tenure:
+    """The latest grant of one shard."""
+
+    number: int = 0
+    epoch: int = 0
+    share: int = 0
+    until: int = 0
+    destination: int | None = None
+    limits: dict[int, int] = field(default_factory=dict)
+
+    def share_at(self, now: int) -> int:
+        return self.share if now < self.until else 0
+
+
+class ShardHolder:
+    """The grants of one process. shard_of gives a destination's shard by the hash (as Sharding.shard_of does)."""
+
+    def __init__(self, shard_of: Callable[[int], int]) -> None:
+        self._shard_of = shard_of
+        self._tenures: dict[int, _Tenure] = {}
+        self._isolated: dict[int, int] = {}  # destination -> its own shard, by the grants
+
+    def granted(self, grant: ShardGrant, since: int) -> bool:
+        """Take on a grant whose lease counts from `since`: when it arrived, or when the process sent the report that it
+        answers. False: its number or epoch is behind what was had, and it is dropped."""
+        tenure = self._tenures.get(grant.shard)
+        if tenure is not None and (grant.number <= tenure.number or grant.epoch < tenure.epoch):
+            return False
+        if tenure is None or grant.epoch > tenure.epoch:
+            self._forget_destination(grant.shard)
+            tenure = self._tenures[grant.shard] = _Tenure(epoch=grant.epoch, destination=grant.destination)
+            if grant.destination is not None:
+                self._isolated[grant.destination] = grant.shard
+        tenure.number, tenure.share = grant.number, grant.share
+        tenure.until = since + grant.lease_us
+        tenure.limits.update(grant.limits)
+        return True
+
+    def budget(self, destination: int, now: int) -> int:
+        """Thousandths of a call a second that this process may make to a destination; 0: it is not held now."""
+        tenure = self._tenure_of(destination, now)
+        if tenure is None:
+            return 0
+        return tenure.share_at(now) * tenure.limits.get(destination, UNLIMITED) // WHOLE
+
+    def holds(self, destination: int, now: int) -> bool:
+        """Whether the process holds a share of the destination's shard now, whatever its allowance is."""
+        tenure = self._tenure_of(destination, now)
+        return tenure is not None and tenure.share_at(now) > 0
+
+    def share(self, shard: int, now: int) -> int:
+        """The share of a shard that is held now, of WHOLE."""
+        tenure = self._tenures.get(shard)
+        return tenure.share_at(now) if tenure else 0
+
+    def epoch(self, shard: int) -> int:
+        """The latest epoch that was had for a shard; 0: none."""
+        tenure = self._tenures.get(shard)
+        return tenure.epoch if tenure else 0
+
+    def held(self, now: int) -> frozenset[int]:
+        """The shards of which a share is held now."""
+        return frozenset(shard for shard, tenure in self._tenures.items() if tenure.share_at(now))
+
+    def acknowledgements(self, now: int | None = None) -> dict[int, int]:
+        """Shard -> highest number had, withdrawals included: what a report to the service says. With `now`, without
+        those whose lease has run out, of which the service learns nothing."""
+        return {shard: tenure.number for shard, tenure in self._tenures.items() if now is None or now < tenure.until}
+
+    def forget(self, before: int) -> None:
+        """Drop what was withdrawn and whose lease ran out before a time, at least the service's delay ago."""
+        over = [shard for shard, tenure in self._tenures.items() if not tenure.share and tenure.until < before]
+        for shard in over:
+            self._forget_destination(shard)
+            del self._tenures[shard]
+
+    def _tenure_of(self, destination: int, now: int) -> _Tenure | None:
+        own = self._tenures.get(self._isolated.get(destination, -1))
+        if own is not None and own.share_at(now):
+            return own
+        return self._tenures.get(self._shard_of(destination))
+
+    def _forget_destination(self, shard: int) -> None:
+        tenure = self._tenures.get(shard)
+        if tenure is not None and self._isolated.get(tenure.destination) == shard:
+            del self._isolated[tenure.destination]
--- /dev/null
+++ b/tests/assignment/test_shard_holder.py
@@ -0,0 +1,76 @@
+"""What a sender process keeps of its grants."""
+
+from __future__ import annotations
+
+from scalefall.assignment.holder import ShardHolder
+from scalefall.assignment.model import UNLIMITED, WHOLE, ShardGrant
+
+S = 1_000_000
+LEASE = 4 * S
+
+
+def grant(number, share=WHOLE, limits=(), epoch=1, shard=3, destination=None):
+    return ShardGrant("node/one", shard, epoch, number, share, LEASE, limits, destination)
+
+
+def holder():
+    return ShardHolder(lambda destination: destination % 10)
+
+
+def test_a_budget_is_share_times_limit_until_the_lease_runs_out():
+    sender = holder()
+    assert sender.granted(grant(1, WHOLE // 4, ((13, 4000),)), since=S)
+    assert sender.budget(13, S) == 1000 and sender.budget(23, S) == UNLIMITED // 4
+    assert sender.budget(14, S) == 0 and not sender.holds(14, S)
+    assert sender.holds(13, S + LEASE - 1) and sender.held(S + LEASE - 1) == {3}
+    assert sender.budget(13, S + LEASE) == 0 and not sender.holds(13, S + LEASE) and not sender.held(S + LEASE)
+
+
+def test_what_comes_late_is_dropped():
+    sender = holder()
+    assert sender.granted(grant(2, 0), since=0)
+    assert not sender.granted(grant(2), since=1) and not sender.granted(grant(1), since=1)
+    assert sender.budget(13, 1) == 0 and sender.acknowledgements() == {3: 2}
+
+
+def test_a_grant_of_an_older_epoch_is_dropped_whatever_its_number():
+    sender = holder()
+    assert sender.granted(grant(10, 0, epoch=9), since=0)
+    assert not sender.granted(grant(11, epoch=8), since=0)
+    assert sender.share(3, 0) == 0 and sender.epoch(3) == 9
+
+
+def test_limits_add_up_in_a_tenure_and_end_with_it():
+    sender = holder()
+    sender.granted(grant(1, limits=((13, 4000), (23, 50))), since=0)
+    sender.granted(grant(2, limits=((23, UNLIMITED),)), since=0)
+    assert sender.budget(13, 0) == 4000 and sender.budget(23, 0) == UNLIMITED
+    sender.granted(grant(3, limits=((23, 7),), epoch=3), since=0)
+    assert sender.budget(13, 0) == UNLIMITED and sender.budget(23, 0) == 7
+
+
+def test_the_shard_of_an_isolated_destination_goes_before_the_hash_while_it_is_held():
+    sender = holder()
+    sender.granted(grant(1, limits=((13, 0),)), since=0)
+    assert sender.budget(13, 0) == 0
+    sender.granted(grant(2, WHOLE // 2, ((13, 800),), epoch=2, shard=12, destination=13), since=0)
+    assert sender.budget(13, 0) == 400 and sender.budget(23, 0) == UNLIMITED
+    sender.granted(grant(3, 0, epoch=2, shard=12, destination=13), since=1)
+    sender.granted(grant(4, limits=((13, 900),)), since=1)
+    assert sender.budget(13, 1) == 900
+    sender.granted(grant(5, limits=((23, 60),), epoch=5, shard=12, destination=23), since=1)  # the number used again
+    assert sender.budget(13, 1) == 900 and sender.budget(23, 1) == 60
+
+
+def test_only_what_was_withdrawn_is_forgotten():
+    sender = holder()
+    sender.granted(grant(1, limits=((13, 10),)), since=0)
+    sender.granted(grant(2, 0, shard=4), since=0)
+    sender.forget(LEASE)
+    assert sender.acknowledgements() == {3: 1, 4: 2} and sender.acknowledgements(LEASE) == {}
+    sender.forget(LEASE + 1)
+    assert sender.acknowledgements() == {3: 1}
+    sender.granted(
+        grant(3), since=3 * LEASE
+    )  # the service goes on with the tenure, and counts on what was acknowledged
+    assert sender.budget(13, 3 * LEASE) == 10
