--- a/scalefall/assignment/__init__.py
+++ b/scalefall/assignment/__init__.py
@@ -1,1 +1,1 @@
-"""Shard assignment: which sender process may use which destinations' limits, as decided and leased out by control."""
+"""Assignment of destinations to senders: shards, their placement on nodes, and leases on them. No I/O, no clock."""
--- a/scalefall/assignment/model.py
+++ b/scalefall/assignment/model.py
@@ -1,4 +1,4 @@
-"""The types that the parts of shard assignment share: nodes, grants by shard, and the error for bad input."""
+"""The values that the parts of the assignment exchange."""
 
 from __future__ import annotations
 
@@ -31,6 +31,7 @@
     number: int  # grows with every grant of the service, also over restarts
     share: int  # of WHOLE: the holder's part of each destination's allowance in the shard
     lease_us: int  # from when it arrives (or from the holder's report that it answers)
-    limits: tuple[tuple[int, int], ...]  # (destination, allowance in thousandths of a call a second) that differ
-    # from what the holder has acknowledged; a destination never named is UNLIMITED
+    # (destination, allowance in thousandths of a call a second) that differ from what the holder has acknowledged;
+    # a destination never named is UNLIMITED
+    limits: tuple[tuple[int, int], ...]
     destination: int | None = None  # set where the shard is one isolated destination's own
