Coordinate shards by node: restarts that move nothing, losses settled, isolation

Need: leases are by process and placement is by node; something has to join them, so that a restart moves nothing and a zone's loss is one decision.

Ruled out: placement on each join, loss or report (a zone's loss would be 112 decisions); a mean by destination with a time in each row (forward decay needs one number a destination and costs a report its own rows only); placing what is left when no node can be heard (control that lost its own network would move everything when it is back).

A coordinator that starts from a table places nothing until the quiet time is over, and one that stood by goes on as a new one started from the newest state.

--- /dev/null
+++ b/scalefall/assignment/coordinator.py
@@ -0,0 +1,292 @@
+"""Joins, losses, loads and the clock in; placement asked; the ledger told; grants out. No I/O, no clock.
+
+Theory of operation. Placement is by node (a sender's place in the fleet), leases are by process ("node/instance").
+
+  1. A node whose process is lost keeps its shards for `restart_us`: a new process of it gets them once the leases of
+     the old one have run out, and nothing is placed anew. After that the node is gone and its shards are placed.
+  2. Placement is asked SETTLE_US after a node came or was gone, so that a zone's loss is one decision, and each
+     `rebalance_us`; never on a report of loads. While no node is there the table stays as it is.
+  3. Started from a table, nothing is placed until nothing granted by the service before may be in use: by then the
+     nodes of the table have come back, or are gone. Those that come back keep their shards.
+  4. Allowances are not part of a table: whoever starts a coordinator tells it all that are not UNLIMITED before the
+     first grants.
+
+References: Slicer (Adya and others, OSDI 2016) for a table of leased shards held by control; Shard Manager (Lee and
+others, SOSP 2021) for planned moves and for restarts that move nothing.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from typing import Any, Protocol
+
+from scalefall.assignment.coverage import Coverage
+from scalefall.assignment.fleet import Fleet, node_of
+from scalefall.assignment.ledger import ShardLedger
+from scalefall.assignment.loads import LoadMeans
+from scalefall.assignment.model import WHOLE, AssignmentError, Node, ShardGrant
+from scalefall.assignment.shard import NEVER
+
+SETTLE_US = 1_000_000  # a zone's streams end within a heartbeat interval of each other: one decision for all of them
+
+Table = Mapping[int, tuple[str, ...]]  # shard -> names of the nodes that hold it
+
+
+class Plan(Protocol):
+    """What placement answers."""
+
+    table: Table
+    moved: frozenset[int]
+
+
+class Sharding(Protocol):
+    """Which shard a destination is of; a value, so that isolate() and merge() give another one."""
+
+    isolated: Mapping[int, int]
+
+    def shard_of(self, destination: int) -> int: ...
+    def shards(self) -> Iterable[int]: ...
+    def isolate(self, destination: int) -> Sharding: ...
+    def merge(self, destination: int) -> Sharding: ...
+
+
+# table, calls a second by shard, nodes, limits of the placement's own, shards
+Place = Callable[[Table, Mapping[int, float], Sequence[Node], Any, Iterable[int]], Plan]
+# calls a second by destination, sharding, mean load of a node -> destinations to isolate, destinations to merge
+Isolation = Callable[[Mapping[int, float], Sharding, float], tuple[Iterable[int], Iterable[int]]]
+
+
+@dataclass(slots=True, frozen=True)
+class CoordinatorSettings:
+    """Times in microseconds."""
+
+    lease_us: int
+    delay_us: int  # no message arrives later after it was sent
+    restart_us: int = 3_000_000  # a process that starts anew within it finds its node's shards
+    rebalance_us: int = 30_000_000
+    limits: Any = None  # handed to placement
+
+
+@dataclass(slots=True, frozen=True)
+class CoordinatorState:
+    """What a snapshot keeps."""
+
+    table: dict[int, tuple[str, ...]]
+    isolated: dict[int, int]  # destination -> its own shard
+    generation: int  # grows with each change of the others
+
+
+class Coordinator:
+    """The assignment of one control service. `turn` gives the grants to be sent, after news and at next_turn()."""
+
+    def __init__(
+        self,
+        now: int,
+        settings: CoordinatorSettings,
+        place: Place,
+        sharding: Sharding,
+        isolation: Isolation | None = None,
+        state: CoordinatorState | None = None,
+    ) -> None:
+        self._settings, self._ask_place, self._ask_isolation = settings, place, isolation
+        self._sharding = sharding
+        self._ledger = ShardLedger(now, settings.lease_us, settings.delay_us)
+        self._fleet = Fleet(settings.restart_us)
+        self._loads = LoadMeans()
+        self._coverage = Coverage(self._ledger.users)
+        self._table: dict[int, tuple[str, ...]] = {}
+        self._generation = 0
+        self._hold_until = now  # nothing is placed before
+        self._place_at = NEVER
+        self._rebalance_at = now + settings.rebalance_us
+        for destination, own in sharding.isolated.items():
+            self._ledger.isolate(destination, sharding.merge(destination).shard_of(destination), own)
+        if state is not None:
+            self._start_from(state, now)
+
+    def _start_from(self, state: CoordinatorState, now: int) -> None:
+        if dict(state.isolated) != dict(self._sharding.isolated):
+            raise AssignmentError("the sharding's isolated destinations are not those of the state")
+        unknown = state.table.keys() - set(self._sharding.shards())
+        if unknown:
+            raise AssignmentError(f"the table has shard {min(unknown)}, which the sharding has not")
+        self._generation = state.generation
+        self._table = dict(state.table)
+        for shard, row in self._table.items():
+            self._coverage.place(shard, (), row)
+        self._hold_until = self._place_at = max(self._ledger.quiet_until, now + self._settings.restart_us)
+
+    # -- service
+
+    @property
+    def number(self) -> int:
+        """The highest number of a grant that was given."""
+        return self._ledger.number
+
+    def resume(self, number: int) -> None:
+        """Numbers go on above the highest that an earlier service may have given."""
+        self._ledger.resume(number)
+
+    def stand_by(self) -> None:
+        """Another service grants from now on. To go on after it, a new coordinator starts from its state."""
+        self._ledger.stand_by()
+
+    def state(self) -> CoordinatorState:
+        """What another coordinator can start from."""
+        return CoordinatorState(dict(self._table), dict(self._sharding.isolated), self._generation)
+
+    # -- what is told
+
+    def joined(self, holder: str, node: Node, now: int) -> None:
+        """A process can be heard, for the first time or again."""
+        is_news = self._fleet.joined(holder, node)
+        self._ledger.join(holder)
+        self._hand_over(node.name)
+        if is_news:
+            self._settle(now)
+
+    def lost(self, holder: str, now: int) -> None:
+        """A process cannot be heard any more; told again, it changes nothing."""
+        if not self._fleet.is_live(holder) and self._ledger.knows(holder):
+            return
+        self._fleet.lost(holder, now)
+        self._ledger.lost(holder)
+        if self._fleet.holder(node_of(holder)) != holder:
+            self._hand_over(node_of(holder))
+
+    def loaded(self, loads: Mapping[int, float], now: int) -> None:
+        """One report on all senders: measured calls a second of each destination with traffic."""
+        self._loads.report(loads, now)
+
+    def allow(self, destination: int, amount: int) -> None:
+        """The destination's allowance now, in thousandths of a call a second, for all senders together."""
+        self._ledger.limit(destination, self._sharding.shard_of(destination), amount)
+
+    def acknowledged(self, holder: str, shard: int, number: int, now: int) -> bool:
+        """A process has had the grant of this number. False if that says nothing."""
+        if not self._fleet.is_live(holder) and not self._ledger.knows(holder):
+            raise AssignmentError(f"unknown holder {holder}")
+        return self._ledger.acknowledged(holder, shard, number, now)
+
+    # -- what follows
+
+    def turn(self, now: int) -> list[ShardGrant]:
+        """The grants to send now."""
+        if self._ledger.quiet_until == NEVER:
+            return []
+        if self._fleet.take_gone(now):
+            self._settle(now)
+        if now >= self._next_placement():
+            self._place(now)
+        grants = self._ledger.turn(now)
+        for holder, shard in self._ledger.take_released():
+            self._coverage.released(holder, shard)
+        return grants
+
+    def next_turn(self, now: int) -> int:
+        """When turn() is due if no news come before."""
+        if self._ledger.quiet_until == NEVER:
+            return NEVER
+        times = [self._ledger.next_turn(now), self._next_placement()]
+        gone = self._fleet.next_gone()
+        if gone is not None:
+            times.append(gone)
+        return max(now, min(times))
+
+    def shards_of(self, node: str) -> frozenset[int]:
+        """The shards that the node may use now, or is to get as soon as they are free."""
+        return self._coverage.shards_of(node)
+
+    def serves(self, node: str, destination: int) -> bool:
+        """Whether the destination's shard is one of the node's shards_of()."""
+        return self._coverage.covers(node, self._sharding.shard_of(destination))
+
+    def take_changed(self) -> dict[str, frozenset[int]]:
+        """Node -> shards that came, went, or have other destinations by isolation, since the last call."""
+        return self._coverage.take_changed()
+
+    # -- placement
+
+    def _settle(self, now: int) -> None:
+        self._place_at = min(self._place_at, max(self._hold_until, now + SETTLE_US))
+
+    def _next_placement(self) -> int:
+        """A placement that waits to settle goes before the next regular one, which would see half of a loss."""
+        if self._place_at != NEVER:
+            return self._place_at
+        return max(self._hold_until, self._rebalance_at)
+
+    def _place(self, now: int) -> None:
+        self._place_at, self._rebalance_at = NEVER, now + self._settings.rebalance_us
+        nodes = self._fleet.nodes()
+        if not nodes:
+            return
+        means = self._loads.means(now)
+        isolated = self._isolate(means, len(nodes))
+        loads: dict[int, float] = {}
+        for destination, load in means.items():
+            shard = self._sharding.shard_of(destination)
+            loads[shard] = loads.get(shard, 0.0) + load
+        plan = self._ask_place(self._table, loads, nodes, self._settings.limits, self._sharding.shards())
+        if self._take(plan.table) or isolated:
+            self._generation += 1
+
+    def _take(self, table: Table) -> bool:
+        """The table from now on. Whether anything is another."""
+        changed = [shard for shard in self._table.keys() | table.keys() if self._table.get(shard) != table.get(shard)]
+        for shard in sorted(changed):
+            before, after = self._table.get(shard, ()), tuple(table.get(shard, ()))
+            if after:
+                self._table[shard] = after
+            else:
+                del self._table[shard]
+            self._coverage.place(shard, before, after)
+            self._assign(shard)
+        return bool(changed)
+
+    def _hand_over(self, node: str) -> None:
+        """The node's shards go to the process that holds for it now."""
+        for shard in sorted(self._coverage.placed(node)):
+            self._assign(shard)
+
+    def _assign(self, shard: int) -> None:
+        row = self._table.get(shard, ())
+        base, rest = divmod(WHOLE, max(1, len(row)))
+        shares = {}
+        for at, node in enumerate(row):
+            holder = self._fleet.holder(node)
+            if holder is not None and self._ledger.knows(holder):
+                shares[holder] = base + (at < rest)
+        self._ledger.assign(shard, shares)
+
+    def _isolate(self, means: Mapping[int, float], nodes: int) -> bool:
+        """Destinations that get a shard of their own, or lose it. Whether there are any."""
+        if self._ask_isolation is None:
+            return False
+        before = self._sharding
+        to_isolate, to_merge = self._ask_isolation(means, self._sharding, sum(means.values()) / nodes)
+        for destination in to_merge:
+            if destination in self._sharding.isolated:
+                self._merge(destination)
+        for destination in to_isolate:
+            if self._ledger.isolation(destination) is None:
+                self._give_own(destination)
+        return self._sharding is not before
+
+    def _give_own(self, destination: int) -> None:
+        home, sharding = self._sharding.shard_of(destination), self._sharding.isolate(destination)
+        own = sharding.isolated[destination]
+        if not self._ledger.is_free(own):
+            return  # what was granted on it before is not out of use yet; asked again at the next placement
+        self._ledger.isolate(destination, home, own)
+        self._sharding = sharding
+        self._coverage.destinations_changed(home, self._table.get(home, ()))
+
+    def _merge(self, destination: int) -> None:
+        own = self._sharding.isolated[destination]
+        self._ledger.merge(destination)
+        self._sharding = self._sharding.merge(destination)
+        self._coverage.place(own, self._table.pop(own, ()), ())
+        home = self._sharding.shard_of(destination)
+        self._coverage.destinations_changed(home, self._table.get(home, ()))
--- a/scalefall/assignment/ledger.py
+++ b/scalefall/assignment/ledger.py
@@ -64,7 +64,7 @@
 
     @property
     def quiet_until(self) -> int:
-        """Nothing is granted before; far in the future while another service grants."""
+        """Nothing is granted before; NEVER while another service grants."""
         return self._quiet_until
 
     def resume(self, number: int) -> None:
@@ -203,14 +203,10 @@
         record = self._records.get(shard)
         return record.in_use(now) if record else 0
 
-    def may_use(self, holder: str, shard: int) -> bool:
-        """Whether the holder may use something of a shard, as of the last turn."""
+    def users(self, shard: int) -> tuple[str, ...]:
+        """The holders that may use something of a shard, as of the last turn."""
         record = self._records.get(shard)
-        return record is not None and holder in record.holdings
-
-    def held_by(self, holder: str) -> frozenset[int]:
-        """The shards of which the holder may use something, as of the last turn."""
-        return frozenset(shard for shard in self._records.shards_of(holder) if self.may_use(holder, shard))
+        return tuple(record.holdings) if record else ()
 
     def take_released(self) -> list[tuple[str, int]]:
         """The holders that may use nothing more of a shard, with that shard, since the last call."""
--- /dev/null
+++ b/scalefall/assignment/loads.py
@@ -0,0 +1,71 @@
+"""Measured load by destination as a decaying mean; memory goes with the destinations that have traffic.
+
+A report says calls a second for each destination with traffic; one that it leaves out had none. The mean at a time is
+the average of the reports, each weighed by its span of time and by exp(-age / AVERAGED_US). All decay alike, so one
+common factor stands for the decay and a report costs its own rows only ("forward decay": Cormode, Shkapenyuk,
+Srivastava and Xu, ICDE 2009).
+"""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from math import exp, isfinite
+
+from scalefall.assignment.model import AssignmentError
+
+AVERAGED_US = 60_000_000  # two placements at their usual interval: one burst moves nothing by itself
+LEAST_CALLS = 0.001  # calls a second: a mean below it is idle, and forgotten
+MOST_DESTINATIONS = 1_000_000  # more than twice those of the size aimed at; more are not recorded until some are idle
+RESCALE = 1e-100  # the factor is folded into the values before it runs out of a float's range
+
+
+def _is_load(load: object) -> bool:
+    try:
+        return isinstance(load, int | float) and isfinite(load) and load >= 0
+    except OverflowError:  # an int beyond any float
+        return False
+
+
+class LoadMeans:
+    """Calls a second by destination, averaged over about AVERAGED_US."""
+
+    def __init__(self) -> None:
+        self._values: dict[int, float] = {}  # mean / factor
+        self._factor = 1.0
+        self._at: int | None = None  # of the last report
+        self.left_out = 0  # destinations not recorded, as there were too many
+
+    def report(self, loads: Mapping[int, float], now: int) -> None:
+        """Take on a report on all destinations with traffic."""
+        for destination, load in loads.items():
+            if not _is_load(load):
+                raise AssignmentError(f"destination {destination}: a load of {load!r} calls a second")
+        kept = 0.0 if self._at is None else exp(-max(0, now - self._at) / AVERAGED_US)
+        self._at = now
+        self._decay(kept)
+        weight = (1 - kept) / self._factor
+        for destination, load in loads.items():
+            if destination in self._values:
+                self._values[destination] += load * weight
+            elif len(self._values) < MOST_DESTINATIONS:
+                self._values[destination] = load * weight
+            else:
+                self.left_out += 1
+
+    def means(self, now: int) -> dict[int, float]:
+        """The mean of each destination that is not idle; idle ones are forgotten."""
+        factor = self._factor
+        if self._at is not None:
+            factor *= exp(-max(0, now - self._at) / AVERAGED_US)
+        least = LEAST_CALLS / factor if factor else 0.0
+        self._values = {destination: value for destination, value in self._values.items() if value >= least}
+        return {destination: value * factor for destination, value in self._values.items()}
+
+    def __len__(self) -> int:
+        return len(self._values)
+
+    def _decay(self, kept: float) -> None:
+        self._factor *= kept
+        if self._factor < RESCALE:
+            self._values = {destination: value * self._factor for destination, value in self._values.items()}
+            self._factor = 1.0
