Control: destinations divided among senders by leased shards, with the resources and grants there are

Need: any sender may be handed a message for any destination, so lists, heartbeats and grants cost senders times destinations. ShardedService is the control service with another ledger, a view on the catalog, and loads from reports; a quota response carries all grants that are due, limits of destinations among them, and a report acknowledges all that came on its stream by one number; one resource's heartbeat stands for those of all lists. Who grants and what outlasts the process stand apart from the streams now (edge/lasting.py, edge/quotas.py).

--- a/scalefall/assignment/coordinator.py
+++ b/scalefall/assignment/coordinator.py
@@ -124,6 +124,16 @@
         """The highest number of a grant that was given."""
         return self._ledger.number
 
+    @property
+    def generation(self) -> int:
+        """Grows with each change of the table or of the isolated destinations."""
+        return self._generation
+
+    @property
+    def sharding(self) -> Sharding:
+        """Which shard a destination is of, now."""
+        return self._sharding
+
     def resume(self, number: int) -> None:
         """Numbers go on above the highest that an earlier service may have given."""
         self._ledger.resume(number)
--- /dev/null
+++ b/scalefall/assignment/service.py
@@ -0,0 +1,364 @@
+"""The control service where destinations are divided among senders: a sender gets resources and grants of the shards
+that are assigned to it, and of no others.
+
+No I/O, no clock. It is `control.service.Service` with three parts replaced:
+
+    ledger      shares of shards instead of amounts by destination (coordinator.py, ledger.py); an allowance travels
+                with the grants of its destination's shard
+    view        the catalog's answer to which node may have which destinations' resources: those that it holds, or is to
+                hold as soon as the holder before it has let go
+    loads       calls that are reported, by destination, weigh the shards
+
+A service that begins to grant makes its coordinator anew, from the snapshot of the one before if there is one.
+
+What a node may have is no promise of safety: a list of endpoints alone allows no call. Calls need a grant, and the
+rules of grants are the ledger's.
+"""
+
+from __future__ import annotations
+
+from collections import Counter, deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+from itertools import chain
+
+from scalefall import interface as i
+from scalefall.assignment.assembly import AssignmentSettings, assemble
+from scalefall.assignment.coordinator import Coordinator
+from scalefall.assignment.model import UNLIMITED, Node, ShardGrant
+from scalefall.control.catalog import EDS, Key
+from scalefall.control.members import Change, Joined, Refused, State
+from scalefall.control.service import Builder, Out, Service
+from scalefall.net.config import Fleet
+
+LOADS_US = 10_000_000  # calls are counted over so long before they weigh the shards
+MOST_UNACKNOWLEDGED = 4096  # grants of one stream that wait for an answer; more are renewals that nobody reads
+
+
+@dataclass(slots=True, frozen=True)
+class ShardGrants:
+    """All grants that one holder is to be sent now."""
+
+    grants: tuple[ShardGrant, ...]
+
+
+class ShardLeases:
+    """The coordinator as the service's ledger (control.grants.Leases). Holders come and go through the service, which
+    knows their nodes."""
+
+    def __init__(self, coordinator: Coordinator, delay_us: int) -> None:
+        self._coordinator = coordinator
+        self._limited: dict[int, int] = {}  # allowances that are not UNLIMITED
+        self.delay = delay_us
+
+    def use(self, coordinator: Coordinator) -> None:
+        """Another one from now on, which is told all allowances that are not UNLIMITED."""
+        coordinator.resume(self._coordinator.number)
+        self._coordinator = coordinator
+        for destination, amount in self._limited.items():
+            coordinator.allow(destination, amount)
+
+    @property
+    def number(self) -> int:
+        return self._coordinator.number
+
+    def stand_by(self) -> None:
+        self._coordinator.stand_by()
+
+    def begin(self, now: int) -> None:
+        """A coordinator begins by its making: see ShardedService.begin_granting."""
+
+    def resume(self, number: int) -> None:
+        self._coordinator.resume(number)
+
+    def allow(self, destination: int, amount: int) -> bool:
+        if self._limited.get(destination, UNLIMITED) == amount:
+            return False
+        if amount >= UNLIMITED:
+            del self._limited[destination]
+        else:
+            self._limited[destination] = amount
+        self._coordinator.allow(destination, amount)
+        return True
+
+    def join(self, holder: str) -> None:
+        """See ShardedService."""
+
+    def lost(self, holder: str) -> None:
+        """See ShardedService."""
+
+    def turn(self, now: int) -> list[ShardGrant]:
+        return self._coordinator.turn(now)
+
+    def next_turn(self, now: int) -> int:
+        return self._coordinator.next_turn(now)
+
+
+class ShardView:
+    """Which destinations' resources a node may have (control.catalog.View)."""
+
+    def __init__(self, coordinator: Coordinator) -> None:
+        self._coordinator = coordinator
+        self._isolated: dict[int, int] = {}
+        self._by_shard: dict[int, set[int]] = {}
+        self._shards: dict[int, int] = {}  # of each destination
+        self._nodes: dict[int, set[str]] = {}  # of each shard
+
+    def use(self, coordinator: Coordinator) -> None:
+        """Another one from now on."""
+        self._coordinator = coordinator
+        self._nodes.clear()
+        self.follow_sharding()
+
+    def covers(self, node: str, destination: int) -> bool:
+        return self._coordinator.serves(node, destination)
+
+    def nodes_of(self, destination: int) -> Iterable[str]:
+        """The nodes that may have it."""
+        return self._nodes.get(self._shards.get(destination, -1), ())
+
+    def follow(self, node: str, shards: Iterable[int]) -> None:
+        """These shards have come to a node or gone from it."""
+        theirs = self._coordinator.shards_of(node)
+        for shard in shards:
+            if shard in theirs:
+                self._nodes.setdefault(shard, set()).add(node)
+            else:
+                self._nodes.get(shard, set()).discard(node)
+
+    def follow_sharding(self) -> None:
+        """Destinations that have got a shard of their own, or lost it, are of another shard."""
+        isolated = self._coordinator.sharding.isolated
+        moved = [
+            number for number in {**self._isolated, **isolated} if self._isolated.get(number) != isolated.get(number)
+        ]
+        self._isolated = dict(isolated)
+        for destination in moved:
+            if destination in self._shards:
+                self._remove(destination)
+                self._put(destination)
+
+    def destinations(self, node: str) -> Iterable[int]:
+        return chain.from_iterable(self._by_shard.get(shard, ()) for shard in self._coordinator.shards_of(node))
+
+    def of_shard(self, shard: int) -> Iterable[int]:
+        """The destinations of one shard."""
+        return self._by_shard.get(shard, ())
+
+    def replace(self, destinations: Iterable[int]) -> None:
+        """All destinations that there are from now on."""
+        wanted = set(destinations)
+        for destination in self._shards.keys() - wanted:
+            self._remove(destination)
+        for destination in wanted - self._shards.keys():
+            self._put(destination)
+
+    def _put(self, destination: int) -> None:
+        shard = self._shards[destination] = self._coordinator.sharding.shard_of(destination)
+        self._by_shard.setdefault(shard, set()).add(destination)
+
+    def _remove(self, destination: int) -> None:
+        shard = self._shards.pop(destination)
+        self._by_shard[shard].discard(destination)
+        if not self._by_shard[shard]:
+            del self._by_shard[shard]
+
+
+class ShardedService(Service):
+    """Streams of resources are told of by their node, quota streams by their process."""
+
+    def __init__(
+        self,
+        now: int,
+        settings: i.Settings,
+        seed: int,
+        builder: Builder,
+        lease_us: int,
+        delay_us: int,
+        silence_us: int,
+        assignment: AssignmentSettings,
+    ) -> None:
+        self._assignment = assignment
+        self._assembly, _ = assemble(now, assignment, None)
+        self._view = ShardView(self.coordinator)
+        self._nodes: dict[str, Node] = {}  # of each holder
+        self._node_streams: dict[str, set[int]] = {}  # resource streams of each node
+        self._stream_nodes: dict[int, str] = {}
+        self._unacknowledged: dict[int, deque[tuple[int, int]]] = {}  # number and shard, by quota stream, in order
+        self._calls: Counter[int] = Counter()  # reported, by destination
+        self._counted_from = now
+        self._leases = ShardLeases(self.coordinator, delay_us)
+        super().__init__(now, settings, seed, builder, lease_us, delay_us, silence_us, self._leases, self._view)
+
+    @property
+    def coordinator(self) -> Coordinator:
+        """Who has which shard."""
+        return self._assembly.coordinator
+
+    def begin_granting(self, now: int, number: int, snapshot: str | None = None) -> None:
+        self._assembly, refused = assemble(now, self._assignment, snapshot)
+        if refused:
+            self._tell("assignment not taken", error=refused)
+        self._leases.use(self.coordinator)
+        self._leases.resume(number)
+        self._view.use(self.coordinator)
+        for holder, node in self._nodes.items():
+            self.coordinator.joined(holder, node, now)
+
+    def generation(self) -> int:
+        return self.coordinator.generation
+
+    def snapshot(self) -> str | None:
+        return self._assembly.snapshot()
+
+    # -- the fleet
+
+    def configure(self, fleet: Fleet, now: int) -> list[Out]:
+        out = super().configure(fleet, now)
+        self._view.replace(fleet.routes)
+        return out
+
+    # -- streams of resources
+
+    def opened(self, stream: int, holder: str, incremental: bool, leased: bool) -> None:
+        super().opened(stream, holder, incremental, leased)
+        self._node_streams.setdefault(holder, set()).add(stream)
+        self._stream_nodes[stream] = holder
+
+    def ended(self, stream: int) -> None:
+        super().ended(stream)
+        node = self._stream_nodes.pop(stream, None)
+        if node is not None:
+            self._node_streams[node].discard(stream)
+            if not self._node_streams[node]:
+                del self._node_streams[node]
+
+    # -- processes and their grants
+
+    def joined(
+        self, stream: int, node: str, instance: str, now: int, region: str = "", zone: str = ""
+    ) -> Joined | Refused:
+        """A quota stream has named its process, and where it stands."""
+        answer = self.members.join(stream, node, instance, now)
+        if isinstance(answer, Joined):
+            self._nodes[answer.holder] = Node(node, region, zone)
+            self._unacknowledged[stream] = deque(maxlen=MOST_UNACKNOWLEDGED)
+            self._enter(answer.holder, now)
+            self._news(now)
+            self._tell("proxy joined", holder=answer.holder, came_back=answer.came_back, twin=answer.twin)
+        return answer
+
+    def left(self, stream: int, now: int) -> None:
+        super().left(stream, now)
+        self._unacknowledged.pop(stream, None)
+
+    def used(self, stream: int, route: int, calls: float, had: int, now: int) -> bool:
+        """Nothing is granted by route here."""
+        return False
+
+    def acknowledged(self, stream: int, had: int, now: int) -> None:
+        """The stream's process has had all grants sent on it up to this number. A stream keeps their order, so one
+        number stands for all before it; what was sent on an earlier stream it does not vouch for."""
+        holder = self.members.holder(stream)
+        if holder is None:
+            return
+        if self.members.heard(stream, now) is not None:
+            self._enter(holder, now)
+            self._tell("proxy heard again", holder=holder)
+        waiting = self._unacknowledged[stream]
+        while waiting and waiting[0][0] <= had:
+            number, shard = waiting.popleft()
+            self.coordinator.acknowledged(holder, shard, number, now)
+        self._news(now)
+
+    def _enter(self, holder: str, now: int) -> None:
+        self.coordinator.joined(holder, self._nodes[holder], now)
+
+    def _lost(self, change: Change, now: int) -> None:
+        super()._lost(change, now)
+        if change.state is State.GONE:
+            self._nodes.pop(change.holder, None)
+        else:
+            self.coordinator.lost(change.holder, now)
+
+    # -- loads
+
+    def reported(self, calls: Iterable[i.Reported], now: int) -> None:
+        calls = list(calls)
+        for call in calls:
+            destination = self.allocator.destination_of(call.endpoint)
+            if destination is not None:
+                self._calls[destination] += 1
+        super().reported(calls, now)
+
+    def _weigh(self, now: int) -> None:
+        """Calls a second of each destination with traffic, to the coordinator."""
+        elapsed = now - self._counted_from
+        if elapsed >= LOADS_US:
+            loads = {destination: count * 1_000_000 / elapsed for destination, count in self._calls.items()}
+            self._calls.clear()
+            self._counted_from = now
+            self.coordinator.loaded(loads, now)
+
+    # -- time
+
+    def turn(self, now: int) -> list[Out]:
+        self._weigh(now)
+        out = super().turn(now)
+        return self._follow() + out
+
+    def _follow(self) -> list[Out]:
+        """What came to a node's shards or went from them, to its streams of resources."""
+        self._view.follow_sharding()
+        out: list[Out] = []
+        for node, shards in self.coordinator.take_changed().items():
+            self._view.follow(node, shards)
+            keys = [
+                key for shard in shards for number in self._view.of_shard(shard) for key in self.catalog.keys_of(number)
+            ]
+            for stream in self._node_streams.get(node, ()):
+                out += [(stream, action) for action in self._streams[stream].changed(keys)]
+        return out
+
+    def _grants_out(self, grants: list[ShardGrant], now: int) -> list[Out]:
+        by_stream: dict[int, list[ShardGrant]] = {}
+        for grant in grants:
+            stream = self._live_stream(grant.holder)
+            if stream is not None and stream in self._unacknowledged:
+                by_stream.setdefault(stream, []).append(grant)
+                self._unacknowledged[stream].append((grant.number, grant.shard))
+                self._tell_granted(grant, now)
+        return [(stream, ShardGrants(tuple(given))) for stream, given in by_stream.items()]
+
+    def _tell_granted(self, grant: ShardGrant, now: int) -> None:
+        self._tell(
+            "granted",
+            fine=True,
+            clock=now,
+            holder=grant.holder,
+            shard=grant.shard,
+            epoch=grant.epoch,
+            number=grant.number,
+            share=grant.share,
+            lease_ms=grant.lease_us // 1000,
+            delay_ms=self.ledger.delay // 1000,
+        )
+
+    def _changed(self, keys: set[Key]) -> list[Out]:
+        """Only nodes that hold a destination are told of its resources; endpoints first."""
+        first = {key for key in keys if key[0] == EDS}
+        out: list[Out] = []
+        for part in (first, keys - first):
+            for node, theirs in self._by_node(part).items():
+                for stream in self._node_streams.get(node, ()):
+                    out += [(stream, action) for action in self._streams[stream].changed(theirs)]
+        return out
+
+    def _by_node(self, keys: Iterable[Key]) -> dict[str, set[Key]]:
+        """The keys that each node with a stream is to be told of; what is gone or shared, all of them."""
+        found: dict[str, set[Key]] = {}
+        for key in keys:
+            destination = self.catalog.destination_of(key)
+            for node in self._node_streams if destination is None else self._view.nodes_of(destination):
+                found.setdefault(node, set()).add(key)
+        return found
--- a/scalefall/cli/control.py
+++ b/scalefall/cli/control.py
@@ -8,6 +8,7 @@
 
 import click
 
+from scalefall.assignment.sharding import MOST_SHARDS
 from scalefall.cli import logs, output
 from scalefall.cli.output import option
 from scalefall.cli.run import configuration
@@ -93,6 +94,27 @@
     show_default=True,
     help="Seconds between load reports.",
 )
+@option(
+    "--shards",
+    type=click.IntRange(0, MOST_SHARDS),
+    default=0,
+    show_default=True,
+    help="Divide destinations among senders, in so many shards; 0: every client gets everything.",
+)
+@option(
+    "--move-after",
+    type=click.FloatRange(0, 3600),
+    default=3.0,
+    show_default=True,
+    help="With --shards: seconds that a sender may be away, as for a restart, before its shards go to others.",
+)
+@option(
+    "--sender-load",
+    type=click.FloatRange(0),
+    default=0.0,
+    show_default=True,
+    help="With --shards: calls a second to one destination above which several senders share it; 0: never.",
+)
 @option("--log-level", type=click.Choice(logs.LEVELS), default="info", show_default=True)
 @option(
     "--log-format",
@@ -115,6 +137,9 @@
     delay: float,
     endpoint_lease: float,
     report_every: float,
+    shards: int,
+    move_after: float,
+    sender_load: float,
     log_level: str,
     log_format: str,
 ) -> None:
@@ -144,7 +169,9 @@
     def tell(line: str, good: bool) -> None:
         log.log(logging.INFO if good else logging.ERROR, "%s", line)
 
-    options = server.Options(listen, *(int(each * 1_000_000) for each in (lease, delay, endpoint_lease, report_every)))
+    sharding = server.ShardingOptions(shards, int(move_after * 1_000_000), sender_load) if shards else None
+    spans = (int(each * 1_000_000) for each in (lease, delay, endpoint_lease, report_every))
+    options = server.Options(listen, *spans, sharding)
     try:
         held = None if plain_text else keys.Keys(keys.Paths(certificate, key, clients), tell)
         run.run(start.config, options, Folder(state), held, read_again)
--- a/scalefall/control/catalog.py
+++ b/scalefall/control/catalog.py
@@ -142,6 +142,11 @@
         destinations = (SHARED, *self._view.destinations(holder))
         return [name for number in destinations for of, name in self._by_destination.get(number, ()) if of == kind]
 
+    def destination_of(self, key: Key) -> int | None:
+        """Whose resource it is; None if it is everyone's, or there is none."""
+        resource = self._shared.get(key)
+        return None if resource is None or resource.destination == SHARED else resource.destination
+
     def keys_of(self, destination: int) -> Iterable[Key]:
         """All resources of one destination."""
         return self._by_destination.get(destination, {}).keys()
--- a/scalefall/control/edge/resources.py
+++ b/scalefall/control/edge/resources.py
@@ -42,6 +42,7 @@
 from scalefall.net.endpoint_list import Entry
 
 KEY_HEADER = "idempotency-key"
+LEASE = "scalefall-lease"  # the resource whose heartbeats stand for those of all lists
 NOT_SENT = "connect-failure"
 REPEATED = "connect-failure,refused-stream,reset,gateway-error,unavailable"  # the last one is gRPC's word
 WHOLE = 100  # the weight of an endpoint that is in no doubt
@@ -115,6 +116,13 @@
     return _resource(EDS, number, body, (), ttl_us)
 
 
+def lease(ttl_us: int) -> Resource:
+    """An empty list of endpoints under a name of its own, with a time to live: its heartbeats tell a client that all
+    lists which it has are still those in force, so that the lists themselves need none."""
+    body = _any(endpoint_pb2.ClusterLoadAssignment(cluster_name=LEASE))
+    return Resource(EDS, LEASE, "1", body, frozenset(), ttl_us)
+
+
 def _weight(budget: float | None, fair: list[float]) -> int:
     if budget is None or budget == inf:
         return WHOLE
--- a/scalefall/control/edge/server.py
+++ b/scalefall/control/edge/server.py
@@ -22,9 +22,12 @@
 from google.protobuf.message import DecodeError
 
 from scalefall import interface as i
-from scalefall.control import memory
+from scalefall.assignment.assembly import AssignmentSettings
+from scalefall.assignment.service import ShardedService, ShardGrants
 from scalefall.control.bounds import Bucket, Openings
 from scalefall.control.edge import keys, reports, resources, state, wire
+from scalefall.control.edge.lasting import Lasting
+from scalefall.control.edge.quotas import Quotas, QuotaSession, RouteQuotas, ShardQuotas
 from scalefall.control.grants import Grant
 from scalefall.control.members import Refused
 from scalefall.control.service import Builder, Out, Rows, Service
@@ -38,6 +41,7 @@
 MOST_WAITING = 2_000  # messages that one stream may have to be read
 FIRST_S = 10  # a stream that has not said who it is by then
 MOST_NODE = 256
+MOST_PLACE, MOST_INSTANCE = 64, 64  # characters of a region or zone, and of an instance
 ELSEWHERE = "another process grants here"
 SPEAK = (200, 100)  # requests of one stream: at once, and a second
 DEAR, CHEAP = 1_000, 20_000  # bytes that cost as much as a request; where it repeats the last one's names
@@ -58,6 +62,15 @@
 ]
 
 
+@dataclass(slots=True, frozen=True)
+class ShardingOptions:
+    """How destinations are divided among senders."""
+
+    shards: int
+    move_after_us: int  # a sender that is silent for so long loses its shards to others
+    sender_load: float  # calls a second that one sender is to carry of a single destination; 0: any
+
+
 @dataclass(slots=True, frozen=True)
 class Options:
     listen: str
@@ -65,6 +78,7 @@
     delay_us: int
     endpoint_lease_us: int
     report_us: int
+    sharding: ShardingOptions | None = None  # None: every client gets everything
 
 
 @dataclass(slots=True)
@@ -84,7 +98,7 @@
     waiting: deque[bytes] = field(default_factory=deque)
     ready: asyncio.Event = field(default_factory=asyncio.Event)
     closing: tuple[Code, str] | None = None
-    buckets: dict[int, tuple[dict[str, str], int | None]] = field(default_factory=dict)  # by route, of a quota stream
+    quota: QuotaSession = field(default_factory=QuotaSession)  # of a quota stream
 
 
 class Ended(Exception):
@@ -97,7 +111,7 @@
 
 class Control:
     def __init__(self, config: Config, options: Options, folder: state.Folder, held: keys.Keys | None) -> None:
-        self._options, self._folder, self._keys = options, folder, held
+        self._options, self._keys = options, held
         self._settings, self._seed = config.settings, config.seed
         self._numbers = itertools.count(1)
         self._peers: dict[int, Peer] = {}
@@ -106,33 +120,42 @@
         self._index = reports.Index(())
         self._timer: asyncio.TimerHandle | None = None
         self._armed = 0  # when it comes
-        self._kept: object = None
         self._beside: list[asyncio.Task] = []
-        self.granting = False
         self.service = self._new_service()
+        self._lasting = Lasting(self.service, folder, options.lease_us + options.delay_us)
         self.address = ""
         self._server: grpc.aio.Server | None = None
         self.configure(config)
 
     def _new_service(self) -> Service:
+        ttl_us, divided = self._options.endpoint_lease_us, self._options.sharding is not None
+
         def endpoints(number: int, rows: list, allowed: list[i.Allowed], now: int) -> object:
-            return resources.endpoints(number, rows, allowed, now, self._options.endpoint_lease_us)
+            return resources.endpoints(number, rows, allowed, now, 0 if divided else ttl_us)
 
         def fixed(rows: Rows, routes: dict[int, RouteRules]) -> list:
-            return resources.fixed(rows, routes, self._settings)
-
-        service = Service(
-            _now(),
-            self._settings,
-            self._seed,
-            Builder(fixed, endpoints),
-            self._options.lease_us,
-            self._options.delay_us,
-            self._options.lease_us,
-        )
+            made = resources.fixed(rows, routes, self._settings)
+            return [*made, resources.lease(ttl_us)] if divided else made
+
+        service = self._build_service(Builder(fixed, endpoints))
         service.ledger.stand_by()
         return service
 
+    def _build_service(self, builder: Builder) -> Service:
+        options, now = self._options, _now()
+        common = (now, self._settings, self._seed, builder, options.lease_us, options.delay_us, options.lease_us)
+        if options.sharding is None:
+            service = Service(*common)
+            self._quotas: Quotas = RouteQuotas(service)
+            return service
+        sharding = options.sharding
+        assignment = AssignmentSettings(
+            sharding.shards, options.lease_us, options.delay_us, sharding.move_after_us, sharding.sender_load
+        )
+        service = ShardedService(*common, assignment)
+        self._quotas = ShardQuotas(service)
+        return service
+
     # -- life
 
     async def start(self) -> None:
@@ -178,9 +201,9 @@
             task.cancel()
         if self._timer is not None:
             self._timer.cancel()
-        self._remember()
+        self._lasting.remember(_now(), _wall())
         await self._server.stop(ENDS_S)
-        self._folder.release()
+        self._lasting.release()
 
     def configure(self, config: Config) -> None:
         """A fleet, at the start or read again: its changes are on their way when this returns. Inconsistent, and
@@ -206,26 +229,13 @@
 
     # -- who grants, and what outlasts the process
 
+    @property
+    def granting(self) -> bool:
+        """Whether this process is the one that grants."""
+        return self._lasting.granting
+
     def _take(self) -> None:
-        if not self.granting and self._folder.take():
-            first = self._folder.begin()
-            now = _now()
-            self.service.ledger.begin(now)
-            self.service.ledger.resume(first)
-            try:
-                kept = self._folder.kept()
-                events = memory.recall(kept, now, _wall()) if kept is not None else []
-            except ValueError as error:
-                log.warning("figures of the one before: cannot be read (%s)", error)
-                events = []
-            self.service.reported(events, now)
-            self.granting = True
-            log.info(
-                "granting: from number %d, in %.1f s",
-                first,
-                (self._options.lease_us + self._options.delay_us) / 1e6,
-                extra={"fields": {"epoch": first, "recalled": len(events)}},
-            )
+        if self._lasting.take(_now(), _wall()):
             self._plan()
 
     async def _take_over(self) -> None:
@@ -242,7 +252,7 @@
     async def _keep(self) -> None:
         while True:
             await asyncio.sleep(KEEP_S)
-            self._remember()
+            self._lasting.remember(_now(), _wall())
             wall = time.time()
             for peer in list(self._peers.values()):
                 if peer.ends <= wall:
@@ -250,19 +260,6 @@
                 elif peer.certificate and self._keys is not None and not self._keys.trusts(peer.certificate):
                     self._cut(peer, Code.UNAUTHENTICATED, "the certificate's authority is not trusted any more")
 
-    def _remember(self) -> None:
-        if not self.granting:
-            return
-        now, wall = _now(), _wall()
-        kept = memory.keep(self.service.allocator.doubtful(), self.service.module.known(), now, wall)
-        if kept | {"wall": 0} == self._kept and not kept["doubts"] and not kept["waits"]:
-            return
-        try:
-            self._folder.keep(kept)
-            self._kept = kept | {"wall": 0}
-        except OSError as error:
-            log.error("figures cannot be kept: %s", error.strerror or error)
-
     # -- time
 
     def _plan(self) -> None:
@@ -280,12 +277,7 @@
     def _turn(self) -> None:
         self._timer = None
         self._send(self.service.turn(_now()))
-        if self.granting and self.service.ledger.number > self._folder.reserved - state.BLOCK // 2:
-            try:
-                self._folder.reserve(self.service.ledger.number)
-            except state.Unusable as error:
-                log.error("cannot grant any more: %s", error)
-                self.granting = False
+        self._lasting.reserve()
         self._say()
         self._plan()
 
@@ -310,10 +302,10 @@
                 continue
             if isinstance(action, Response):
                 self._put(peer, self._responses.bytes(action, peer.incremental, peer.leased))
-            elif isinstance(action, Grant):
-                bucket = peer.buckets.get(action.destination)
-                if bucket is not None and self.granting:
-                    self._put(peer, wire.grant(action, *bucket).SerializeToString())
+            elif isinstance(action, (Grant, ShardGrants)):
+                data = self._quotas.message(peer.quota, action)
+                if data is not None and self.granting:
+                    self._put(peer, data)
             elif isinstance(action, Rejected):
                 log.warning(
                     "rejected: %s keeps what it had of %s: %s",
@@ -441,6 +433,8 @@
 
     async def _resources(self, peer: Peer, kind: type, read: Callable) -> None:
         async for message in self._messages(peer, kind):
+            if self._options.sharding is not None and not self.granting:
+                raise Ended(Code.UNAVAILABLE, ELSEWHERE)  # who has which destinations is known to the one that grants
             if not peer.node:
                 self._identify(peer, message.node.id)
                 peer.leased = wire.TTL_FEATURE in message.node.client_features
@@ -467,7 +461,8 @@
                 self._plan()
 
     async def _quota(self, peer: Peer) -> None:
-        """A process names itself by the metadata scalefall-node and scalefall-instance, or by its domain alone."""
+        """A process names itself by the metadata scalefall-node and scalefall-instance, or by its domain alone; where
+        it stands, by scalefall-region and scalefall-zone."""
         said = {key: value for key, value in peer.context.invocation_metadata() or () if isinstance(value, str)}
         async for message in self._messages(peer, rlqs_pb2.RateLimitQuotaUsageReports):
             now = _now()
@@ -475,23 +470,19 @@
                 raise Ended(Code.UNAVAILABLE, ELSEWHERE)
             if not peer.node:
                 self._identify(peer, said.get("scalefall-node") or message.domain)
-                joined = self.service.joined(peer.number, peer.node, said.get("scalefall-instance", "")[:64], now)
+                place = [said.get(f"scalefall-{word}", "")[:MOST_PLACE] for word in ("region", "zone")]
+                instance = said.get("scalefall-instance", "")[:MOST_INSTANCE]
+                joined = self.service.joined(peer.number, peer.node, instance, now, *place)
                 if isinstance(joined, Refused):
                     raise Ended(Code.RESOURCE_EXHAUSTED, f"too many processes are node {peer.node}")
                 if joined.close is not None and joined.close in self._peers:
                     self._cut(self._peers[joined.close], Code.ABORTED, "the same process has opened another stream")
             for usage in message.bucket_quota_usages:
-                self._usage(peer, usage, now)
+                answer = self._quotas.used(peer.number, peer.quota, usage, now)
+                if answer is not None:
+                    self._put(peer, answer)
             self._plan()
 
-    def _usage(self, peer: Peer, usage: rlqs_pb2.RateLimitQuotaUsageReports.BucketQuotaUsage, now: int) -> None:
-        route, had, number = wire.bucket_of(usage)
-        bucket = {key: value for key, value in usage.bucket_id.bucket.items() if key not in (wire.HAD, wire.SAID)}
-        if route is None or not self.service.used(peer.number, route, wire.calls_of(usage), had, now):
-            self._put(peer, wire.abandon(bucket).SerializeToString())
-            return
-        peer.buckets[route] = (bucket, number)
-
 
 def _handlers(service: str, methods: dict[str, Callable]) -> grpc.GenericRpcHandler:
     return grpc.method_handlers_generic_handler(
--- a/scalefall/control/edge/state.py
+++ b/scalefall/control/edge/state.py
@@ -76,12 +76,28 @@
 
     def kept(self) -> Any:
         """None if there is nothing; ValueError if it can't be read."""
+        text = self._read("figures")
         try:
-            with open(self._at("figures"), encoding="utf-8") as file:
-                return json.loads(file.read(MOST_BYTES))
+            return None if text is None else json.loads(text)
+        except RecursionError as error:
+            raise ValueError(str(error)) from None
+
+    def keep_assignment(self, text: str) -> None:
+        """Which sender has which shard. OSError if it can't be written; what was kept before stays."""
+        self._write("assignment", text, sync=True)
+
+    def kept_assignment(self) -> str | None:
+        """The same back; None if there is none, ValueError if it can't be read."""
+        return self._read("assignment")
+
+    def _read(self, name: str) -> str | None:
+        """A file's text; None if there is none, ValueError if it can't be read."""
+        try:
+            with open(self._at(name), encoding="utf-8") as file:
+                return file.read(MOST_BYTES)
         except FileNotFoundError:
             return None
-        except (OSError, RecursionError) as error:
+        except (OSError, UnicodeDecodeError) as error:
             raise ValueError(str(error)) from None
 
     def _at(self, name: str) -> str:
--- a/scalefall/control/edge/wire.py
+++ b/scalefall/control/edge/wire.py
@@ -7,12 +7,15 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
+from dataclasses import replace
 
 from envoy.service.discovery.v3 import discovery_pb2
 from envoy.service.rate_limit_quota.v3 import rlqs_pb2
 from envoy.type.v3 import ratelimit_strategy_pb2, token_bucket_pb2
 from google.protobuf import wrappers_pb2
 
+from scalefall.assignment.model import WHOLE, ShardGrant
 from scalefall.control.catalog import Resource
 from scalefall.control.edge.resources import duration
 from scalefall.control.grants import CALLS, Grant
@@ -125,6 +128,66 @@
     return rlqs_pb2.RateLimitQuotaResponse(bucket_action=[action])
 
 
+# Destinations divided among senders: a grant is a shard's. Its bucket names the shard, the epoch and the number, the
+# route too where the shard is one destination's own, and the share where that is not all. Allowances of destinations
+# that are not unlimited follow as buckets of shard and route alone. A report's bucket names said and had: the highest
+# number had of all that came on this stream, in whose order nothing is lost.
+
+SHARD, EPOCH, SHARE = "shard", "epoch", "share"
+
+
+def shard_grants(grants: Iterable[ShardGrant], heard: int | None) -> rlqs_pb2.RateLimitQuotaResponse:
+    """Grants of shards to one holder as one response; the first bucket names the last report that was heard."""
+    response = rlqs_pb2.RateLimitQuotaResponse()
+    for given in grants:
+        bucket = {SHARD: f"{given.shard}", EPOCH: f"{given.epoch}", GRANT: f"{given.number}"}
+        if given.destination is not None:
+            bucket[ROUTE] = f"{given.destination}"
+        if 0 < given.share < WHOLE:
+            bucket[SHARE] = f"{given.share}"
+        if heard is not None and not response.bucket_action:
+            bucket[HEARD] = f"{heard}"
+        _assign(response, bucket, given.lease_us, UNLIMITED if given.share else 0)
+        for destination, amount in given.limits:
+            _assign(response, {SHARD: f"{given.shard}", ROUTE: f"{destination}"}, given.lease_us, amount)
+    return response
+
+
+def read_shard_grants(response: rlqs_pb2.RateLimitQuotaResponse, holder: str) -> tuple[list[ShardGrant], int | None]:
+    """The other way, for clients of our own: the grants, and the last report that was heard when they were sent.
+    ValueError if it is no such response."""
+    grants: list[ShardGrant] = []
+    heard: int | None = None
+    for action in response.bucket_action:
+        keys, given = action.bucket_id.bucket, action.quota_assignment_action
+        shard, amount = int(keys[SHARD]), amount_of(given.rate_limit_strategy)
+        if EPOCH not in keys:
+            last = grants[-1] if grants else None
+            if last is None or last.shard != shard:
+                raise ValueError(f"an allowance of shard {shard} follows no grant of it")
+            grants[-1] = replace(last, limits=(*last.limits, (int(keys[ROUTE]), amount)))
+            continue
+        heard = int(keys[HEARD]) if HEARD in keys else heard
+        share = int(keys.get(SHARE, f"{WHOLE}")) if amount else 0
+        lease = given.assignment_time_to_live.ToMicroseconds()
+        own = int(keys[ROUTE]) if ROUTE in keys else None
+        grants.append(ShardGrant(holder, shard, int(keys[EPOCH]), int(keys[GRANT]), share, lease, (), own))
+    return grants, heard
+
+
+def session_of(usage: rlqs_pb2.RateLimitQuotaUsageReports.BucketQuotaUsage) -> tuple[int, int | None] | None:
+    """The highest number had on the stream, and the number of this report; None for a bucket of another kind."""
+    keys = usage.bucket_id.bucket
+    return None if ROUTE in keys else (_whole_number(keys.get(HAD)) or 0, _whole_number(keys.get(SAID)))
+
+
+def _assign(response: rlqs_pb2.RateLimitQuotaResponse, bucket: dict[str, str], lease_us: int, amount: int) -> None:
+    action = response.bucket_action.add()
+    action.bucket_id.bucket.update(bucket)
+    action.quota_assignment_action.assignment_time_to_live.FromMicroseconds(lease_us)
+    action.quota_assignment_action.rate_limit_strategy.CopyFrom(_strategy(amount))
+
+
 def abandon(bucket: dict[str, str]) -> rlqs_pb2.RateLimitQuotaResponse:
     """There is no such route."""
     action = rlqs_pb2.RateLimitQuotaResponse.BucketAction(
--- a/scalefall/control/service.py
+++ b/scalefall/control/service.py
@@ -89,6 +89,20 @@
         self._due = now
         self._has_news = False
 
+    def begin_granting(self, now: int, number: int, snapshot: str | None = None) -> None:
+        """This service grants from now on, with numbers above the highest that an earlier one may have given, and
+        nothing before what that one granted has run out. snapshot: what it left of itself."""
+        self.ledger.begin(now)
+        self.ledger.resume(number)
+
+    def generation(self) -> int:
+        """Which state a snapshot would be of; 0 while there is none to take."""
+        return 0
+
+    def snapshot(self) -> str | None:
+        """What the service after this one begins from."""
+        return None
+
     # -- the fleet
 
     def configure(self, fleet: Fleet, now: int) -> list[Out]:
@@ -159,8 +173,10 @@
 
     # -- grants and reports
 
-    def joined(self, stream: int, node: str, instance: str, now: int) -> Joined | Refused:
-        """A quota stream has named its process."""
+    def joined(
+        self, stream: int, node: str, instance: str, now: int, region: str = "", zone: str = ""
+    ) -> Joined | Refused:
+        """A quota stream has named its process, and where it stands."""
         answer = self.members.join(stream, node, instance, now)
         if isinstance(answer, Joined):
             self._enter(answer.holder, now)
@@ -205,14 +221,26 @@
         self._has_news, self._due = False, self._allocate_at
         for route, amount in self.allocator.changed.items():
             self._tell("allowance", fine=True, clock=now, route=route, amount=amount)
+        out += self._grants_out(grants, now)
+        out += self._beat(now)
+        return out
+
+    def _grants_out(self, grants: list[Grant], now: int) -> list[Out]:
+        """To the streams of those holders that can be heard; the others' count all the same, as they may be on their
+        way to them."""
+        out: list[Out] = []
         for grant in grants:
-            member = self.members.get(grant.holder)
-            if member is not None and member.state is State.LIVE:
-                out.append((member.stream, grant))
+            stream = self._live_stream(grant.holder)
+            if stream is not None:
+                out.append((stream, grant))
                 self._tell_granted(grant, now)
-        out += self._beat(now)
         return out
 
+    def _live_stream(self, holder: str) -> int | None:
+        """The quota stream of a holder that can be heard."""
+        member = self.members.get(holder)
+        return member.stream if member is not None and member.state is State.LIVE else None
+
     def _tell_granted(self, grant: Grant, now: int) -> None:
         self._tell(
             "granted",
--- a/scalefall/lab/proxy/contract.py
+++ b/scalefall/lab/proxy/contract.py
@@ -68,6 +68,10 @@
 
     # -- resources
 
+    def _add(self, route: int) -> None:
+        """A route that was not named at the start."""
+        self._routes.setdefault(route, _Route())
+
     def opened(self, now: int) -> None:
         """A new stream to the service: what is asked on it now counts once it is answered."""
         self._word = now
@@ -92,10 +96,7 @@
 
     def usage(self, now: int) -> list[tuple[int, float, int, int]]:
         """(route, calls a second asked for, highest grant had, number of this report) of each route."""
-        self._said += 1
-        self._times[self._said] = now
-        if len(self._times) > KEPT:
-            self._times.popitem(last=False)
+        self._next_report(now)
         rows = []
         for number, place in self._routes.items():
             elapsed = max(1, now - place.reported)
@@ -104,6 +105,14 @@
             place.reported = now
         return rows
 
+    def _next_report(self, now: int) -> int:
+        """The number of a report that goes out now."""
+        self._said += 1
+        self._times[self._said] = now
+        if len(self._times) > KEPT:
+            self._times.popitem(last=False)
+        return self._said
+
     def granted(self, route: int, amount: int, number: int, heard: int, lease: int) -> None:
         place, at = self._routes.get(route), self._times.get(heard)
         if place is not None and at is not None and number > place.number:
@@ -128,11 +137,11 @@
         if not ready or place.blocked:
             place.denied += 1
             return Refuse(SECOND)
-        amount = place.amount
-        if now >= place.until:
+        amount = self._granted(route, now)
+        if amount is None:
             if self._at_end != "floor":
                 return self._end(place, now)
-            amount = int(amount * FLOOR)
+            amount = int(place.amount * FLOOR)
         if amount <= 0 or now < place.next:
             place.denied += 1
             return Refuse(max(ASK_US, place.next - now if amount > 0 else SECOND))
@@ -141,6 +150,11 @@
         place.at += 1
         return Send(ready[place.at % len(ready)])
 
+    def _granted(self, route: int, now: int) -> int | None:
+        """Thousandths of a call a second that its grant allows; None: no grant is in force."""
+        place = self._routes[route]
+        return place.amount if now < place.until else None
+
     def trusts(self, route: int, now: int) -> bool:
         """Whether its endpoints are proved. At the floor they are, as that is what the choice means."""
         place = self._routes[route]
--- a/tests/test_shape.py
+++ b/tests/test_shape.py
@@ -41,11 +41,12 @@
 
 
 def test_imports_point_down_only():
-    floors = ["cli", "lab", "edge", "control", "lang", "net"]
+    floors = ["cli", "lab", "edge", "assignment", "control", "lang", "net"]
     names = {"edge": "scalefall.control.edge"}
     for path in sorted((ROOT / "scalefall").rglob("*.py")):
-        if path.parent.name in floors:
-            above = tuple(names.get(up, f"scalefall.{up}") for up in floors[: floors.index(path.parent.name)])
+        inside = [part for part in path.relative_to(ROOT / "scalefall").parts if part in floors]
+        if inside:  # control/edge is of the floor edge, lab/proxy of lab
+            above = tuple(names.get(up, f"scalefall.{up}") for up in floors[: floors.index(inside[-1])])
             assert [name for name in imports(path) if name.startswith(above)] == [], path
 
 
@@ -57,8 +58,9 @@
         assert path.name == "files.py" or not opens and not using, path.name
 
 
-def test_what_control_decides_knows_no_clock_file_or_socket():
-    for path in sorted((ROOT / "scalefall" / "control").glob("*.py")):
+def test_what_control_and_assignment_decide_knows_no_clock_file_or_socket():
+    decisions = [path for package in ("control", "assignment") for path in (ROOT / "scalefall" / package).glob("*.py")]
+    for path in sorted(decisions):
         using = {name.split(".")[0] for name in imports(path)}
         assert not using & {"os", "io", "pathlib", "socket", "time", "asyncio", "grpc", "google", "envoy"}, path
         assert not [
