--- /dev/null
+++ b/benchmarks/assignment_options.py
@@ -0,0 +1,297 @@
+"""Three ways to assign shards to senders, on the same traffic: balance, movement, state and time of a decision.
+
+    python benchmarks/assignment_options.py [--quick] [--seed 1] [--shards 14400]
+
+Rendezvous hashing, consistent hashing with bounded loads (c = 1.25, 100 points a node) and the table of
+scalefall.assignment, each without and with heavy destinations isolated in shards of several holders (the same holder
+counts for all three). Traffic is Zipf over the destinations, in an order drawn by the seed; between two measurements
+each destination's rate changes by lognormal noise. Prints markdown. Times are processor time of one process.
+"""
+
+from __future__ import annotations
+
+import argparse
+import heapq
+import json
+import pathlib
+import random
+import sys
+import time
+from bisect import bisect_left
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent.parent))
+
+from scalefall.assignment.isolation import ISOLATE, QuietCounts, decide
+from scalefall.assignment.model import Node
+from scalefall.assignment.placement import IDLE_PART, Limits, Table, place
+from scalefall.assignment.sharding import Sharding, mix
+from scalefall.assignment.snapshot import TableState, encode
+
+BOUND = 1.25
+NOISE = 0.5  # sigma of the lognormal factor of a destination between two measurements
+POINTS = 100  # of a node on the ring
+RENEWAL = 90  # bytes of a renewal of one shard, as the control protocol writes it
+RENEWALS_A_SECOND = 1  # half of a lease is a second
+EXPONENTS = (0.8, 1.1)
+COUNTS = (1_024, 3_600, 7_200, 14_400, 28_800)
+
+
+@dataclass(frozen=True)
+class Size:
+    nodes: int
+    destinations: int
+    events: float
+    rack: int
+
+
+FULL = Size(900, 420_000, 130_000.0, 14)
+QUICK = Size(90, 42_000, 13_000.0, 3)
+
+
+class Traffic:
+    """Two measurements of every destination's rate, and their sums by shard."""
+
+    def __init__(self, size: Size, exponent: float, seed: int) -> None:
+        draw = random.Random(seed)
+        weights = [rank**-exponent for rank in range(1, size.destinations + 1)]
+        draw.shuffle(weights)
+        scale = size.events / sum(weights)
+        self.first = [weight * scale for weight in weights]
+        noisy = [rate * draw.lognormvariate(0, NOISE) for rate in self.first]
+        scale = size.events / sum(noisy)
+        self.second = [rate * scale for rate in noisy]
+        self.node_load = size.events / size.nodes
+
+    def isolate(self, sharding: Sharding) -> Sharding:
+        return decide(dict(enumerate(self.first)), sharding, self.node_load, QuietCounts()).apply(sharding)
+
+    def by_shard(self, sharding: Sharding) -> tuple[dict[int, float], dict[int, float], Counter[int]]:
+        """Loads of both measurements, and the number of destinations, by shard."""
+        first: dict[int, float] = {}
+        second: dict[int, float] = {}
+        members: Counter[int] = Counter()
+        for destination, rate in enumerate(self.first):
+            shard = sharding.shard_of(destination)
+            first[shard] = first.get(shard, 0.0) + rate
+            second[shard] = second.get(shard, 0.0) + self.second[destination]
+            members[shard] += 1
+        return first, second, members
+
+
+def fleet(size: Size) -> list[Node]:
+    return [Node(f"sender-{k:04}", f"region{k % 2}", f"zone{k // 2 % 4}") for k in range(size.nodes)]
+
+
+# An option: (table before, loads, nodes, holder counts by shard, all shards) -> the next table
+Option = Callable[[Table, dict, list[Node], dict, list[int]], Table]
+
+
+def rendezvous(before: Table, _loads: dict, nodes: list[Node], counts: dict, shards: list[int]) -> Table:
+    """The nodes with the highest scores. Only shards that lost a holder, or are won by a new node, are gone over."""
+    keys = {node.name: mix(int(node.name[-4:])) for node in nodes}
+    known = {name for holders in before.values() for name in holders}
+    new = [name for name in keys if name not in known] if before else []
+    table = {}
+    for shard in shards:
+        salt = mix(shard)
+
+        def score(name: str, salt: int = salt) -> int:
+            return hash((keys[name], salt))
+
+        old = before.get(shard, ())
+        if len(old) == counts[shard] and all(name in keys for name in old):
+            lowest = min(map(score, old))
+            if all(score(name) < lowest for name in new):
+                table[shard] = old
+                continue
+        if counts[shard] == 1:
+            table[shard] = (max(keys, key=score),)
+        else:
+            table[shard] = tuple(heapq.nlargest(counts[shard], keys, key=score))
+    return table
+
+
+def bounded(_before: Table, loads: dict, nodes: list[Node], counts: dict, shards: list[int]) -> Table:
+    """Along the ring from the shard's point, to nodes that stay within the bound; the least loaded if there is none."""
+    ring = sorted((hash((mix(int(n.name[-4:])), point)), n.name) for n in nodes for point in range(POINTS))
+    names, points = [name for _, name in ring], [point for point, _ in ring]
+    carried = dict.fromkeys((node.name for node in nodes), 0.0)
+    idle = sum(loads.values()) / len(shards) * IDLE_PART
+    cap = BOUND * sum(loads.get(shard, idle) for shard in shards) / len(nodes)
+    table = {}
+    for shard in shards:
+        part = loads.get(shard, idle) / counts[shard]
+        at = bisect_left(points, hash((mix(shard), -1)))
+        holders: list[str] = []
+        steps = len(ring) if part <= cap else 0
+        for step in range(steps):
+            name = names[(at + step) % len(ring)]
+            if carried[name] + part <= cap and name not in holders:
+                holders.append(name)
+                carried[name] += part
+                if len(holders) == counts[shard]:
+                    break
+        while len(holders) < counts[shard]:
+            name = min((name for name in carried if name not in holders), key=carried.__getitem__)
+            holders.append(name)
+            carried[name] += part
+        table[shard] = tuple(holders)
+    return table
+
+
+def ratio(table: Table, loads: dict, nodes: list[Node]) -> float:
+    """The most loaded node over the mean."""
+    carried = dict.fromkeys((node.name for node in nodes), 0.0)
+    for shard, holders in table.items():
+        for name in holders:
+            carried[name] += loads.get(shard, 0.0) / len(holders)
+    return max(carried.values()) * len(nodes) / sum(carried.values())
+
+
+def changed(before: Table, after: Table) -> set[int]:
+    return {shard for shard in after if set(before.get(shard, ())) != set(after[shard])}
+
+
+def compact(value: object) -> int:
+    return len(json.dumps(value, separators=(",", ":")))
+
+
+def state_bytes(name: str, table: Table, loads: dict, nodes: list[Node], sharding: Sharding) -> tuple[int, int]:
+    """What the sender with the most shards keeps, and what control keeps, as compact text."""
+    own = compact(sorted(sharding.isolated.items()))
+    listed = compact([node.name for node in nodes])
+    if name == "rendezvous":
+        return listed + own, listed + own
+    if name == "bounded loads":
+        measured = compact({shard: round(load, 1) for shard, load in loads.items()})
+        return listed + measured + own, listed + measured + own
+    rows: dict[str, list] = {node.name: [] for node in nodes}
+    for shard, holders in table.items():
+        for holder in holders:
+            rows[holder].append([shard, 1_000_000, 1_000_000, 2_000_000])  # shard, epoch, share, lease
+    sender = max(map(compact, rows.values()))
+    return sender + own, len(encode(TableState(table, dict(sharding.isolated), 1, tuple(nodes)), "f" * 32))
+
+
+def events(size: Size, nodes: list[Node]) -> dict[str, list[Node]]:
+    """The nodes after each event."""
+    zone = [node for node in nodes if (node.region, node.zone) == (nodes[0].region, nodes[0].zone)]
+    rack = set(zone[: size.rack])
+    return {
+        "node lost": nodes[1:],
+        "node added": [*nodes, Node(f"sender-{size.nodes:04}", "region0", "zone0")],
+        "rack lost": [node for node in nodes if node not in rack],
+        "zone lost": [node for node in nodes if node not in set(zone)],
+    }
+
+
+def table_option(limits: Limits, former: list[Node]) -> Option:
+    def decide_table(before: Table, loads: dict, nodes: list[Node], _counts: dict, shards: list[int]) -> Table:
+        return place(before, loads, nodes, limits, shards, former=former).table
+
+    return decide_table
+
+
+def timed(option: Option, *given: object) -> tuple[Table, float]:
+    start = time.process_time()
+    table = option(*given)  # type: ignore[arg-type]
+    return table, time.process_time() - start
+
+
+def least_moves(event: str, before: Table, shards: list[int], nodes: list[Node]) -> float:
+    """Shards that lost a holder; for an added node its even part of the shards."""
+    if event == "node added":
+        return sum(map(len, before.values())) / len(nodes)
+    alive = {node.name for node in nodes}
+    return sum(any(name not in alive for name in before[shard]) for shard in shards)
+
+
+def compare(size: Size, count: int, exponent: float, seed: int) -> None:
+    traffic, nodes = Traffic(size, exponent, seed), fleet(size)
+    print(f"\nZipf {exponent}, {count:,} shared shards\n")
+    print(
+        "| option | max/mean | after noise: as it was, anew | shards moved by noise | node lost | node added "
+        "| rack lost | zone lost, max/mean after | sender, control (bytes) | first, node lost, zone lost (ms) |"
+    )
+    print("|" + " --- |" * 10)
+    for isolated in (False, True):
+        sharding = traffic.isolate(Sharding(count)) if isolated else Sharding(count)
+        limits = Limits(BOUND, ISOLATE * traffic.node_load if isolated else 0)
+        loads, noisy, members = traffic.by_shard(sharding)
+        shards = list(sharding.shards())
+        table = table_option(limits, nodes)
+        options = {"rendezvous": rendezvous, "bounded loads": bounded, "table": table}
+        # holder counts are the table's, for all options
+        first_counts = {shard: len(holders) for shard, holders in table({}, loads, nodes, {}, shards).items()}
+        after = table(table({}, loads, nodes, {}, shards), noisy, nodes, {}, shards)
+        noisy_counts = {shard: len(holders) for shard, holders in after.items()}
+        print(
+            f"| *{len(shards) - count} isolated, {sum(first_counts.values()) - len(shards)} further holders* |"
+            + " |" * 9
+        )
+        for name, option in options.items():
+            first, first_time = timed(option, {}, loads, nodes, first_counts, shards)
+            again, _ = timed(option, first, noisy, nodes, noisy_counts, shards)
+            noise = f"{ratio(first, noisy, nodes):.2f}, {ratio(again, noisy, nodes):.2f}"
+            row = [name, f"{ratio(first, loads, nodes):.2f}", noise, str(len(changed(first, again)))]
+            times = {}
+            for event, left in events(size, nodes).items():
+                then, times[event] = timed(option, first, loads, left, first_counts, shards)
+                moved = changed(first, then)
+                share = sum(members[shard] for shard in moved) / size.destinations
+                least = least_moves(event, first, shards, left)
+                row.append(f"{len(moved)} of {least:.0f} ({share:.2%})")
+            row[-1] += f", {ratio(then, loads, left):.2f}"
+            row.append("{:,}, {:,}".format(*state_bytes(name, first, loads, nodes, sharding)))
+            spent = (first_time, times["node lost"], times["zone lost"])
+            print("| " + " | ".join([*row, ", ".join(f"{1e3 * each:.0f}" for each in spent)]) + " |", flush=True)
+
+
+def sweep(size: Size, counts: tuple[int, ...], exponent: float, seed: int) -> None:
+    """The table with isolation at several shard counts: balance against the cost of renewals."""
+    traffic, nodes = Traffic(size, exponent, seed), fleet(size)
+    limits = Limits(BOUND, ISOLATE * traffic.node_load)
+    print(f"\nZipf {exponent}, the table with isolation, by shared shards\n")
+    print(
+        "| shards | isolated | grants | max/mean | after noise: as it was, anew | moved by noise "
+        "| grants a node: mean, most | renewals a node (bytes/s): mean, most | after zone loss |"
+    )
+    print("|" + " ---: |" * 9)
+    for count in counts:
+        sharding = traffic.isolate(Sharding(count))
+        loads, noisy, _ = traffic.by_shard(sharding)
+        shards = list(sharding.shards())
+        table = place({}, loads, nodes, limits, shards).table
+        anew = place(table, noisy, nodes, limits, shards)
+        zone = place(table, loads, events(size, nodes)["zone lost"], limits, shards, former=nodes)
+        held = Counter(name for holders in table.values() for name in holders)
+        mean, most = sum(held.values()) / len(nodes), max(held.values())
+        cost = RENEWAL * RENEWALS_A_SECOND
+        print(
+            f"| {count:,} | {len(sharding.isolated)} | {sum(held.values()):,} | {ratio(table, loads, nodes):.2f} "
+            f"| {ratio(table, noisy, nodes):.2f}, {anew.load_ratio:.2f} | {len(anew.moved)} | {mean:.1f}, {most} "
+            f"| {mean * cost:,.0f}, {most * cost:,} | {zone.load_ratio:.2f} |",
+            flush=True,
+        )
+
+
+def main() -> None:
+    parser = argparse.ArgumentParser(description=(__doc__ or "").splitlines()[0])
+    parser.add_argument("--quick", action="store_true", help="a tenth of the size")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--shards", type=int, default=None)
+    chosen = parser.parse_args()
+    size, scale = (QUICK, 10) if chosen.quick else (FULL, 1)
+    count = chosen.shards or 14_400 // scale
+    print(f"seed {chosen.seed}: {size.nodes} senders, {size.destinations:,} destinations, {size.events:,.0f} events/s")
+    for exponent in EXPONENTS:
+        compare(size, count, exponent, chosen.seed)
+    for exponent in EXPONENTS:
+        sweep(size, tuple(each // scale for each in COUNTS), exponent, chosen.seed)
+
+
+if __name__ == "__main__":
+    main()
