--- a/scalefall/control/edge/lasting.py
+++ b/scalefall/control/edge/lasting.py
@@ -25,7 +25,7 @@
         first = self._folder.begin()
         self._service.begin_granting(now, first, self._kept_snapshot())
         events = self._recalled(now, wall)
-        self._service.reported(events, now)
+        self._service.recalled(events, now)
         self.granting = True
         log.info(
             "granting: from number %d, in %.1f s",
--- a/scalefall/control/service.py
+++ b/scalefall/control/service.py
@@ -206,7 +206,12 @@
         return True
 
     def reported(self, calls: Iterable[i.Reported], now: int) -> None:
-        self._events += calls
+        """Calls that holders have made."""
+        self.recalled(calls, now)
+
+    def recalled(self, events: Iterable[i.Event], now: int) -> None:
+        """What the service before this one knew, as events (memory.py)."""
+        self._events += events
         self._news(now)
 
     # -- time
--- a/scalefall/lab/world.py
+++ b/scalefall/lab/world.py
@@ -196,7 +196,7 @@
         self.streams: dict[int, tuple[_Proxy, int]] = {}  # by stream: whose, and its link's generation
         self.configure()
         if kept is not None:
-            self.service.reported(memory.recall(kept, world.now, world.now), world.now)
+            self.service.recalled(memory.recall(kept, world.now, world.now), world.now)
         self.plan()
 
     def _endpoints(self, number: int, rows: list[Entry], allowed: list[i.Allowed], now: int) -> Resource:
