--- a/scalefall/lab/proxy/__main__.py
+++ b/scalefall/lab/proxy/__main__.py
@@ -2,7 +2,8 @@
 
 It speaks incremental ADS, RLQS and LRS to a control service in plain text, keeps the contract, and makes its own
 messages (--load a second, of three classes). Calls are HTTP POSTs, one a connection. It logs JSON lines for the audit
-to standard output: taken, sent, answered, ended. SIGTERM: no more messages, and it ends once each has its answer.
+to standard output: taken, sent, answered, ended; counted, with --count. SIGTERM: no more messages, and it ends once
+each has its answer.
 """
 
 from __future__ import annotations
@@ -18,20 +19,21 @@
 from collections import defaultdict
 
 import grpc
-from envoy.config.endpoint.v3 import endpoint_pb2
-from envoy.service.discovery.v3 import ads_pb2_grpc, discovery_pb2
-from envoy.service.load_stats.v3 import lrs_pb2, lrs_pb2_grpc
-from envoy.service.rate_limit_quota.v3 import rlqs_pb2, rlqs_pb2_grpc
+from envoy.service.discovery.v3 import ads_pb2_grpc
+from envoy.service.load_stats.v3 import lrs_pb2_grpc
+from envoy.service.rate_limit_quota.v3 import rlqs_pb2_grpc
+from google.protobuf.message import Message
 
 from scalefall import interface as i
-from scalefall.control.catalog import EDS
-from scalefall.control.edge import reports, resources, wire
+from scalefall.control.edge import resources
 from scalefall.lab.classes import add_classes, classes_of
+from scalefall.lab.proxy import messages
 from scalefall.lab.proxy.contract import ASK_US, SECOND, Contract, Fall, Refuse, Send, given_up, may_repeat
+from scalefall.lab.proxy.meter import Direction, Kind, Meter
+from scalefall.lab.sizes import deep_size
 from scalefall.net import http
 
 O = i.Outcome  # noqa: E741
-STATES = {health: word for word, health in resources.HEALTH.items()}
 CALL_S = 5
 READ = 65536
 AGAIN_S = 0.3
@@ -52,7 +54,10 @@
         self._classes = list(classes_of(options).values())
         self._instance = secrets.token_hex(4)
         self._contract = Contract(options.routes, options.at_end)
-        self._calls: dict[tuple[int, str], list] = defaultdict(list)  # by route and address, not reported yet
+        self._calls: dict[tuple[int, str], list[messages.Call]] = defaultdict(
+            list
+        )  # by route and address, not reported
+        self._meter = Meter()
         self._open, self._ids, self._ending = 0, 0, asyncio.Event()
 
     def say(self, event: str, **fields: object) -> None:
@@ -68,6 +73,8 @@
         tasks = [asyncio.create_task(self._again(stream, channel)) for stream in (self._ads, self._quota, self._loads)]
         tasks.append(asyncio.create_task(self._messages()))
         await self._ending.wait()
+        if self._options.count:
+            self.say_counts()
         until = time.monotonic() + 2 * CALL_S
         while self._open and time.monotonic() < until:
             await asyncio.sleep(0.05)
@@ -87,32 +94,19 @@
         call = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel).DeltaAggregatedResources()
         names, first = [resources.name(route) for route in self._routes], set(self._routes)
         self._contract.opened(_now())
-        await call.write(
-            discovery_pb2.DeltaDiscoveryRequest(
-                node={"id": self._options.node, "client_features": [wire.TTL_FEATURE]},
-                type_url=EDS,
-                resource_names_subscribe=names,
-            )
-        )
+        await self._write(call, Kind.RESOURCES, messages.subscription(self._options.node, names))
         async for response in call:
+            kind = Kind.HEARTBEATS if messages.is_heartbeat(response) else Kind.RESOURCES
+            self._read(kind, response)
             for row in response.resources:
-                route = resources.destination(row.name)
-                if row.HasField("resource"):
-                    self._listed(route, row, route in first)
-                    first.discard(route)
-                else:
+                route, listed = resources.destination(row.name), messages.endpoint_states(row)
+                if listed is None:
                     self._contract.beaten()
+                    continue
+                self._contract.listed(route, listed.states, listed.blocked, listed.ttl_us, route in first)
+                first.discard(route)
             self._contract.answered(_now())
-            await call.write(discovery_pb2.DeltaDiscoveryRequest(type_url=EDS, response_nonce=response.nonce))
-
-    def _listed(self, route: int, row: discovery_pb2.Resource, first: bool) -> None:
-        load, states = endpoint_pb2.ClusterLoadAssignment(), {}
-        row.resource.Unpack(load)
-        for zone in load.endpoints:
-            for end in zone.lb_endpoints:
-                at = end.endpoint.address.socket_address
-                states[f"{at.address}:{at.port_value}"] = STATES[end.health_status]
-        self._contract.listed(route, states, bool(load.policy.drop_overloads), row.ttl.ToMicroseconds(), first)
+            await self._write(call, kind, messages.acknowledgement(response))
 
     async def _quota(self, channel: grpc.aio.Channel) -> None:
         call = rlqs_pb2_grpc.RateLimitQuotaServiceStub(channel).StreamRateLimitQuotas(
@@ -121,66 +115,39 @@
         asking = asyncio.create_task(self._use(call))
         try:
             async for response in call:
-                for action in response.bucket_action:
-                    keys, given = action.bucket_id.bucket, action.quota_assignment_action
-                    if action.HasField("quota_assignment_action"):
-                        self._contract.granted(
-                            int(keys[wire.ROUTE]),
-                            wire.amount_of(given.rate_limit_strategy),
-                            int(keys[wire.GRANT]),
-                            int(keys[wire.HEARD]),
-                            given.assignment_time_to_live.ToMicroseconds(),
-                        )
+                self._read(Kind.GRANTS, response)
+                for given in messages.received_grants(response):
+                    self._contract.granted(given.route, given.amount, given.number, given.heard, given.lease_us)
         finally:
             asking.cancel()
 
     async def _use(self, call: grpc.aio.StreamStreamCall) -> None:
         while True:
-            message = rlqs_pb2.RateLimitQuotaUsageReports(domain=self._options.node)
-            for route, calls, had, said in self._contract.usage(_now()):
-                usage = message.bucket_quota_usages.add(num_requests_allowed=int(calls * 1000))
-                usage.time_elapsed.FromSeconds(1000)
-                usage.bucket_id.bucket.update({wire.ROUTE: f"{route}", wire.HAD: f"{had}", wire.SAID: f"{said}"})
-            await call.write(message)
+            message = messages.usage_report(self._options.node, self._contract.usage(_now()))
+            await self._write(call, Kind.USAGE, message)
             await asyncio.sleep(ASK_US / SECOND)
 
     async def _loads(self, channel: grpc.aio.Channel) -> None:
         call = lrs_pb2_grpc.LoadReportingServiceStub(channel).StreamLoadStats()
-        await call.write(lrs_pb2.LoadStatsRequest(node={"id": self._options.node}))
-        every = (await call.read()).load_reporting_interval.ToMicroseconds() / SECOND
+        await self._write(call, Kind.LOADS, messages.load_introduction(self._options.node))
+        answer = await call.read()
+        self._read(Kind.LOADS, answer)
+        every_us = answer.load_reporting_interval.ToMicroseconds()
         while True:
-            await asyncio.sleep(every)
+            await asyncio.sleep(every_us / SECOND)
             calls, self._calls = self._calls, defaultdict(list)
-            await call.write(
-                lrs_pb2.LoadStatsRequest(
-                    cluster_stats=[self._stats(route, place, rows, every) for (route, place), rows in calls.items()]
-                )
-            )
-
-    @staticmethod
-    def _stats(route: int, place: str, rows: list, every: float) -> object:
-        stats = lrs_pb2.LoadStatsRequest().cluster_stats.add(cluster_name=resources.name(route))
-        stats.load_report_interval.FromMicroseconds(int(every * SECOND))
-        host, _, port = place.rpartition(":")
-        end = stats.upstream_locality_stats.add().upstream_endpoint_stats.add(
-            total_successful_requests=sum(outcome is O.OK for outcome, _, _ in rows),
-            total_error_requests=sum(outcome is not O.OK for outcome, _, _ in rows),
-            total_issued_requests=len(rows),
-        )
-        end.address.socket_address.address, end.address.socket_address.port_value = host, int(port)
-        metrics = {
-            reports.PREFIX + word: [1.0] * sum(row[0] is outcome for row in rows)
-            for word, outcome in reports.ENDS.items()
-        }
-        for word in reports.FIGURES:
-            metrics[word] = [row[2][word] for row in rows if word in row[2]]
-        metrics[reports.PREFIX + "wait_ms"] = [max(0.0, max((until - time.monotonic()) * 1000 for _, until, _ in rows))]
-        for word, values in metrics.items():
-            if values and (sum(values) or word in reports.FIGURES):
-                end.load_metric_stats.add(
-                    metric_name=word, num_requests_finished_with_metric=len(values), total_metric_value=sum(values)
-                )
-        return stats
+            await self._write(call, Kind.LOADS, messages.load_report(calls, every_us, _now()))
+
+    async def _write(self, call: grpc.aio.StreamStreamCall, kind: Kind, message: Message) -> None:
+        self._meter.add(Direction.UP, kind, message.ByteSize())
+        await call.write(message)
+
+    def _read(self, kind: Kind, message: Message) -> None:
+        self._meter.add(Direction.DOWN, kind, message.ByteSize())
+
+    def say_counts(self) -> None:
+        """What went over the wire so far, and the memory of what it keeps of control's word, in bytes."""
+        self.say("counted", messages=self._meter.table(), state=deep_size(self._contract))
 
     # -- messages
 
@@ -235,7 +202,7 @@
             pass
         if wait:
             self._contract.told_wait(route, _now() + int(wait * SECOND))
-        self._calls[route, place].append((outcome, time.monotonic() + wait, report))
+        self._calls[route, place].append(messages.Call(outcome, _now() + int(wait * SECOND), report))
         self.say("answered", id=name, route=route, endpoint=place, outcome=outcome.value, wait_ms=wait * 1000)
         return outcome
 
@@ -280,6 +247,9 @@
     parser.add_argument("--sender", metavar="ADDRESS:PORT", help="a sender's front, for when the lease has ended")
     parser.add_argument("--at-end", choices=["fallback", "stop", "floor"], default="fallback")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument(
+        "--count", action="store_true", help="log at SIGTERM what went to and from control, by direction and kind"
+    )
     add_classes(parser)
     asyncio.run(Proxy(parser.parse_args()).run())
 
--- /dev/null
+++ b/scalefall/lab/proxy/meter.py
@@ -0,0 +1,53 @@
+"""Messages and bytes between senders and control, counted by direction and kind. No I/O, no clock.
+
+Bytes are those of the serialized protobuf messages; what gRPC and TCP add to them is not counted.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+
+
+class Direction(Enum):
+    UP = "up"  # to control
+    DOWN = "down"
+
+
+class Kind(Enum):
+    RESOURCES = "resources"  # subscriptions, lists and their acknowledgements
+    HEARTBEATS = "heartbeats"  # and their acknowledgements
+    GRANTS = "grants"
+    USAGE = "usage"
+    LOADS = "loads"
+
+
+@dataclass(slots=True)
+class Count:
+    messages: int = 0
+    bytes: int = 0
+
+
+class Meter:
+    def __init__(self) -> None:
+        self._counts = {(direction, kind): Count() for direction in Direction for kind in Kind}
+
+    def add(self, direction: Direction, kind: Kind, size: int) -> None:
+        count = self._counts[direction, kind]
+        count.messages += 1
+        count.bytes += size
+
+    def count(self, direction: Direction, kind: Kind) -> Count:
+        """So far."""
+        count = self._counts[direction, kind]
+        return Count(count.messages, count.bytes)
+
+    def table(self) -> dict[str, dict[str, list[int]]]:
+        """For a log: messages and bytes by direction and kind."""
+        return {
+            direction.value: {
+                kind.value: [self._counts[direction, kind].messages, self._counts[direction, kind].bytes]
+                for kind in Kind
+            }
+            for direction in Direction
+        }
