Hollow senders: hundreds of senders and a control instance in one process on a virtual clock

Needed to measure control at sizes that do not fit on sockets. The control side's real code is played: the service with the edge's builders, the senders' contract and the stand-in's messages, each serialized and counted by direction and kind, and delivered after a seeded delay. Failures: a process restarted or replaced, machine, rack and zone lost or cut, control restarted. Traffic: uniform, Zipf, and clumps. Ruled out: adding it to lab/world.py, which serializes nothing and knows one route. A grant's handling at the sender is one class, and the service comes from a factory, so that an assignment can be put in their place.

Observed: after a cut that is healed before the keepalive ends, a sender may be without a grant for up to half a lease, as renewals sent into the cut count as sent.

--- /dev/null
+++ b/scalefall/lab/hollow/configuration.py
@@ -0,0 +1,46 @@
+"""Configurations of many destinations for the model: one endpoint each, and changes that drain one."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from scalefall import interface as i
+from scalefall.lab.classes import ANY
+from scalefall.lab.world import settings as world_settings
+from scalefall.net.config import Fleet, RouteRules
+from scalefall.net.endpoint_list import Entry
+
+DOWN_EVERY = 91  # one destination of so many is down: 1.1%
+ZONE, KIND, PORT = "a", "one", 80
+ATTEMPTS, MOST_WAIT_US = 6, 2_000_000
+RULES = RouteRules(frozenset(ANY), ATTEMPTS, MOST_WAIT_US)
+
+
+def settings() -> i.Settings:
+    return world_settings(ANY)
+
+
+def is_down(destination: int) -> bool:
+    return destination % DOWN_EVERY == 0
+
+
+def entry(destination: int, status: i.Status = i.Status.READY) -> Entry:
+    endpoint = i.Endpoint(endpoint_id(destination), ZONE, KIND, destination, status, 0.0)
+    return Entry(endpoint, address(destination))
+
+
+def endpoint_id(destination: int) -> str:
+    return f"e{destination:06}"
+
+
+def address(destination: int) -> tuple[str, int]:
+    """Another one for each destination below 2 ** 24."""
+    return f"10.{destination >> 16 & 255}.{destination >> 8 & 255}.{destination & 255}", PORT
+
+
+def configuration(destinations: int, drained: Collection[int] = ()) -> Fleet:
+    """Destinations from 0, each with one endpoint; those of drained drain."""
+    entries = [
+        entry(number, i.Status.DRAINING if number in drained else i.Status.READY) for number in range(destinations)
+    ]
+    return Fleet(entries, dict.fromkeys(range(destinations), RULES))
--- /dev/null
+++ b/scalefall/lab/hollow/control.py
@@ -0,0 +1,252 @@
+"""A control instance in the model: `control.service.Service` and the builders of `control/edge`, without gRPC.
+
+It does what control/edge/server.py does between its sockets and the service: messages are parsed from bytes and made
+into bytes, a stream is read no faster than its bucket allows, and turns come when the service asks for them. What it
+leaves out: certificates, the durable folder, and the limits of streams and waiting messages.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+
+from scalefall import interface as i
+from scalefall.control.bounds import Bucket
+from scalefall.control.edge import reports, resources, wire
+from scalefall.control.edge.server import CHEAP, DEAR, SPEAK
+from scalefall.control.grants import Grant
+from scalefall.control.members import Refused
+from scalefall.control.service import Builder, Out, Rows, Service
+from scalefall.control.streams import Close, Response
+from scalefall.lab.hollow.clock import Timer, VirtualClock
+from scalefall.lab.hollow.stopwatch import Stopwatch
+from scalefall.lab.proxy import messages
+from scalefall.lab.proxy.meter import Kind
+from scalefall.net.config import Fleet, RouteRules
+
+Send = Callable[[Kind, bytes], None]
+
+
+@dataclass(slots=True, frozen=True)
+class ControlOptions:
+    """As the options of `scalefall control`, with its defaults. Times in us."""
+
+    lease_us: int = 2_000_000
+    delay_us: int = 500_000
+    endpoint_lease_us: int = 900_000
+    report_us: int = 1_000_000
+
+
+class StreamKind(Enum):
+    RESOURCES = "resources"
+    QUOTA = "quota"
+    LOADS = "loads"
+
+
+@dataclass(slots=True, frozen=True)
+class Opening:
+    """What a sender says when it opens a stream; the instance goes in the metadata of a quota stream."""
+
+    kind: StreamKind
+    node: str
+    instance: str
+
+
+@dataclass(slots=True)
+class _Peer:
+    number: int
+    opening: Opening
+    send: Send
+    close: Callable[[], None]
+    pace: Bucket
+    ready_at: int = 0  # when its next message may be read
+    begun: bool = False
+    leased: bool = False
+    buckets: dict[int, tuple[dict[str, str], int | None]] = field(default_factory=dict)
+
+
+ServiceFactory = Callable[[int, i.Settings, Builder, ControlOptions], Service]
+
+
+def make_service(now: int, settings: i.Settings, builder: Builder, options: ControlOptions) -> Service:
+    """A service without an assignment: grants by destination."""
+    return Service(now, settings, 3, builder, options.lease_us, options.delay_us, options.lease_us)
+
+
+class Control:
+    def __init__(
+        self,
+        clock: VirtualClock,
+        settings: i.Settings,
+        fleet: Fleet,
+        options: ControlOptions,
+        stopwatch: Stopwatch,
+        first_grant: int = 0,
+        factory: ServiceFactory = make_service,
+    ) -> None:
+        """first_grant: grants are numbered above it, as after the durable epoch of an earlier instance."""
+        self._clock, self._options, self.stopwatch = clock, options, stopwatch
+        self._responses = wire.Responses()
+        self._peers: dict[int, _Peer] = {}
+        self._count = 0
+        self._timer: Timer | None = None
+        self._armed = 0
+        self.stopped = False
+
+        def endpoints(number: int, rows: list, allowed: list[i.Allowed], now: int) -> object:
+            return resources.endpoints(number, rows, allowed, now, options.endpoint_lease_us)
+
+        def fixed(rows: Rows, routes: dict[int, RouteRules]) -> list:
+            return resources.fixed(rows, routes, settings)
+
+        self.service = factory(clock.now, settings, Builder(fixed, endpoints), options)
+        self.service.ledger.resume(first_grant)
+        self.configure(fleet)
+
+    def configure(self, fleet: Fleet) -> None:
+        self.stopwatch.start()
+        self._index = reports.Index(fleet.entries)
+        self._send(self.service.configure(fleet, self._clock.now))
+        self._plan()
+        self.stopwatch.stop()
+
+    def stop(self) -> None:
+        """The process ends; its streams with it."""
+        self.stopped = True
+        if self._timer is not None:
+            self._timer.cancel()
+        peers, self._peers = list(self._peers.values()), {}
+        for peer in peers:
+            peer.close()
+
+    # -- streams
+
+    def accept(self, opening: Opening, send: Send, close: Callable[[], None]) -> int:
+        """The number of the new stream. close: called if it is ended from here."""
+        self._count += 1
+        self._peers[self._count] = _Peer(self._count, opening, send, close, Bucket(self._clock.now, *SPEAK))
+        return self._count
+
+    def receive(self, number: int, data: bytes) -> None:
+        """A message has arrived; it is read once the ones before it are, at the stream's pace."""
+        peer = self._peers.get(number)
+        if peer is None:
+            return
+        if peer.ready_at > self._clock.now:
+            self._clock.at(peer.ready_at, lambda: self._read(number, data))
+        else:
+            self._read(number, data)
+        cost = 1 + len(data) // (CHEAP if self._repeats(peer) else DEAR)
+        peer.ready_at = max(peer.ready_at, self._clock.now + peer.pace.take(self._clock.now, cost))
+
+    def closed(self, number: int) -> None:
+        """The sender's end is gone."""
+        if self._peers.pop(number, None) is not None:
+            self.stopwatch.start()
+            self.service.ended(number)
+            self.service.left(number, self._clock.now)
+            self._plan()
+            self.stopwatch.stop()
+
+    @property
+    def streams(self) -> int:
+        return len(self._peers)
+
+    def _repeats(self, peer: _Peer) -> bool:
+        return peer.begun and peer.opening.kind is StreamKind.RESOURCES and self.service.repeats(peer.number)
+
+    def _read(self, number: int, data: bytes) -> None:
+        peer = self._peers.get(number)
+        if peer is None:
+            return
+        self.stopwatch.start()
+        match peer.opening.kind:
+            case StreamKind.RESOURCES:
+                self._resources(peer, messages.DeltaRequest.FromString(data))
+            case StreamKind.QUOTA:
+                self._quota(peer, messages.QuotaReport.FromString(data))
+            case StreamKind.LOADS:
+                self._loads(peer, messages.LoadRequest.FromString(data))
+        self._plan()
+        self.stopwatch.stop()
+
+    def _resources(self, peer: _Peer, message: messages.DeltaRequest) -> None:
+        if not peer.begun:
+            peer.begun, peer.leased = True, wire.TTL_FEATURE in message.node.client_features
+            self.service.opened(peer.number, message.node.id, True, peer.leased)
+        self._send(self.service.request(peer.number, wire.delta_request(message), self._clock.now))
+
+    def _quota(self, peer: _Peer, message: messages.QuotaReport) -> None:
+        now = self._clock.now
+        if not peer.begun:
+            peer.begun = True
+            joined = self.service.joined(peer.number, peer.opening.node, peer.opening.instance, now)
+            if isinstance(joined, Refused):
+                self._cut(peer.number)
+                return
+            if joined.close is not None:
+                self._cut(joined.close)
+        for usage in message.bucket_quota_usages:
+            self._usage(peer, usage, now)
+
+    def _usage(self, peer: _Peer, usage: object, now: int) -> None:
+        route, had, number = wire.bucket_of(usage)
+        bucket = {key: value for key, value in usage.bucket_id.bucket.items() if key not in (wire.HAD, wire.SAID)}
+        if route is None or not self.service.used(peer.number, route, wire.calls_of(usage), had, now):
+            peer.send(Kind.GRANTS, wire.abandon(bucket).SerializeToString())
+            return
+        peer.buckets[route] = (bucket, number)
+
+    def _loads(self, peer: _Peer, message: messages.LoadRequest) -> None:
+        if not peer.begun:
+            peer.begun = True
+            answer = messages.LoadResponse(send_all_clusters=True, report_endpoint_granularity=True)
+            answer.load_reporting_interval.FromMicroseconds(self._options.report_us)
+            peer.send(Kind.LOADS, answer.SerializeToString())
+        now = self._clock.now
+        calls = list(self._index.events(message.cluster_stats, now))
+        if calls:
+            self.service.reported(calls, now)
+
+    # -- turns
+
+    def _plan(self) -> None:
+        at = self.service.next_turn(self._clock.now)
+        if self._timer is not None:
+            if self._armed <= at:
+                return
+            self._timer.cancel()
+        self._armed = at
+        self._timer = self._clock.at(at, self._turn)
+
+    def _turn(self) -> None:
+        self._timer = None
+        self.stopwatch.start()
+        self._send(self.service.turn(self._clock.now))
+        self.service.told.clear()
+        self._plan()
+        self.stopwatch.stop()
+
+    def _send(self, out: Iterable[Out]) -> None:
+        for number, action in out:
+            peer = self._peers.get(number)
+            if peer is None:
+                continue
+            if isinstance(action, Response):
+                kind = Kind.HEARTBEATS if action.beat else Kind.RESOURCES
+                peer.send(kind, self._responses.bytes(action, True, peer.leased))
+            elif isinstance(action, Grant):
+                bucket = peer.buckets.get(action.destination)
+                if bucket is not None:
+                    peer.send(Kind.GRANTS, wire.grant(action, *bucket).SerializeToString())
+            elif isinstance(action, Close):
+                self._cut(number)
+
+    def _cut(self, number: int) -> None:
+        """Ends a stream from here."""
+        peer = self._peers.pop(number, None)
+        if peer is not None:
+            self.service.ended(number)
+            self.service.left(number, self._clock.now)
+            peer.close()
--- /dev/null
+++ b/scalefall/lab/hollow/fleet.py
@@ -0,0 +1,159 @@
+"""Many hollow senders, one control instance and the failures that meet them, on one virtual clock from one seed.
+
+The place of a sender is a machine in a rack in a zone in a region. A failure may end a process with notice (its
+connections are closed), end it without (its machine is gone), or cut links.
+"""
+
+from __future__ import annotations
+
+import random
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from scalefall import interface as i
+from scalefall.lab.hollow.clock import VirtualClock
+from scalefall.lab.hollow.control import Control, ControlOptions, ServiceFactory, make_service
+from scalefall.lab.hollow.link import Link
+from scalefall.lab.hollow.sender import HollowSender, Traffic
+from scalefall.lab.hollow.stopwatch import Stopwatch, no_timer
+from scalefall.lab.proxy.meter import Meter
+from scalefall.net.config import Fleet as Configuration
+
+REGIONS, ZONES = 2, 4  # zones of each region
+MACHINE, RACK = 2, 10  # senders of a machine, of a rack
+START_US = 500_000  # from a process's end to the next one's first word
+
+
+@dataclass(slots=True, frozen=True)
+class Place:
+    region: int
+    zone: int  # of all regions
+    rack: int  # of all zones
+    machine: int  # of all racks
+
+
+def places(count: int) -> list[Place]:
+    """Zones are filled evenly; within one, machines and racks in order."""
+    zones = REGIONS * ZONES
+    rows = []
+    for number in range(count):
+        zone, within = number % zones, number // zones
+        rows.append(Place(zone // ZONES, zone, zone + zones * (within // RACK), zone + zones * (within // MACHINE)))
+    return rows
+
+
+@dataclass(slots=True)
+class FleetPlan:
+    settings: i.Settings
+    configuration: Configuration
+    senders: int
+    routes: Callable[[int], list[int]]  # destinations that the sender of this number asks for
+    traffic: Callable[[int, random.Random], Traffic] = lambda number, random_: iter(())
+    is_down: Callable[[int], bool] = lambda destination: False
+    options: ControlOptions = ControlOptions()
+    factory: ServiceFactory = make_service
+    timer: Callable[[], int] = no_timer  # processor time, where a benchmark wants it
+
+
+class Fleet:
+    def __init__(self, plan: FleetPlan, seed: int) -> None:
+        self.plan, self.clock, self.meter = plan, VirtualClock(), Meter()
+        self._random = random.Random(seed)
+        self.control_time, self.sender_time = Stopwatch(plan.timer), Stopwatch(plan.timer)
+        self.configuration = plan.configuration
+        self.control: Control | None = self._new_control(0)
+        self.places = places(plan.senders)
+        self.meters = [Meter() for _ in range(plan.senders)]  # of each sender's place, over all its processes
+        self._instances = [0] * plan.senders
+        self.links: list[Link] = [None] * plan.senders
+        self.senders: list[HollowSender] = [None] * plan.senders
+        for number in range(plan.senders):
+            self._start(number, f"n{number}")
+
+    def run_for(self, span_us: int) -> None:
+        self.clock.run_for(span_us)
+
+    def configure(self, configuration: Configuration) -> None:
+        """A change of the configuration, in force from now on."""
+        self.configuration = configuration
+        if self.control is not None:
+            self.control.configure(configuration)
+
+    def in_zone(self, zone: int) -> list[int]:
+        return [number for number, place in enumerate(self.places) if place.zone == zone]
+
+    def in_rack(self, rack: int) -> list[int]:
+        return [number for number, place in enumerate(self.places) if place.rack == rack]
+
+    def on_machine(self, machine: int) -> list[int]:
+        return [number for number, place in enumerate(self.places) if place.machine == machine]
+
+    # -- failures
+
+    def restart(self, number: int) -> None:
+        """The process ends and another one takes its node id."""
+        self.senders[number].end(silently=False)
+        self._start_later(number, self.senders[number].node, START_US)
+
+    def replace(self, number: int) -> None:
+        """The process ends and another one comes under a new node id."""
+        self.senders[number].end(silently=False)
+        self._start_later(number, f"n{number}-{self._instances[number]}", START_US)
+
+    def lose(self, numbers: Iterable[int], return_us: int) -> None:
+        """Machines, a rack or a zone are gone without a word; new processes start return_us later."""
+        for number in numbers:
+            self.senders[number].end(silently=True)
+            self.links[number].cut()
+            self._start_later(number, self.senders[number].node, return_us)
+
+    def cut(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            self.links[number].cut()
+
+    def heal(self, numbers: Iterable[int]) -> None:
+        for number in numbers:
+            self.links[number].heal()
+
+    def restart_control(self, down_us: int) -> None:
+        """Control ends and comes back with the epoch of its grants and no memory of its streams."""
+        last, self.control = self.control, None
+        number = last.service.ledger.number
+        last.stop()
+        self.clock.after(down_us, lambda: self._return_control(number))
+
+    def _return_control(self, last_grant: int) -> None:
+        self.control = self._new_control(last_grant)
+
+    def _new_control(self, first_grant: int) -> Control:
+        plan = self.plan
+        return Control(
+            self.clock,
+            plan.settings,
+            self.configuration,
+            plan.options,
+            self.control_time,
+            first_grant,
+            plan.factory,
+        )
+
+    def _start_later(self, number: int, node: str, span_us: int) -> None:
+        self.clock.after(span_us, lambda: self._start(number, node))
+
+    def _start(self, number: int, node: str) -> None:
+        self._instances[number] += 1
+        plan, random_ = self.plan, random.Random(self._random.random())
+        link = self.links[number] = Link(self.clock, random_, (self.meter, self.meters[number]))
+        sender = self.senders[number] = HollowSender(
+            self.clock,
+            lambda: self.control,
+            link,
+            node,
+            f"i{self._instances[number]}",
+            plan.routes(number),
+            random_,
+            self.sender_time,
+            plan.traffic(number, random_),
+            plan.is_down,
+        )
+        sender.start()
