--- a/tests/scaling/test_traffic.py
+++ b/tests/scaling/test_traffic.py
@@ -38,4 +38,3 @@
 
 def test_distinct_counts_what_is_touched_in_the_span():
     assert distinct(iter([(0, 1), (5, 2), (5, 1), (10, 3)]), 20) == 2
-
