--- /dev/null
+++ b/benchmarks/scaling/divided.py
@@ -0,0 +1,246 @@
+"""Destinations divided among hollow senders at the target size: a day's failures, one after the other.
+
+    .venv/bin/python -m benchmarks.scaling.divided quick|full EXPONENT
+
+A day has 150 processes restarted or replaced and 2 machines that fail; here they come a few seconds apart, then a
+rack, a zone and control itself. Traffic is benchmarks/scaling/demand.py's. Of the calls that succeed the module is told
+one an endpoint and report, so that the play takes minutes: what a reported call costs control is a slope of its own.
+Resources are lists of endpoints alone, as the other three have slopes too.
+"""
+
+from __future__ import annotations
+
+import gc
+import json
+import random
+import resource
+import sys
+import time
+from collections.abc import Callable
+from dataclasses import asdict, dataclass, field
+
+from benchmarks.scaling import watch
+from benchmarks.scaling.demand import Demand
+from scalefall.assignment.assembly import AssignmentSettings
+from scalefall.lab.hollow import configuration
+from scalefall.lab.hollow.control import ControlOptions
+from scalefall.lab.hollow.fleet import START_US, FleetPlan
+from scalefall.lab.hollow.sharded import Division, ShardedFleet, sharded_fleet
+
+SECOND = 1_000_000
+SEED = 20
+RATE = 130_000 / 900  # calls a second for each sender
+SHARDS = 16  # for each sender
+REPLICA_PART = 0.25  # of a sender's mean load: above it a shard has more holders (docs/design/assignment.md)
+MOVE_AFTER_US = 3 * SECOND
+REPORT_US = 60 * SECOND  # between load reports
+WARM_US = 200 * SECOND  # until loads are measured and shards balanced by them
+REST_US = 60 * SECOND
+APART_US = 3 * SECOND  # between one replacement and the next
+RETURN_US = 20 * SECOND  # until what was lost without a word is there again
+AFTER_US = 40 * SECOND  # until all of it is settled
+
+
+@dataclass(slots=True, frozen=True)
+class Size:
+    senders: int
+    destinations: int
+    replacements: int
+    machines: int
+
+
+SIZES = {"quick": Size(48, 4_000, 6, 1), "full": Size(900, 420_000, 150, 2)}
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What one kind of failure did. Times in seconds."""
+
+    times: int
+    moved: int  # destinations that got another sender, each time
+    lost: int  # of them, those whose sender was gone: they had to
+    filled: int  # of them, those that went to a sender that had come with none
+    gap_p50: float
+    gap_p99: float
+    gap_worst: float
+    interrupted: int  # destinations whose service was interrupted, with repetition
+    bytes_p99: float  # a second of a sender, over the play
+    bytes_worst: float
+    control_cores: float
+    sender_cores: float
+
+
+@dataclass(slots=True)
+class Result:
+    senders: int
+    destinations: int
+    shards: int
+    exponent: float
+    seed: int
+    isolated: int
+    load_ratio: float  # most loaded sender over the mean, once loads are measured
+    rest_bytes_p99: float
+    rest_bytes_worst: float
+    rest_control_cores: float
+    rest_sender_cores: float
+    change_s: float  # until a change is in force at every sender, at rest
+    change_zone_s: float  # the same, made in the moment of a zone's loss
+    change_control_s: float  # control's processor time for one change
+    sender_bytes: int  # what one sender keeps of control's, the most of all
+    process_mb: float  # the whole play: all senders and control
+    steps_s: float  # real time
+    failures: dict[str, Outcome] = field(default_factory=dict)
+
+
+class Play:
+    def __init__(self, size: Size, exponent: float) -> None:
+        self.size = size
+        self.assignment = AssignmentSettings(
+            SHARDS * size.senders, 2 * SECOND, SECOND // 2, MOVE_AFTER_US, replica_load=REPLICA_PART * RATE
+        )
+        plan = FleetPlan(
+            configuration.settings(),
+            configuration.configuration(size.destinations),
+            size.senders,
+            lambda number: [],
+            is_down=configuration.is_down,
+            options=ControlOptions(report_us=REPORT_US, with_fixed=False, most_reported=1),
+            timer=time.process_time_ns,
+        )
+        self._demand: Demand | None = None
+        division = Division(self.assignment, lambda shares, span: self._demand.counts(shares, span))
+        self.fleet: ShardedFleet = sharded_fleet(plan, division, SEED)
+        self._demand = Demand(self.fleet.clock, size.destinations, exponent, RATE * size.senders, SEED)
+        self._sizes: tuple[int, dict[int, int]] = (-1, {})
+        self.gaps, self.moves = watch.Gaps(), watch.Moves()
+
+    @property
+    def coordinator(self) -> object:
+        return self.fleet.control.service.coordinator
+
+    def shard_sizes(self) -> dict[int, int]:
+        """Destinations by shard, counted anew where the isolated ones differ."""
+        if self.fleet.control is not None:
+            isolated = len(self.coordinator.sharding.isolated)
+            if self._sizes[0] != isolated:
+                self._sizes = (isolated, watch.sizes(self.coordinator, self.size.destinations))
+        return self._sizes[1]
+
+    def run_for(self, span_us: int) -> None:
+        end = self.fleet.clock.now + span_us
+        while self.fleet.clock.now < end:
+            self.fleet.run_for(min(watch.LOOK_US, end - self.fleet.clock.now))
+            self.gaps.look(self.fleet.clock.now, watch.served(self.fleet), self.shard_sizes())
+            if self.fleet.control is not None:
+                self.moves.look(self.coordinator, self.shard_sizes())
+
+    def load_ratio(self) -> float:
+        return watch.load_ratio(self.coordinator, self._demand, self.size.senders)
+
+    # -- failures
+
+    def play(self, times: int, fail: Callable[[int], None], settle_us: int, apart_us: int) -> Outcome:
+        """fail: does it, given how often it was done before."""
+        self.gaps, fleet = watch.Gaps(), self.fleet
+        self.moves.begin(self.coordinator)
+        begun, before = fleet.clock.now, watch.bytes_by_sender(fleet)
+        control, senders = fleet.control_time.spent, fleet.sender_time.spent
+        for number in range(times):
+            fail(number)
+            self.run_for(apart_us)
+        self.run_for(settle_us)
+        span = fleet.clock.now - begun
+        rates = watch.rates(before, watch.bytes_by_sender(fleet), span)
+        return Outcome(
+            times,
+            self.moves.moved,
+            self.moves.lost,
+            self.moves.filled,
+            self.gaps.quantile(0.5) / SECOND,
+            self.gaps.quantile(0.99) / SECOND,
+            max((span for span, _ in self.gaps.ended), default=0) / SECOND,
+            sum(count for _, count in self.gaps.ended),
+            watch.quantile(rates, 0.99),
+            rates[-1],
+            (fleet.control_time.spent - control) * SECOND / 1e9 / span,
+            (fleet.sender_time.spent - senders) * SECOND / 1e9 / span / self.size.senders,
+        )
+
+    def replaced(self, number: int) -> None:
+        """Every second one is restarted in its place, the others are replaced under a new name."""
+        place = number * 7 % self.size.senders
+        if number % 2 == 0:
+            self.fleet.restart(place)
+        else:
+            self.fleet.replace(place)
+
+    def lost(self, numbers: list[int]) -> None:
+        """Gone without a word; new processes of the same nodes come RETURN_US later."""
+        self.fleet.lose(numbers, RETURN_US)
+
+    def change(self, drained: set[int]) -> tuple[float, float]:
+        """A change of the configuration: until when the last sender has it, and control's processor time."""
+        fleet = self.fleet
+        fleet.configuration = configuration.configuration(self.size.destinations, drained)
+        begun, spent = fleet.clock.now, fleet.control_time.spent
+        fleet.configure(fleet.configuration)
+        took = (fleet.control_time.spent - spent) / 1e9
+        self.run_for(5 * SECOND)
+        last = max(sender.last_change for sender in fleet.senders)
+        return max(0, last - begun) / SECOND, took
+
+
+def played(mode: str, exponent: float) -> Result:
+    """All of it, in a process of its own."""
+    size, real = SIZES[mode], time.monotonic()
+    play = Play(size, exponent)
+    fleet = play.fleet
+    gc.collect()
+    gc.freeze()
+    play.run_for(WARM_US)
+    before, control, senders = watch.bytes_by_sender(fleet), fleet.control_time.spent, fleet.sender_time.spent
+    play.run_for(REST_US)
+    rest = watch.rates(before, watch.bytes_by_sender(fleet), REST_US)
+    control, senders = fleet.control_time.spent - control, fleet.sender_time.spent - senders
+    result = Result(
+        size.senders,
+        size.destinations,
+        play.assignment.shards,
+        exponent,
+        SEED,
+        len(play.coordinator.sharding.isolated),
+        play.load_ratio(),
+        watch.quantile(rest, 0.99),
+        rest[-1],
+        control * SECOND / 1e9 / REST_US,
+        senders * SECOND / 1e9 / REST_US / size.senders,
+        *(0.0, 0.0, 0.0),
+        max(watch.deep_size(sender.contract) for sender in random.Random(SEED).sample(fleet.senders, 8)),
+        0.0,
+        0.0,
+    )
+    result.change_s, result.change_control_s = play.change({7})
+    failures = result.failures
+    failures["replacements"] = play.play(size.replacements, play.replaced, AFTER_US, APART_US)
+    failures["machines"] = play.play(size.machines, lambda n: play.lost(fleet.on_machine(n)), AFTER_US, AFTER_US)
+    failures["rack"] = play.play(1, lambda _: play.lost(fleet.in_rack(3)), AFTER_US, 0)
+    result.change_zone_s = -1.0
+
+    def zone(_: int) -> None:
+        play.lost(fleet.in_zone(1))
+        result.change_zone_s, _ = play.change({7, 8})
+
+    failures["zone"] = play.play(1, zone, AFTER_US, 0)
+
+    failures["control restarted"] = play.play(1, lambda _: fleet.restart_control(START_US), AFTER_US, 0)
+    result.process_mb = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1024
+    result.steps_s = time.monotonic() - real
+    return result
+
+
+def main(mode: str, exponent: str) -> None:
+    print(json.dumps(asdict(played(mode, float(exponent)))))
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/benchmarks/scaling/watch.py
@@ -0,0 +1,149 @@
+"""What is seen of a fleet of hollow senders that divide destinations: gaps in service, movement, load, bytes, state."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+from benchmarks.scaling.demand import Demand
+from scalefall.assignment.coordinator import Coordinator
+from scalefall.lab.hollow.sharded import ShardedFleet
+from scalefall.lab.proxy.meter import Direction, Kind
+
+LOOK_US = 100_000  # between looks at who serves what
+SECOND = 1_000_000
+
+
+@dataclass(slots=True)
+class Gaps:
+    """Times in us for which shards were served by nobody, each with its number of destinations."""
+
+    _since: dict[int, int] = field(default_factory=dict)
+    ended: list[tuple[int, int]] = field(default_factory=list)  # (us, destinations)
+
+    def look(self, now: int, served: set[int], sizes: dict[int, int]) -> None:
+        for shard in [shard for shard in self._since if shard in served or shard not in sizes]:
+            since = self._since.pop(shard)
+            if shard in sizes:
+                self.ended.append((now - since, sizes[shard]))
+        for shard in sizes.keys() - served:
+            self._since.setdefault(shard, now)
+
+    def open(self) -> int:
+        """Shards that nobody serves now."""
+        return len(self._since)
+
+    def quantile(self, part: float) -> int:
+        """By destination; 0 where nothing was interrupted."""
+        rows = sorted(self.ended)
+        total = sum(count for _, count in rows)
+        passed = 0
+        for span, count in rows:
+            passed += count
+            if passed >= part * total:
+                return span
+        return 0
+
+
+def sizes(coordinator: Coordinator, destinations: int) -> dict[int, int]:
+    """Destinations of each shard that has any."""
+    found: dict[int, int] = {}
+    for destination in range(destinations):
+        shard = coordinator.sharding.shard_of(destination)
+        found[shard] = found.get(shard, 0) + 1
+    return found
+
+
+def served(fleet: ShardedFleet) -> set[int]:
+    """Shards of which a process that is there holds something."""
+    now = fleet.clock.now
+    held: set[int] = set()
+    for sender in fleet.senders:
+        if not sender.is_over:
+            held |= sender.contract.holder.held(now)
+    return held
+
+
+@dataclass(slots=True)
+class Moves:
+    """Destinations that got another sender, by why."""
+
+    moved: int = 0
+    lost: int = 0  # their sender was gone
+    filled: int = 0  # they went to a sender that had come with none
+    _table: dict[int, tuple[str, ...]] = field(default_factory=dict)
+    _generation: int = -1
+
+    def begin(self, coordinator: Coordinator) -> None:
+        """Count from now on."""
+        self.moved = self.lost = self.filled = 0
+        self._take(coordinator)
+
+    def look(self, coordinator: Coordinator, of: dict[int, int]) -> None:
+        """Take on what has changed. A shard that is new, or is gone, moved with its isolation and is not counted."""
+        if coordinator.generation == self._generation:
+            return
+        before = self._table
+        old = {name for names in before.values() for name in names}
+        self._take(coordinator)
+        new = {name for names in self._table.values() for name in names}
+        for shard in before.keys() & self._table.keys():
+            here, there = set(before[shard]), set(self._table[shard])
+            if here != there:
+                self.moved += of.get(shard, 0)
+                if here - new:
+                    self.lost += of.get(shard, 0)
+                elif there - here - old:
+                    self.filled += of.get(shard, 0)
+
+    def _take(self, coordinator: Coordinator) -> None:
+        self._generation, self._table = coordinator.generation, coordinator.state().table
+
+
+def load_ratio(coordinator: Coordinator, demand: Demand, nodes: int) -> float:
+    """The most loaded node over the mean, by the demand's true rates."""
+    table, shards = coordinator.state().table, coordinator.sharding
+    by_shard: dict[int, float] = {}
+    for destination, rate in enumerate(demand.rates):
+        shard = shards.shard_of(destination)
+        by_shard[shard] = by_shard.get(shard, 0.0) + rate
+    loads: dict[str, float] = {}
+    for shard, names in table.items():
+        for name in names:
+            loads[name] = loads.get(name, 0.0) + by_shard.get(shard, 0.0) / len(names)
+    return max(loads.values()) / (sum(demand.rates) / nodes)
+
+
+def bytes_by_sender(fleet: ShardedFleet) -> list[int]:
+    """Bytes so far, both ways, of each sender's place."""
+    return [
+        sum(meter.count(direction, kind).bytes for direction in Direction for kind in Kind) for meter in fleet.meters
+    ]
+
+
+def rates(before: list[int], after: list[int], span_us: int) -> list[float]:
+    """Bytes a second of each sender, ascending."""
+    return sorted((new - old) * SECOND / span_us for old, new in zip(before, after, strict=True))
+
+
+def quantile(values: list[float], part: float) -> float:
+    """Of ascending values."""
+    return values[min(len(values) - 1, int(part * len(values)))]
+
+
+def deep_size(value: Any, seen: set[int] | None = None) -> int:
+    """Bytes of a value and of all that it holds; classes, functions and modules aside."""
+    seen = set() if seen is None else seen
+    if id(value) in seen or isinstance(value, type | Callable | type(sys)):
+        return 0
+    seen.add(id(value))
+    total = sys.getsizeof(value)
+    if isinstance(value, dict):
+        total += sum(deep_size(key, seen) + deep_size(each, seen) for key, each in value.items())
+    elif isinstance(value, list | tuple | set | frozenset):
+        total += sum(deep_size(each, seen) for each in value)
+    slots = {name for kind in type(value).__mro__ for name in getattr(kind, "__slots__", ())}
+    fields = [getattr(value, name) for name in slots if hasattr(value, name)]
+    return total + sum(deep_size(each, seen) for each in [*fields, *getattr(value, "__dict__", {}).values()])
