--- a/scalefall/assignment/assembly.py
+++ b/scalefall/assignment/assembly.py
@@ -41,12 +41,13 @@
         nodes: Sequence[Node],
         limits: Limits,
         shards: Iterable[int],
+        may_move: bool,
     ) -> Plan:
         self._known |= {node.name: node for node in nodes}
         here = {node.name for node in nodes}
         former = [node for name, node in self._known.items() if name not in here]
         measured = {shard: load for shard, load in loads.items() if load > 0}
-        plan = placement.place(table, measured, nodes, limits, shards, former=former)
+        plan = placement.place(table, measured, nodes, limits, shards, may_move, former)
         named = {name for names in plan.table.values() for name in names} | here
         self._known = {name: node for name, node in self._known.items() if name in named}
         return plan
--- a/scalefall/assignment/coordinator.py
+++ b/scalefall/assignment/coordinator.py
@@ -5,9 +5,11 @@
   1. A node whose process is lost keeps its shards for `restart_us`: a new process of it gets them once the leases of
      the old one have run out, and nothing is placed anew. After that the node is gone and its shards are placed.
   2. Placement is asked SETTLE_US after a node came or was gone, so that a zone's loss is one decision, and each
-     `rebalance_us`; never on a report of loads. While no node is there the table stays as it is.
+     `rebalance_us`; never on a report of loads. While no node is there the table stays as it is. A node that comes
+     while another may be gone waits for that, `restart_us` at most: a replacement gets the shards of the one before.
   3. Started from a table, nothing is placed until nothing granted by the service before may be in use: by then the
-     nodes of the table have come back, or are gone. Those that come back keep their shards.
+     nodes of the table have come back, or are gone. Those that come back keep their shards. Nor does anything move for
+     balance until loads have been measured for MEASURED_US: the first reports are of a part of the senders.
   4. Allowances are not part of a table: whoever starts a coordinator tells it all that are not UNLIMITED before the
      first grants.
 
@@ -24,10 +26,11 @@
 from scalefall.assignment.coverage import Coverage
 from scalefall.assignment.fleet import Fleet, node_of
 from scalefall.assignment.ledger import ShardLedger
-from scalefall.assignment.loads import LoadMeans
+from scalefall.assignment.loads import AVERAGED_US, LoadMeans
 from scalefall.assignment.model import WHOLE, AssignmentError, Node, ShardGrant
 from scalefall.assignment.shard import NEVER
 
+MEASURED_US = 2 * AVERAGED_US  # a mean of so many reports is near enough to move shards by
 SETTLE_US = 1_000_000  # a zone's streams end within a heartbeat interval of each other: one decision for all of them
 
 Table = Mapping[int, tuple[str, ...]]  # shard -> names of the nodes that hold it
@@ -51,8 +54,8 @@
     def merge(self, destination: int) -> Sharding: ...
 
 
-# table, calls a second by shard, nodes, limits of the placement's own, shards
-Place = Callable[[Table, Mapping[int, float], Sequence[Node], Any, Iterable[int]], Plan]
+# table, calls a second by shard, nodes, limits of the placement's own, shards, whether it may move for balance
+Place = Callable[[Table, Mapping[int, float], Sequence[Node], Any, Iterable[int], bool], Plan]
 # calls a second by destination, sharding, mean load of a node -> destinations to isolate, destinations to merge
 Isolation = Callable[[Mapping[int, float], Sharding, float], tuple[Iterable[int], Iterable[int]]]
 
@@ -100,6 +103,7 @@
         self._hold_until = now  # nothing is placed before
         self._place_at = NEVER
         self._rebalance_at = now + settings.rebalance_us
+        self._is_first = state is None  # no table from before
         for destination, own in sharding.isolated.items():
             self._ledger.isolate(destination, sharding.merge(destination).shard_of(destination), own)
         if state is not None:
@@ -154,7 +158,7 @@
         self._ledger.join(holder)
         self._hand_over(node.name)
         if is_news:
-            self._settle(now)
+            self._settle(now, self._fleet.last_gone())
 
     def lost(self, holder: str, now: int) -> None:
         """A process cannot be heard any more; told again, it changes nothing."""
@@ -218,8 +222,17 @@
 
     # -- placement
 
-    def _settle(self, now: int) -> None:
-        self._place_at = min(self._place_at, max(self._hold_until, now + SETTLE_US))
+    def _settle(self, now: int, gone_at: int | None = None) -> None:
+        """Placement is to be asked soon; gone_at: when a node that may yet come back is gone, if one is awaited."""
+        at = now + SETTLE_US
+        if gone_at is not None:
+            at = max(at, min(gone_at, now + self._settings.restart_us))
+        self._place_at = min(self._place_at, max(self._hold_until, at))
+
+    def _may_balance(self, now: int) -> bool:
+        """Whether loads are known well enough to move shards by them; a first table is balanced by number."""
+        since = self._loads.since
+        return self._is_first if since is None else now - since >= MEASURED_US
 
     def _next_placement(self) -> int:
         """A placement that waits to settle goes before the next regular one, which would see half of a loss."""
@@ -238,7 +251,8 @@
         for destination, load in means.items():
             shard = self._sharding.shard_of(destination)
             loads[shard] = loads.get(shard, 0.0) + load
-        plan = self._ask_place(self._table, loads, nodes, self._settings.limits, self._sharding.shards())
+        shards, limits = self._sharding.shards(), self._settings.limits
+        plan = self._ask_place(self._table, loads, nodes, limits, shards, self._may_balance(now))
         if self._take(plan.table) or isolated:
             self._generation += 1
 
--- a/scalefall/assignment/fleet.py
+++ b/scalefall/assignment/fleet.py
@@ -74,6 +74,10 @@
         """When take_gone() has something if nothing joins before."""
         return next(iter(self._waiting.values()), None)
 
+    def last_gone(self) -> int | None:
+        """When the last of the nodes that may yet come back is gone; None if none is awaited."""
+        return max(self._waiting.values(), default=None)
+
     def holder(self, name: str) -> str | None:
         """The process that holds a node's shards, or did last; None if the node is not there."""
         member = self._members.get(name)
--- a/scalefall/assignment/holder.py
+++ b/scalefall/assignment/holder.py
@@ -15,7 +15,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from scalefall.assignment.model import UNLIMITED, WHOLE, ShardGrant
@@ -72,6 +72,14 @@
         tenure = self._tenure_of(destination, now)
         return tenure is not None and tenure.share_at(now) > 0
 
+    def shares(self, destinations: Iterable[int], now: int) -> dict[int, int]:
+        """The share of each of these destinations that is held now, of WHOLE; 0 where none is."""
+        found = {}
+        for destination in destinations:
+            tenure = self._tenure_of(destination, now)
+            found[destination] = tenure.share_at(now) if tenure else 0
+        return found
+
     def share(self, shard: int, now: int) -> int:
         """The share of a shard that is held now, of WHOLE."""
         tenure = self._tenures.get(shard)
--- a/scalefall/assignment/loads.py
+++ b/scalefall/assignment/loads.py
@@ -33,6 +33,7 @@
         self._values: dict[int, float] = {}  # mean / factor
         self._factor = 1.0
         self._at: int | None = None  # of the last report
+        self.since: int | None = None  # of the first report
         self.left_out = 0  # destinations not recorded, as there were too many
 
     def report(self, loads: Mapping[int, float], now: int) -> None:
@@ -42,6 +43,7 @@
                 raise AssignmentError(f"destination {destination}: a load of {load!r} calls a second")
         kept = 0.0 if self._at is None else exp(-max(0, now - self._at) / AVERAGED_US)
         self._at = now
+        self.since = now if self.since is None else self.since
         self._decay(kept)
         weight = (1 - kept) / self._factor
         for destination, load in loads.items():
--- a/scalefall/assignment/service.py
+++ b/scalefall/assignment/service.py
@@ -18,7 +18,7 @@
 from __future__ import annotations
 
 from collections import Counter, deque
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from itertools import chain
 
@@ -31,7 +31,7 @@
 from scalefall.control.service import Builder, Out, Service
 from scalefall.net.config import Fleet
 
-LOADS_US = 10_000_000  # calls are counted over so long before they weigh the shards
+LOADS_US = 30_000_000  # calls are counted over so long before they weigh the shards: a placement's interval
 MOST_UNACKNOWLEDGED = 4096  # grants of one stream that wait for an answer; more are renewals that nobody reads
 
 
@@ -185,7 +185,7 @@
         self._node_streams: dict[str, set[int]] = {}  # resource streams of each node
         self._stream_nodes: dict[int, str] = {}
         self._unacknowledged: dict[int, deque[tuple[int, int]]] = {}  # number and shard, by quota stream, in order
-        self._calls: Counter[int] = Counter()  # reported, by destination
+        self._calls: Counter[int] = Counter()  # since they last weighed the shards, by destination
         self._counted_from = now
         self._leases = ShardLeases(self.coordinator, delay_us)
         super().__init__(now, settings, seed, builder, lease_us, delay_us, silence_us, self._leases, self._view)
@@ -283,13 +283,11 @@
 
     # -- loads
 
-    def reported(self, calls: Iterable[i.Reported], now: int) -> None:
-        calls = list(calls)
-        for call in calls:
-            destination = self.allocator.destination_of(call.endpoint)
-            if destination is not None:
-                self._calls[destination] += 1
-        super().reported(calls, now)
+    def counted(self, calls: Mapping[int, int]) -> None:
+        """Calls that were made since the last report, by destination."""
+        for destination, count in calls.items():
+            if count > 0:
+                self._calls[destination] += count
 
     def _weigh(self, now: int) -> None:
         """Calls a second of each destination with traffic, to the coordinator."""
--- a/scalefall/control/edge/reports.py
+++ b/scalefall/control/edge/reports.py
@@ -37,7 +37,9 @@
 class Index:
     """The endpoints of a fleet as load reports name them."""
 
-    def __init__(self, entries: Iterable[Entry]) -> None:
+    def __init__(self, entries: Iterable[Entry], most_reported: int = MOST_REPORTED) -> None:
+        """most_reported: calls of one endpoint and outcome in one report that the module is told one by one."""
+        self._most = most_reported
         self._ids: dict[Place, str] = {}
         self._zones: dict[tuple[int, str], list[str]] = {}
         for entry in entries:
@@ -45,6 +47,17 @@
             self._ids[end.destination, *entry.address] = end.id
             self._zones.setdefault((end.destination, end.zone), []).append(end.id)
 
+    @staticmethod
+    def loads(stats: Iterable[load_report_pb2.ClusterStats]) -> dict[int, int]:
+        """Calls that were issued, by destination: all of them, however many the module is told one by one."""
+        found: dict[int, int] = {}
+        for cluster in stats:
+            route = resources.destination(cluster.cluster_name)
+            if route is not None:
+                calls = sum(_issued(locality) for locality in cluster.upstream_locality_stats)
+                found[route] = found.get(route, 0) + calls
+        return found
+
     def events(self, stats: Iterable[load_report_pb2.ClusterStats], now: int) -> Iterator[i.Reported]:
         """What is of no cluster or endpoint of ours says nothing."""
         for cluster in stats:
@@ -58,14 +71,22 @@
                         at = row.address.socket_address
                         name = self._ids.get((route, at.address, at.port_value))
                         if name is not None:
-                            yield from _calls([name], row, now, max(0, span))
+                            yield from _calls([name], row, now, max(0, span), self._most)
                 else:
                     names = self._zones.get((route, locality.locality.zone))
                     if names:
-                        yield from _calls(names, locality, now, max(0, span))
+                        yield from _calls(names, locality, now, max(0, span), self._most)
+
+
+def _issued(row: load_report_pb2.UpstreamLocalityStats) -> int:
+    """Clients that tell no number of issued calls tell how those that ended did."""
+    return row.total_issued_requests or sum(
+        end.total_issued_requests or end.total_successful_requests + end.total_error_requests
+        for end in row.upstream_endpoint_stats or (row,)
+    )
 
 
-def _calls(names: list[str], row: object, now: int, span_us: int) -> Iterator[i.Reported]:
+def _calls(names: list[str], row: object, now: int, span_us: int, most: int) -> Iterator[i.Reported]:
     """Failures last, so that they aren't taken back by successes of the same report; successes count as sent at its
     beginning and failures at its end, which is the cautious side of both."""
     ends, report, wait = {}, {}, 0
@@ -82,11 +103,11 @@
             ends[ENDS[name.removeprefix(PREFIX)]] = count
     ends[i.Outcome.ERROR] = max(0, row.total_error_requests - sum(ends.values()))
     at = 0
-    for _ in range(min(MOST_REPORTED, row.total_successful_requests)):
+    for _ in range(min(most, row.total_successful_requests)):
         yield i.Reported(names[at % len(names)], now - span_us, i.Outcome.OK, 0, report)
         at += 1
     for outcome, count in ends.items():
-        for _ in range(min(MOST_REPORTED, count)):
+        for _ in range(min(most, count)):
             yield i.Reported(names[at % len(names)], now, outcome, wait, report)
             at += 1
     if wait and not any(ends.values()):
--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from scalefall.assignment.coordinator import SETTLE_US, Coordinator, CoordinatorSettings
+from scalefall.assignment.coordinator import MEASURED_US, SETTLE_US, Coordinator, CoordinatorSettings
 from scalefall.assignment.holder import ShardHolder
 from scalefall.assignment.loads import AVERAGED_US
 from scalefall.assignment.model import UNLIMITED, WHOLE, AssignmentError, Node, ShardGrant
@@ -45,7 +45,8 @@
     def __init__(self):
         self.asked = []
 
-    def __call__(self, table, loads, nodes, limits, shards):
+    def __call__(self, table, loads, nodes, limits, shards, may_move):
+        self.may_move = may_move
         self.asked.append((dict(loads), [node.name for node in nodes]))
         names = [node.name for node in nodes]
         placed = {shard: [name for name in table.get(shard, ()) if name in names] for shard in shards}
@@ -180,6 +181,33 @@
     assert not coordinator.serves("a", 3) and coordinator.take_changed() == {"a": frozenset(range(6))}
 
 
+def test_a_replacement_that_comes_while_a_lost_node_may_come_back_is_placed_with_its_loss():
+    site = running("a/1", "b/1")
+    asked, lost_at = len(site.place.asked), site.now
+    site.loses("a/1")
+    site.until(lost_at + S)
+    site.joins("c/1")
+    site.until(lost_at + SETTINGS.restart_us - 1)
+    assert len(site.place.asked) == asked
+    site.until(lost_at + SETTINGS.restart_us)
+    assert site.place.asked[asked:] == [({}, ["b", "c"])]
+
+
+def test_nothing_moves_for_balance_before_loads_have_been_measured_long_enough():
+    site = running("a/1", "b/1")
+    assert site.place.may_move  # a first table, balanced by number
+    begun, seen = site.now, []
+    while site.now <= begun + MEASURED_US + SETTINGS.rebalance_us:
+        site.coordinator.loaded({1: 5.0}, site.now)
+        site.until(site.now + SETTINGS.rebalance_us)
+        seen.append(site.place.may_move)
+    assert seen[0] is False and seen[-1] is True and seen.index(True) * SETTINGS.rebalance_us >= MEASURED_US - S
+    after = Site(state=site.coordinator.state(), now=site.now, number=site.coordinator.number)
+    after.joins("a/2", "b/2")
+    after.until(after.now + QUIET + SETTINGS.restart_us)
+    assert after.place.asked and not after.place.may_move
+
+
 def test_of_two_processes_of_a_node_the_one_that_joined_last_holds():
     site = running("a/1", "b/1")
     mine = site.held("a/1")
