--- a/tests/assignment/test_coordinator.py
+++ b/tests/assignment/test_coordinator.py
@@ -140,7 +140,7 @@
     epochs = {shard: site.holders["a/1"].epoch(shard) for shard in site.held("a/1")}
     site.loses("a/1")
     site.coordinator.lost("a/1", site.now)  # told again
-    site.until(site.now + S // 2)
+    site.until(site.now + LEASE * 3 // 5)  # past its renewal, and within its lease
     site.joins("a/1")
     site.until(site.now + LEASE)
     assert {shard: site.holders["a/1"].epoch(shard) for shard in site.held("a/1")} == epochs
--- a/tests/assignment/test_shard_ledger.py
+++ b/tests/assignment/test_shard_ledger.py
@@ -144,10 +144,10 @@
             self.targets.pop(OWN[destination], None)
             self.goes_on(span, delays)
 
-    @precondition(lambda self: self.now > self.began + 2 * (LEASE + DELAY))
+    @precondition(lambda self: self.now >= self.began + LEASE + DELAY)
     @rule(keeps=st.booleans())
     def the_service_restarts(self, keeps):
-        """Another one goes on, with the table of the one before or with none."""
+        """Another one goes on, with the table of the one before or with another."""
         self.generation, self.began = self.generation + 1, self.now
         sent = [row[2].number for row in self.wire if row[1] == "grant"]
         had = [number for holder in self.holders.values() for number in holder.acknowledgements().values()]
@@ -156,7 +156,9 @@
         for name in self.live:
             self.ledger.join(name)
         if not keeps:
-            self.isolated, self.targets = set(), {}
+            names = sorted(self.live)
+            self.isolated = set()
+            self.targets = {shard: {names[-1 - shard % len(names)]: WHOLE} for shard in range(SHARDS) if names}
         for destination in self.isolated:
             self.ledger.isolate(destination, shard_of(destination), OWN[destination])
         for destination, row in self.allowances.items():
@@ -258,11 +260,14 @@
     assert shares(ledger.turn(LEASE + DELAY))[("c", 1)] == WHOLE // 2
 
 
-def test_a_new_tenure_is_told_every_limit_whatever_was_acknowledged_in_the_one_before():
+@pytest.mark.parametrize("heard", [True, False])
+def test_a_new_tenure_is_told_every_limit_whatever_was_acknowledged_in_the_one_before(heard):
     ledger = started("a")
     ledger.limit(7, 1, 1000)
     ledger.assign(1, {"a": WHOLE})
     first = ledger.turn(0)
+    if heard:
+        acknowledge(ledger, first, 1)
     ledger.assign(1, {})
     withdrawal = ledger.turn(1)
     ledger.assign(1, {"a": WHOLE})
