The ramp of a returning destination holds for the fleet at small limits and after a told wait

Cause: after its ramp a sender went on at FIRST_RATE, and each counts its ramp from before its own first success (_guard); a refusal was passed over where a call sent before it had been answered since, also if it told a wait longer than the fall time (_failed).

--- a/scalefall/policy.py
+++ b/scalefall/policy.py
@@ -584,8 +584,8 @@
         """The one whose budget a call draws from: the route's while it is on, for all its endpoints."""
         for guard in (route.guard, server.guard):
             if guard.doubts and 0 <= guard.warm_from <= self.now - self.set.cold_us:
-                guard.doubts, guard.warm_from, route.tokens = 0, -1, 0.0
-                route.rate = min(route.rate, max(FIRST_RATE, route.guard.part, guard.part))    # no burst
+                guard.doubts, guard.warm_from, route.tokens = 0, -1, 0.0    # no burst
+                route.rate = min(route.rate, max(self._even_part(route), route.guard.part, guard.part))
         return route.guard if route.guard.doubts else server.guard
 
     def _tokens(self, route: Route) -> float:
@@ -795,7 +795,7 @@
         server, route = call.server, call.server.route
         part = self._part(route)
         for guard, among in ((server.guard, len(route.servers)), (route.guard, 1)):
-            if guard.last_ok > call.sent:
+            if guard.last_ok > call.sent and wait_us <= self.set.fall_us:  # longer: it is shut
                 continue
             if not guard.doubts:
                 guard.part = part / max(1, among)
