--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -6,6 +6,7 @@
     ... --write-reference    the figures of this run are the page's from now on (docs/capacity/reference.json)
     ... --out FOLDER         tables and plots go there; without it docs/capacity, or a temporary folder if quick
     ... --workers N          measurements at a time, at most 4
+    ... --plays FILE ...     plays with destinations divided that `python -m benchmarks.scaling.divided` printed before
 
 Each check is a line with its value, its bound and its verdict: fits; over, no worse (a budget that is known not to
 fit); or FAILED. The last line counts them; the exit code is 1 if any failed.
@@ -14,6 +15,7 @@
 from __future__ import annotations
 
 import argparse
+import json
 import pathlib
 import queue
 import subprocess
@@ -24,7 +26,7 @@
 if str(ROOT) not in sys.path:
     sys.path.insert(0, str(ROOT))
 
-from benchmarks.scaling import calibrate, checks, output, reckoning, run  # noqa: E402
+from benchmarks.scaling import calibrate, checks, divided, output, reckoning, run  # noqa: E402
 
 CAPACITY = ROOT / "docs" / "capacity"
 REFERENCE = CAPACITY / "reference.json"
@@ -35,7 +37,8 @@
 
 def measure(options: argparse.Namespace, mode: str) -> list[checks.Check]:
     """All roles; their tables and plots are written, and the reference if that is asked for."""
-    found = run.measured(mode, options.workers, REFERENCE_ROUNDS if options.write_reference else 1)
+    plays = [json.loads(path.read_text()) for path in options.plays] if options.plays is not None else None
+    found = run.measured(mode, options.workers, REFERENCE_ROUNDS if options.write_reference else 1, plays)
     reference = checks.read_reference(REFERENCE, mode)
     if options.write_reference:
         step_ns = found.step_ns
@@ -45,7 +48,7 @@
     figures = found.all_figures()
     slopes = reckoning.Slopes(figures)
     rows = reckoning.by_traffic(slopes, step_ns, found.touched)
-    budgets = reckoning.budgets(rows)
+    budgets = reckoning.budgets(rows) + divided.budgets(found.divided)
     if options.write_reference:
         reference = checks.made_reference(step_ns, figures, budgets)
         checks.write_reference(REFERENCE, mode, reference)
@@ -53,8 +56,10 @@
     folder = _folder(options, mode)
     facts = {"run": found.sample, "reckoned for the same size": same_size, "step_ns": step_ns}
     output.write(folder, mode, figures, rows, facts)
+    output.write_divided(folder, mode, found.divided)
     lines = output.figure_lines(figures) + output.reckoned_lines(rows)
-    print("\n".join(lines + output.sample_lines(found.sample, same_size)))
+    lines += output.sample_lines(found.sample, same_size) + output.divided_lines(found.divided)
+    print("\n".join(lines))
     print(f"\nTables and plots: {folder}; processor times are told by a step of {step_ns:.1f} ns\n")
     return [checks.check_figure(each, reference) for each in figures] + [
         checks.check_budget(each, reference) for each in budgets
@@ -89,6 +94,7 @@
     parser.add_argument("--calibrate", action="store_true")
     parser.add_argument("--write-reference", action="store_true")
     parser.add_argument("--out", type=pathlib.Path)
+    parser.add_argument("--plays", type=pathlib.Path, nargs="*")
     parser.add_argument("--workers", type=int, default=WORKERS, choices=range(1, run.MOST_WORKERS + 1))
     options = parser.parse_args()
     made: list[checks.Check] = []
--- a/benchmarks/scaling/checks.py
+++ b/benchmarks/scaling/checks.py
@@ -18,6 +18,7 @@
 
 EXACT = 0.10  # bytes and memory
 TIME = 0.50  # a ratio of processor times
+NEARLY = 1 / (1 + TIME)  # of its budget
 TOLERANCE = {Quantity.BYTES: EXACT, Quantity.MEMORY: EXACT, Quantity.TIME: TIME}
 
 
@@ -85,11 +86,16 @@
     return Check(budget.name, budget.value, bound, Verdict.FAILED if worse else Verdict.NO_WORSE)
 
 
+def _is_over(budget: Budget) -> bool:
+    """A time that is nearly its budget counts as over: on another run it is."""
+    return budget.value > budget.most * (NEARLY if budget.quantity is Quantity.TIME else 1)
+
+
 def made_reference(step_ns: float, figures: Iterable[Figure], budgets: Iterable[Budget]) -> Reference:
     return Reference(
         step_ns,
         {key(each): each.line.slope for each in figures},
-        {each.name: each.value for each in budgets if each.value > each.most},
+        {each.name: each.value for each in budgets if _is_over(each)},
     )
 
 
--- a/benchmarks/scaling/control_instance.py
+++ b/benchmarks/scaling/control_instance.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections.abc import Callable, Iterator
 
 from benchmarks.scaling.figures import Quantity, Role
@@ -15,7 +16,8 @@
 from scalefall.control.streams import Request, Response, Stream
 from scalefall.lab.hollow import configuration
 from scalefall.lab.hollow.clock import SECOND
-from scalefall.lab.hollow.control import ControlOptions
+from scalefall.control.service import Builder
+from scalefall.lab.hollow.control import ControlOptions, make_service
 from scalefall.net.config import Fleet
 from scalefall.policy import Sender
 
@@ -120,6 +122,25 @@
     return [build, update]
 
 
+def configured(mode: str) -> list[Series]:
+    """A configuration that drains one endpoint, or has it back, taken in by a service that has all the others."""
+    series = Series(ROLE, "configuration, one changed", Quantity.TIME, "steps a destination", "destinations")
+    for count in CATALOG[mode]:
+        service = make_service(0, configuration.settings(), _builder(), OPTIONS)
+        service.configure(configuration.configuration(count), 0)
+        changes = itertools.cycle([configuration.configuration(count, {1}), configuration.configuration(count)])
+        series.add(count, steps_of(lambda service, changes: service.configure(next(changes), SECOND), service, changes))
+    return [series]
+
+
+def _builder() -> Builder:
+    settings = configuration.settings()
+    return Builder(
+        lambda rows, routes: resources.fixed(rows, routes, settings),
+        lambda number, rows, allowed, now: resources.endpoints(number, rows, allowed, now, TTL_US),
+    )
+
+
 def catalog_memory(mode: str) -> list[Series]:
     series = Series(ROLE, "catalog", Quantity.MEMORY, "bytes a destination", "destinations")
     for count in CATALOG[mode]:
--- a/benchmarks/scaling/divided.py
+++ b/benchmarks/scaling/divided.py
@@ -14,13 +14,17 @@
 import json
 import random
 import resource
+import subprocess
 import sys
 import time
 from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
+from typing import Any
 
-from benchmarks.scaling import watch
+from benchmarks.scaling import target, watch
+from benchmarks.scaling.checks import Budget
 from benchmarks.scaling.demand import Demand
+from benchmarks.scaling.figures import Quantity
 from scalefall.assignment.assembly import AssignmentSettings
 from scalefall.lab.hollow import configuration
 from scalefall.lab.hollow.control import ControlOptions
@@ -33,6 +37,7 @@
 SHARDS = 16  # for each sender
 REPLICA_PART = 0.25  # of a sender's mean load: above it a shard has more holders (docs/design/assignment.md)
 MOVE_AFTER_US = 3 * SECOND
+LOAD_RATIO, MOVED = 1.25, 1.2  # aims
 REPORT_US = 60 * SECOND  # between load reports
 WARM_US = 200 * SECOND  # until loads are measured and shards balanced by them
 REST_US = 60 * SECOND
@@ -49,7 +54,8 @@
     machines: int
 
 
-SIZES = {"quick": Size(48, 4_000, 6, 1), "full": Size(900, 420_000, 150, 2)}
+EXPONENTS = {"quick": (0.8,), "full": (0.8, 1.1)}
+SIZES = {"quick": Size(32, 3_000, 4, 1), "full": Size(900, 420_000, 150, 2)}
 
 
 @dataclass(slots=True)
@@ -238,6 +244,41 @@
     return result
 
 
+def facts(mode: str) -> list[dict[str, Any]]:
+    """One play for each exponent, each in a process of its own, as one shows its peak memory."""
+    command = [sys.executable, "-m", "benchmarks.scaling.divided", mode]
+    plays = [
+        subprocess.Popen([*command, f"{exponent}"], stdout=subprocess.PIPE, text=True) for exponent in EXPONENTS[mode]
+    ]
+    return [json.loads(play.communicate()[0]) for play in plays]
+
+
+def budgets(plays: list[dict[str, Any]]) -> list[Budget]:
+    """What is held against the target's budgets and aims, by exponent."""
+    return [
+        Budget(f"divided, Zipf {play['exponent']}: {name}", *row) for play in plays for name, *row in _budget_rows(play)
+    ]
+
+
+def _budget_rows(play: dict[str, Any]) -> list[tuple[str, Quantity, float, float, str]]:
+    failures = play["failures"].values()
+    moved, had_to = sum(row["moved"] for row in failures), sum(row["lost"] + row["filled"] for row in failures)
+    in_failures = max(row["bytes_worst"] for row in failures)
+    sender, control = max(row["sender_cores"] for row in failures), max(row["control_cores"] for row in failures)
+    change, zone_change = play["change_s"] + play["change_control_s"], play["change_zone_s"] + play["change_control_s"]
+    return [
+        ("most loaded sender over the mean", Quantity.BYTES, play["load_ratio"], LOAD_RATIO, "times"),
+        ("destinations moved over the least", Quantity.BYTES, moved / max(1, had_to), MOVED, "times"),
+        ("sender, link at rest, worst", Quantity.BYTES, play["rest_bytes_worst"], target.WIRE, "bytes/s"),
+        ("sender, link in failures, worst", Quantity.BYTES, in_failures, target.WIRE, "bytes/s"),
+        ("sender, state", Quantity.MEMORY, play["sender_bytes"], target.MEMORY, "bytes"),
+        ("sender, processor", Quantity.TIME, sender, target.CORE, "cores"),
+        ("control, processor", Quantity.TIME, control, target.MACHINES, "cores"),
+        ("change in force everywhere", Quantity.TIME, change, target.IN_FORCE_S, "s"),
+        ("change in force everywhere, zone lost", Quantity.TIME, zone_change, target.IN_FORCE_S, "s"),
+    ]
+
+
 def main(mode: str, exponent: str) -> None:
     print(json.dumps(asdict(played(mode, float(exponent)))))
 
--- a/benchmarks/scaling/job.py
+++ b/benchmarks/scaling/job.py
@@ -5,7 +5,16 @@
 import json
 import sys
 
-from benchmarks.scaling import control_instance, failures, lists, sample, sender_control, sender_messages, touched
+from benchmarks.scaling import (
+    control_instance,
+    divided,
+    failures,
+    lists,
+    sample,
+    sender_control,
+    sender_messages,
+    touched,
+)
 from benchmarks.scaling.processor import step_ns
 
 JOBS = {  # the longest first, so that they do not begin last
@@ -15,6 +24,7 @@
     "granted": sender_control.granted,
     "allocator": control_instance.allocator,
     "catalog": control_instance.catalog,
+    "configured": control_instance.configured,
     "grants": control_instance.grants,
     "streams": control_instance.streams,
     "list-change": sender_control.list_change,
@@ -28,7 +38,7 @@
     "listed-memory": sender_control.listed,
     "held-memory": sender_messages.held,
 }
-FACTS = {"sample": sample.run, "touched": lambda mode: touched.touched()}  # not slopes
+FACTS = {"divided": divided.facts, "sample": sample.run, "touched": lambda mode: touched.touched()}  # not slopes
 TIMED = (
     "failures",
     "failures-lost",
@@ -36,6 +46,7 @@
     "granted",
     "allocator",
     "catalog",
+    "configured",
     "grants",
     "streams",
     "list-change",
--- a/benchmarks/scaling/output.py
+++ b/benchmarks/scaling/output.py
@@ -74,6 +74,38 @@
     return lines
 
 
+def write_divided(folder: Path, mode: str, plays: list[dict[str, Any]]) -> None:
+    """Plays with destinations divided among senders."""
+    _json(folder / "with-assignment.json", {"mode": mode, "plays": _rounded(plays)})
+
+
+def divided_lines(plays: list[dict[str, Any]]) -> list[str]:
+    """One table a play."""
+    return [line for play in plays for line in _play_lines(play)]
+
+
+def _play_lines(play: dict[str, Any]) -> list[str]:
+    lines = [
+        f"\nDivided: {play['senders']} senders, {play['destinations']:,} destinations, {play['shards']:,} shards and "
+        f"{play['isolated']} isolated destinations, Zipf {play['exponent']}, seed {play['seed']}",
+        f"  most loaded sender {play['load_ratio']:.3f} of the mean",
+        f"  at rest: {play['rest_bytes_p99']:,.0f} bytes/s (p99), {play['rest_bytes_worst']:,.0f} (worst); control "
+        f"{play['rest_control_cores']:.2f} cores; a sender {play['rest_sender_cores']:.3%} of one, and "
+        f"{play['sender_bytes']:,} bytes of state",
+        f"  a change: {play['change_control_s']:.2f} s of control, then in force after {play['change_s']:.3f} s, "
+        f"{play['change_zone_s']:.3f} s while a zone is lost",
+        f"  the play: {play['process_mb']:,.0f} MB, {play['steps_s']:.0f} s",
+    ]
+    for name, row in play["failures"].items():
+        lines.append(
+            f"  {name:<18} x{row['times']:<4} moved {row['moved']:,} (lost {row['lost']:,}, filled {row['filled']:,}); "
+            f"{row['interrupted']:>7,} interrupted, served again after {row['gap_p50']:.1f} s (p50), "
+            f"{row['gap_p99']:.1f} (p99), {row['gap_worst']:.1f} (worst); {row['bytes_p99']:,.0f} bytes/s (p99), "
+            f"{row['bytes_worst']:,.0f} (worst); control {row['control_cores']:.2f} cores"
+        )
+    return lines
+
+
 def _rounded(value: Any) -> Any:
     if isinstance(value, float):
         return float(f"{value:.{DIGITS}g}")
--- a/benchmarks/scaling/reckoning.py
+++ b/benchmarks/scaling/reckoning.py
@@ -106,6 +106,7 @@
     turn = slopes.of(control + "allocator's turn") * target.DESTINATIONS * seconds
     reports = slopes.of(control + "a sender's grants and reports") * touched * target.SENDERS * seconds
     built = slopes.of(control + "catalog, built") * target.DESTINATIONS * seconds
+    changed = slopes.of(control + "configuration, one changed") * target.DESTINATIONS * seconds
     memory = (slopes.of(control + "catalog") + slopes.of(control + "module and ledger")) * target.DESTINATIONS
     memory += slopes.of(control + "grant") * touched * target.SENDERS
     memory += slopes.of(control + "stream") * target.SENDERS
@@ -116,7 +117,8 @@
         Row("control, renewals", EVENTS, touched * target.SENDERS, "a second"),
         Row("control, grants, reports and heartbeats", Quantity.TIME, reports, "cores"),
         Row("control, processor in all", Quantity.TIME, reports + turn / TURN_S, "cores", target.MACHINES),
-        Row("control, a change until it goes out", Quantity.TIME, built, "s", target.IN_FORCE_S),
+        Row("control, a change until it goes out", Quantity.TIME, changed, "s", target.IN_FORCE_S),
+        Row("control, a start until all resources are built", Quantity.TIME, built, "s"),
         Row("control, memory", Quantity.MEMORY, memory, "bytes"),
         Row(
             "region cut, lists asked for when it is back",
--- a/benchmarks/scaling/run.py
+++ b/benchmarks/scaling/run.py
@@ -32,22 +32,25 @@
     step_ns: float  # the smallest of all jobs
     touched: dict[str, dict[str, int]]
     sample: dict[str, Any]
+    divided: list[dict[str, Any]]  # by exponent
 
     def all_figures(self) -> list[Figure]:
         return [figure for name in JOBS for figure in self.figures[name]]
 
 
-def measured(mode: str, workers: int, rounds: int = 1) -> Measured:
-    """Jobs that time something are done so many times and their times merged (least). JobFailed if one fails, after the
-    others have ended."""
+def measured(mode: str, workers: int, rounds: int = 1, plays: list[dict[str, Any]] | None = None) -> Measured:
+    """Jobs that time something are done so many times and their times merged (least). plays: of divided.py;
+    None: they are made here. JobFailed if a job fails, after the others have ended."""
     names = ["sample", *JOBS, "touched"]
+    if plays is None:
+        names.insert(0, "divided")
     results = _jobs([name for name in names for _ in range(rounds if name in TIMED else 1)], mode, workers)
     figures = {
         name: [least(same) for same in zip(*(_figures(row) for job, row in results if job == name))] for name in JOBS
     }
     step_ns = min(row["step_ns"] for _, row in results)
     facts = {name: row["facts"] for name, row in results if name in FACTS}
-    return Measured(figures, step_ns, facts["touched"], facts["sample"])
+    return Measured(figures, step_ns, facts["touched"], facts["sample"], facts.get("divided", plays))
 
 
 def measured_again(found: Measured, suspects: set[str], mode: str, workers: int) -> list[str]:
--- a/tests/scaling/test_checks.py
+++ b/tests/scaling/test_checks.py
@@ -1,6 +1,7 @@
 """The line through measured points, and what a check says of a figure or a budget."""
 
 import json
+import re
 
 import pytest
 
@@ -95,4 +96,7 @@
     one = measured(3, Quantity.TIME)
     again = from_json(json.loads(json.dumps(one.as_json())))
     assert again == one and key(again) == "control-instance: x"
-    assert plot("t", [one]) == plot("t", [again]) and plot("t", [one]).count("<circle") == 3
+    drawn = plot("t", [one])
+    assert (
+        drawn == plot("t", [again]) and len(re.findall("<use [^>]*fill: #1f77b4", drawn)) == 3
+    )  # a marker for each point
