--- a/benchmarks/scale.py
+++ b/benchmarks/scale.py
@@ -67,8 +67,8 @@
 
 
 def _measure_again(found: run.Measured, reference: checks.Reference, mode: str, workers: int) -> None:
-    """Times above their bound are measured anew, and the least at each size is taken: other work on the machine adds to
-    processor time at times, and a program that got slower is slower in each run."""
+    """Times above their bound are measured anew, and the median at each size is taken: other work on the machine
+    disturbs a run, and a program that got slower is slower in most."""
     for _ in range(AGAIN):
         failed = {
             checks.key(each)
@@ -76,7 +76,7 @@
             if checks.key(each) in reference.figures
             and checks.check_figure(each, reference).verdict is checks.Verdict.FAILED
         }
-        names = run.measured_again(found, failed, mode, workers)
+        names = run.measure_again(found, failed, mode, workers)
         if not names:
             return
         print(f"measured again, as a time was above its bound: {', '.join(names)}")
--- a/benchmarks/scaling/failures.py
+++ b/benchmarks/scaling/failures.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass
 
 from benchmarks.scaling.figures import Quantity, Role
-from benchmarks.scaling.processor import Steps
+from benchmarks.scaling.processor import step_ns
 from benchmarks.scaling.series import Series
 from scalefall.lab.hollow import configuration
 from scalefall.lab.hollow.clock import SECOND
@@ -30,7 +30,7 @@
 CALLS = 2.0  # a second of each sender
 REST_US = 4 * SECOND
 WINDOW_US = 8 * SECOND
-SLICE_US = SECOND  # between timings of the fixed loop
+SLICE_US = SECOND // 4  # between timings of the fixed loop
 SETTLE_US = KEEPALIVE_US + 3 * SECOND
 LOOK_US = SECOND // 10  # between looks at who may send again
 RETURN_US = 2 * SECOND  # until what was lost is there again
@@ -127,12 +127,14 @@
 def _cost(fleet: Fleet, span_us: int, even: bool = False) -> _Cost:
     """even: each second takes the same, so that the median of them stands for all."""
     size, messages, unsent = _bytes(fleet), _messages(fleet), _unsent(fleet)
-    slices = []
-    for _ in range(span_us // SLICE_US):
-        steps, spent = Steps(), fleet.control_time.spent
+    seconds, before = [0.0] * (span_us // SECOND), step_ns()
+    for number in range(span_us // SLICE_US):
+        spent = fleet.control_time.spent
         fleet.run_for(SLICE_US)
-        slices.append(steps.of(fleet.control_time.spent - spent))
-    control = statistics.median(slices) * len(slices) if even else sum(slices)
+        after = step_ns()
+        seconds[number * SLICE_US // SECOND] += (fleet.control_time.spent - spent) / min(before, after)
+        before = after
+    control = statistics.median(seconds) * len(seconds) if even else sum(seconds)
     return _Cost(_bytes(fleet) - size, _messages(fleet) - messages, control, _unsent(fleet) - unsent)
 
 
--- a/benchmarks/scaling/run.py
+++ b/benchmarks/scaling/run.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import statistics
 import subprocess
 import sys
 from collections.abc import Sequence
@@ -28,48 +29,49 @@
 
 @dataclass(slots=True)
 class Measured:
-    figures: dict[str, list[Figure]]  # by job
+    runs: dict[str, list[list[Figure]]]  # by job, the figures of each run
     step_ns: float  # the smallest of all jobs
     touched: dict[str, dict[str, int]]
     sample: dict[str, Any]
     divided: list[dict[str, Any]]  # by exponent
 
     def all_figures(self) -> list[Figure]:
-        return [figure for name in JOBS for figure in self.figures[name]]
+        """One of each, of all its runs."""
+        return [middle(same) for name in JOBS for same in zip(*self.runs[name])]
 
 
 def measured(mode: str, workers: int, rounds: int = 1, plays: list[dict[str, Any]] | None = None) -> Measured:
-    """Jobs that time something are done so many times and their times merged (least). plays: of divided.py;
-    None: they are made here. JobFailed if a job fails, after the others have ended."""
+    """Jobs that time something are done so many times and middle() is taken. plays: of divided.py; None: they are made
+    here. JobFailed if one fails, after the others have ended."""
     names = ["sample", *JOBS, "touched"]
     if plays is None:
         names.insert(0, "divided")
     results = _jobs([name for name in names for _ in range(rounds if name in TIMED else 1)], mode, workers)
-    figures = {
-        name: [least(same) for same in zip(*(_figures(row) for job, row in results if job == name))] for name in JOBS
-    }
+    runs = {name: [_figures(row) for job, row in results if job == name] for name in JOBS}
     step_ns = min(row["step_ns"] for _, row in results)
     facts = {name: row["facts"] for name, row in results if name in FACTS}
-    return Measured(figures, step_ns, facts["touched"], facts["sample"], facts.get("divided", plays))
+    return Measured(runs, step_ns, facts["touched"], facts["sample"], facts.get("divided", plays))
 
 
-def measured_again(found: Measured, suspects: set[str], mode: str, workers: int) -> list[str]:
-    """Does the jobs anew that timed one of these figures (checks.key), and merges. The names of the jobs."""
+def measure_again(found: Measured, suspects: set[str], mode: str, workers: int) -> list[str]:
+    """Does the jobs anew that timed one of these figures (checks.key); their names."""
     names = [
-        name for name in TIMED if any(key(each) in suspects for each in found.figures[name] if each.quantity is TIME)
+        name for name in TIMED if any(key(each) in suspects for each in found.runs[name][0] if each.quantity is TIME)
     ]
     for name, row in _jobs(names, mode, workers):
-        found.figures[name] = [least(same) for same in zip(found.figures[name], _figures(row))]
+        found.runs[name].append(_figures(row))
     return names
 
 
-def least(figures: Sequence[Figure]) -> Figure:
-    """One figure of several runs. Of a time the least at each size: what else a machine does only adds to it. What is
-    counted is the first run's."""
+def middle(figures: Sequence[Figure]) -> Figure:
+    """One figure of several runs. Of a time the median at each size (the lower one of two): other work on the machine
+    makes it come out too high, or too low where it met the fixed loop. What is counted is the first run's."""
     first = figures[0]
     if first.quantity is not TIME:
         return first
-    points = [min(same, key=lambda point: point[1]) for same in zip(*(each.points for each in figures))]
+    points = []
+    for same in zip(*(each.points for each in figures)):
+        points.append((same[0][0], statistics.median_low(value for _, value in same)))
     return figure(first.role, first.name, first.quantity, first.unit, first.sizes, points)
 
 
--- a/tests/scaling/test_checks.py
+++ b/tests/scaling/test_checks.py
@@ -18,7 +18,7 @@
 from benchmarks.scaling.figures import Quantity, Role, figure, from_json
 from benchmarks.scaling.fit import fit
 from benchmarks.scaling.plots import plot
-from benchmarks.scaling.run import least
+from benchmarks.scaling.run import middle
 
 KINDS = {"bytes": Quantity.BYTES, "memory": Quantity.MEMORY, "time": Quantity.TIME}
 
@@ -85,11 +85,11 @@
     assert read_reference(path, "quick") == one and read_reference(path, "other").figures == {}
 
 
-def test_of_several_runs_the_least_time_at_each_size_counts_and_what_is_counted_stays():
-    one, other = [(1, 5), (2, 7), (4, 30)], [(1, 9), (2, 7), (4, 11)]
-    for quantity, points in ((Quantity.TIME, ((1, 5), (2, 7), (4, 11))), (Quantity.BYTES, tuple(one))):
-        runs = [figure(Role.CONTROL, "x", quantity, "a unit", "units", rows) for rows in (one, other)]
-        assert least(runs).points == points and least(runs).line == fit(points)
+def test_of_several_runs_the_median_time_at_each_size_counts_and_what_is_counted_stays():
+    one, two, three = [(1, 5), (2, 7), (4, 30)], [(1, 9), (2, 8), (4, 11)], [(1, 6), (2, 1), (4, 12)]
+    for quantity, points in ((Quantity.TIME, ((1, 6), (2, 7), (4, 12))), (Quantity.BYTES, tuple(one))):
+        runs = [figure(Role.CONTROL, "x", quantity, "a unit", "units", rows) for rows in (one, two, three)]
+        assert middle(runs).points == points and middle(runs).line == fit(points)
 
 
 def test_a_figure_goes_through_json_and_a_plot_is_the_same_each_time():
