--- a/benchmarks/scaling/divided.py
+++ b/benchmarks/scaling/divided.py
@@ -1,6 +1,6 @@
 """Destinations divided among hollow senders at the target size: a day's failures, one after the other.
 
-    .venv/bin/python -m benchmarks.scaling.divided quick|full EXPONENT
+    .venv/bin/python -m benchmarks.scaling.divided quick|quarter|full EXPONENT
 
 A day has 150 processes restarted or replaced and 2 machines that fail; here they come a few seconds apart, then a
 rack, a zone and control itself. Traffic is benchmarks/scaling/demand.py's. Of the calls that succeed the module is told
@@ -55,7 +55,7 @@
 
 
 EXPONENTS = {"quick": (0.8,), "full": (0.8, 1.1)}
-SIZES = {"quick": Size(32, 3_000, 4, 1), "full": Size(900, 420_000, 150, 2)}
+SIZES = {"quick": Size(32, 3_000, 4, 1), "quarter": Size(225, 105_000, 38, 1), "full": Size(900, 420_000, 150, 2)}
 
 
 @dataclass(slots=True)
