--- a/scalefall/assignment/assembly.py
+++ b/scalefall/assignment/assembly.py
@@ -12,6 +12,8 @@
 from scalefall.assignment.placement import Limits, Plan, Table
 from scalefall.assignment.sharding import Sharding
 
+BOUND = 1.15  # of a sender's measured load over the mean: true loads stray from it, and are to stay within 1.25
+
 
 @dataclass(slots=True, frozen=True)
 class AssignmentSettings:
@@ -85,7 +87,7 @@
                 settings.lease_us,
                 settings.delay_us,
                 settings.restart_us,
-                limits=Limits(replica_load=settings.replica_load),
+                limits=Limits(BOUND, settings.replica_load),
             ),
             self._placement,
             Sharding(settings.shards, kept.isolated if kept else None),
--- a/scalefall/assignment/coordinator.py
+++ b/scalefall/assignment/coordinator.py
@@ -26,11 +26,11 @@
 from scalefall.assignment.coverage import Coverage
 from scalefall.assignment.fleet import Fleet, node_of
 from scalefall.assignment.ledger import ShardLedger
-from scalefall.assignment.loads import AVERAGED_US, LoadMeans
+from scalefall.assignment.loads import LoadMeans
 from scalefall.assignment.model import WHOLE, AssignmentError, Node, ShardGrant
 from scalefall.assignment.shard import NEVER
 
-MEASURED_US = 2 * AVERAGED_US  # a mean of so many reports is near enough to move shards by
+MEASURED_US = 120_000_000  # four reports on all senders: near enough to move shards by
 SETTLE_US = 1_000_000  # a zone's streams end within a heartbeat interval of each other: one decision for all of them
 
 Table = Mapping[int, tuple[str, ...]]  # shard -> names of the nodes that hold it
--- a/scalefall/assignment/loads.py
+++ b/scalefall/assignment/loads.py
@@ -13,7 +13,7 @@
 
 from scalefall.assignment.model import AssignmentError
 
-AVERAGED_US = 60_000_000  # two placements at their usual interval: one burst moves nothing by itself
+AVERAGED_US = 300_000_000  # ten placements at their usual interval: bursts of half a minute move next to nothing
 LEAST_CALLS = 0.001  # calls a second: a mean below it is idle, and forgotten
 MOST_DESTINATIONS = 1_000_000  # more than twice those of the size aimed at; more are not recorded until some are idle
 RESCALE = 1e-100  # the factor is folded into the values before it runs out of a float's range
