--- /dev/null
+++ b/benchmarks/scaling/calibrate.py
@@ -0,0 +1,231 @@
+"""The model held against processes: one control and one stand-in sender on sockets, and one hollow sender.
+
+Both get the same site, traffic of the same rate and the same hour's changes (25, the rate of 600 a day), played within
+SPAN_S after the sender has opened its streams. The stand-in counts what it writes and reads; messages and bytes have to
+agree within WIRE and what the contract keeps within STATE. Partners in threads here answer its calls.
+"""
+
+from __future__ import annotations
+
+import json
+import pathlib
+import queue
+import random
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from benchmarks.scaling.checks import Check, Verdict
+from scalefall.cli.run import configuration
+from scalefall.lab.hollow.clock import SECOND, VirtualClock
+from scalefall.lab.hollow.control import Control, ControlOptions
+from scalefall.lab.hollow.link import Link
+from scalefall.lab.hollow.sender import HollowSender
+from scalefall.lab.hollow.stopwatch import Stopwatch
+from scalefall.lab.proxy.meter import Meter
+from scalefall.lab.sizes import deep_size
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+ROUTES = 20
+CHANGES, SPAN_S = 25, 30.0
+LOAD = 400.0  # messages a second: each route is in nearly every load report
+QUIET_S = 3.5  # from control's start to the sender's: it grants from the beginning
+LONG_S = 30.0  # that anything may take
+WIRE, STATE = 0.05, 0.10
+SEED = 17
+
+
+@dataclass(slots=True, frozen=True)
+class Side:
+    """What one of the two has counted."""
+
+    messages: dict[str, dict[str, list[int]]]  # by direction and kind: messages, bytes
+    state: int
+    fallen: float  # share of its messages for which it had no trusted list or no grant
+
+
+@dataclass(slots=True, frozen=True)
+class Schedule:
+    """Times in us from the opening of the sender's streams."""
+
+    changes: list[int]
+    end: int
+
+
+def checked() -> list[Check]:
+    """Both sides played, printed side by side and compared."""
+    with tempfile.TemporaryDirectory() as name:
+        folder = pathlib.Path(name)
+        ports = [_partner() for _ in range(ROUTES)]
+        real, schedule = _real(folder, ports)
+        hollow = _hollow(folder, ports, schedule)
+    found = []
+    print(f"\n{'Calibration':<32}{'real':>12}{'hollow':>12}")
+    for direction, kinds in real.messages.items():
+        for kind, counted in kinds.items():
+            for what, one, other in zip(("messages", "bytes"), counted, hollow.messages[direction][kind]):
+                found.append(_check(f"{kind} {direction}, {what}", one, other, WIRE))
+    print(f"{'messages fallen back':<32}{real.fallen:>12.1%}{hollow.fallen:>12.1%}  (told, not checked)")
+    found.append(_check("contract's state, bytes", real.state, hollow.state, STATE))
+    return found
+
+
+def _check(name: str, real: int, hollow: int, tolerance: float) -> Check:
+    print(f"{name:<32}{real:>12,}{hollow:>12,}")
+    agrees = abs(real - hollow) <= tolerance * max(real, 1)
+    return Check(
+        f"calibration: {name}, hollow",
+        hollow,
+        f"{real:,} of the processes within {tolerance:.0%}",
+        Verdict.FITS if agrees else Verdict.FAILED,
+    )
+
+
+# -- processes
+
+
+class _Process:
+    """A child whose lines are JSON objects."""
+
+    def __init__(self, *words: str) -> None:
+        self.child = subprocess.Popen(
+            [sys.executable, "-u", "-m", *words], cwd=ROOT, text=True, stdout=subprocess.PIPE, stderr=subprocess.STDOUT
+        )
+        self._ended = self._fallen = 0  # messages of a sender that have ended, and that fell back
+        self._lines: queue.SimpleQueue[str] = queue.SimpleQueue()
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self) -> None:
+        for line in self.child.stdout:
+            self._lines.put(line)
+
+    def event(self, name: str) -> dict:
+        """The next line of this event. queue.Empty if there is none within LONG_S."""
+        until = time.monotonic() + LONG_S
+        while True:
+            line = self._lines.get(timeout=max(0.0, until - time.monotonic()))
+            row = json.loads(line) if line.startswith("{") else {}
+            self._ended += row.get("event") == "ended"
+            self._fallen += row.get("how") == "fallback"
+            if row.get("event") == name:
+                return row
+
+    @property
+    def fallen(self) -> float:
+        return self._fallen / max(1, self._ended)
+
+    def end(self) -> None:
+        if self.child.poll() is None:
+            self.child.terminate()
+        self.child.wait(LONG_S)
+
+
+def _real(folder: pathlib.Path, ports: list[int]) -> tuple[Side, Schedule]:
+    _site(folder, ports, 0)
+    (folder / "state").mkdir()
+    control = _Process(
+        *("scalefall", "control", "--config", str(folder), "--state", str(folder / "state")),
+        *("--plain-text", "--listen", "127.0.0.1:0", "--log-format", "json"),
+    )
+    sender = None
+    try:
+        at = control.event("ready")["listen"]
+        time.sleep(QUIET_S)
+        routes = [str(route) for route in range(1, ROUTES + 1)]
+        sender = _Process(
+            *("scalefall.lab.proxy", "--control", at, "--node", "n0", "--load", str(LOAD), "--count"),
+            *("--routes", *routes, "--class", "often=freely"),
+        )
+        opened, changes = sender.event("opened")["at"], []
+        for number in range(CHANGES):
+            due = opened + int((number + 0.5) * SPAN_S / CHANGES * SECOND)
+            time.sleep(max(0.0, due / SECOND - time.time()))
+            _site(folder, ports, number + 1)
+            control.child.send_signal(signal.SIGHUP)
+            changes.append(time.time_ns() // 1000 - opened)
+        time.sleep(max(0.0, opened / SECOND + SPAN_S - time.time()))
+        sender.child.terminate()
+        counted, fallen = sender.event("counted"), sender.fallen
+    finally:
+        control.end()
+        if sender is not None:
+            sender.end()
+    return Side(counted["messages"], counted["state"], fallen), Schedule(changes, counted["at"] - opened)
+
+
+def _site(folder: pathlib.Path, ports: list[int], changes: int) -> None:
+    """After so many changes: with each another endpoint drains or is back. The file is put in place whole."""
+    rows = [
+        "sender { name t; listen 127.0.0.1:0 }",
+        "class often { aim 3s; deadline 24s; repeat freely }",
+        "kind one { per-call 1 }",
+    ]
+    for route in range(1, ROUTES + 1):
+        turns = (changes + ROUTES - route) // ROUTES  # how often it was this one's turn
+        state = "; state draining" if turns % 2 else ""
+        rows.append(f"pool p{route} {{ kind one; endpoint e {{ at 127.0.0.1:{ports[route - 1]}{state} }} }}")
+        rows.append(f"route {route} {{ pool p{route}; classes often }}")
+    (folder / "new").write_text("\n".join(rows) + "\n")
+    (folder / "new").replace(folder / "site.scale")
+
+
+def _partner() -> int:
+    """The port of one that answers every call."""
+    listener = socket.create_server(("127.0.0.1", 0), backlog=256)
+
+    def serve() -> None:
+        while True:
+            sock, _ = listener.accept()
+            with sock:
+                sock.recv(65536)
+                sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+
+    threading.Thread(target=serve, daemon=True).start()
+    return listener.getsockname()[1]
+
+
+# -- the model
+
+
+def _hollow(folder: pathlib.Path, ports: list[int], schedule: Schedule) -> Side:
+    clock, meter, random_ = VirtualClock(), Meter(), random.Random(SEED)
+
+    def site(changes: int) -> object:
+        _site(folder, ports, changes)
+        return configuration(str(folder), str(folder / "state"), {})[0].config
+
+    first = site(0)
+    control = Control(clock, first.settings, first.fleet, ControlOptions(), Stopwatch())
+    clock.run_for(int(QUIET_S * SECOND))
+    routes = list(range(1, ROUTES + 1))
+    sender = HollowSender(
+        clock,
+        lambda: control,
+        Link(clock, random_, (meter,)),
+        "n0",
+        "0123abcd",
+        routes,
+        random_,
+        Stopwatch(),
+        _traffic(routes, random_),
+    )
+    opened = clock.now
+    sender.start()
+    for number, at in enumerate(schedule.changes):
+        clock.run_until(opened + at)
+        control.configure(site(number + 1).fleet)
+    clock.run_until(opened + schedule.end)
+    outcomes = sender.outcomes
+    fallen = outcomes.fallen / max(1, outcomes.sent + outcomes.refused + outcomes.fallen)
+    return Side(meter.table(), deep_size(sender.contract), fallen)
+
+
+def _traffic(routes: list[int], random_: random.Random) -> Iterator[tuple[int, int]]:
+    while True:
+        yield int(random_.expovariate(LOAD) * SECOND), random_.choice(routes)
--- /dev/null
+++ b/benchmarks/scaling/checks.py
@@ -0,0 +1,108 @@
+"""Checks: budgets, and figures that have to come out as the reference says.
+
+A figure that is counted (bytes, memory) fails if it differs from the reference by more than EXACT either way, as the
+page would be wrong; a time fails if it is more than TIME above it. A budget that is exceeded is listed in the reference
+as over, with its value, and its check is that it does not get worse; it never says that it fits.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from enum import Enum
+from pathlib import Path
+from typing import Any
+
+from benchmarks.scaling.figures import Figure, Quantity
+
+EXACT = 0.10  # bytes and memory
+TIME = 0.50  # a ratio of processor times
+TOLERANCE = {Quantity.BYTES: EXACT, Quantity.MEMORY: EXACT, Quantity.TIME: TIME}
+
+
+class Verdict(Enum):
+    FITS = "fits"
+    NO_WORSE = "over, no worse"
+    FAILED = "FAILED"
+
+
+@dataclass(slots=True, frozen=True)
+class Check:
+    name: str
+    value: float
+    bound: str  # as it is printed
+    verdict: Verdict
+
+    def line(self) -> str:
+        return f"{self.name}: {self.value:,.4g}, bound {self.bound}: {self.verdict.value}"
+
+
+@dataclass(slots=True, frozen=True)
+class Budget:
+    name: str
+    quantity: Quantity
+    value: float
+    most: float
+    unit: str
+
+
+@dataclass(slots=True)
+class Reference:
+    """Of one mode of the benchmark."""
+
+    step_ns: float = 0.0  # of the machine that wrote it: budgets of processor time are told by it
+    figures: dict[str, float] = field(default_factory=dict)
+    over: dict[str, float] = field(default_factory=dict)
+
+
+def key(figure: Figure) -> str:
+    return f"{figure.role.value}: {figure.name}"
+
+
+def check_figure(figure: Figure, reference: Reference) -> Check:
+    """Its slope against the reference's; one that the reference does not have fails."""
+    name, value = key(figure), figure.line.slope
+    known = reference.figures.get(name)
+    if known is None:
+        return Check(name, value, "none written", Verdict.FAILED)
+    tolerance = TOLERANCE[figure.quantity]
+    above = value - known > tolerance * abs(known)
+    below = known - value > tolerance * abs(known) and figure.quantity is not Quantity.TIME
+    bound = f"{known:,.4g} within {tolerance:.0%}" + (" above" if figure.quantity is Quantity.TIME else "")
+    return Check(name, value, bound, Verdict.FAILED if above or below else Verdict.FITS)
+
+
+def check_budget(budget: Budget, reference: Reference) -> Check:
+    known = reference.over.get(budget.name)
+    bound = f"{budget.most:,.4g} {budget.unit}"
+    if budget.value <= budget.most:
+        return Check(budget.name, budget.value, bound, Verdict.FITS)
+    if known is None:
+        return Check(budget.name, budget.value, bound, Verdict.FAILED)
+    worse = budget.value > known * (1 + TOLERANCE[budget.quantity])
+    bound += f" (reference over: {known:,.4g})"
+    return Check(budget.name, budget.value, bound, Verdict.FAILED if worse else Verdict.NO_WORSE)
+
+
+def made_reference(step_ns: float, figures: Iterable[Figure], budgets: Iterable[Budget]) -> Reference:
+    return Reference(
+        step_ns,
+        {key(each): each.line.slope for each in figures},
+        {each.name: each.value for each in budgets if each.value > each.most},
+    )
+
+
+def read_reference(path: Path, mode: str) -> Reference:
+    """An empty one if none was written for this mode."""
+    if not path.exists():
+        return Reference()
+    table = json.loads(path.read_text()).get(mode)
+    return Reference(table["step_ns"], table["figures"], table["over"]) if table else Reference()
+
+
+def write_reference(path: Path, mode: str, reference: Reference) -> None:
+    """The other modes' stay."""
+    tables: dict[str, Any] = json.loads(path.read_text()) if path.exists() else {}
+    tables[mode] = {"step_ns": reference.step_ns, "figures": reference.figures, "over": reference.over}
+    path.write_text(json.dumps(tables, indent=1, sort_keys=True) + "\n")
--- /dev/null
+++ b/benchmarks/scaling/control_instance.py
@@ -0,0 +1,239 @@
+"""Role: a control instance. The allocator's turn, grants, streams with their heartbeats, the catalog."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator
+
+from benchmarks.scaling.figures import Quantity, Role
+from benchmarks.scaling.processor import memory_of, steps_of
+from benchmarks.scaling.series import Series
+from scalefall import interface as i
+from scalefall.control.allocator import UNLIMITED, Allocator
+from scalefall.control.catalog import EDS, Catalog
+from scalefall.control.edge import resources, wire
+from scalefall.control.grants import CALLS, LEAST, Ledger
+from scalefall.control.streams import Request, Response, Stream
+from scalefall.lab.hollow import configuration
+from scalefall.lab.hollow.clock import SECOND
+from scalefall.lab.hollow.control import ControlOptions
+from scalefall.net.config import Fleet
+from scalefall.policy import Sender
+
+ROLE = Role.CONTROL
+OPTIONS = ControlOptions()
+QUIET_US = OPTIONS.lease_us + OPTIONS.delay_us
+RENEW_US = OPTIONS.lease_us // 2
+TTL_US = OPTIONS.endpoint_lease_us
+
+DESTINATIONS = {"quick": (2000, 4000, 8000), "full": (105_000, 210_000, 420_000)}
+MEMORY_DESTINATIONS = {"quick": (1000, 2000, 4000), "full": (25_000, 50_000, 100_000)}
+GRANTED = {"quick": (1000, 2000, 4000), "full": (20_000, 40_000, 80_000)}
+HOLDERS = {"quick": (16, 32, 64), "full": (225, 450, 900)}
+HOLDER_DESTINATIONS = 20
+STREAMS = {"quick": (100, 200, 400), "full": (450, 900, 1800)}
+STREAM_NAMES = 3
+NAMES = {"quick": (500, 1000, 2000), "full": (5000, 10_000, 20_000)}
+CATALOG = {"quick": (250, 500, 1000), "full": (10_000, 20_000, 40_000)}
+
+
+def allocator(mode: str) -> list[Series]:
+    """Its turn with 1.1% of the destinations down: the module asked, its rows made into allowances."""
+    series = Series(ROLE, "allocator's turn", Quantity.TIME, "steps a destination", "destinations")
+    for count in DESTINATIONS[mode]:
+        made, clock = _allocator(count), iter(range(QUIET_US + SECOND, 1 << 40, SECOND))
+        series.add(count, steps_of(_turn, made, clock))
+    return [series]
+
+
+def allocator_memory(mode: str) -> list[Series]:
+    series = Series(ROLE, "module and ledger", Quantity.MEMORY, "bytes a destination", "destinations")
+    for count in MEMORY_DESTINATIONS[mode]:
+        series.add(count, memory_of(_allocator, count))
+    return [series]
+
+
+def grants(mode: str) -> list[Series]:
+    """First grants and renewals of one holder, with their messages."""
+    first = Series(ROLE, "first grant", Quantity.TIME, "steps a destination", "destinations of one holder")
+    again = Series(ROLE, "renewal", Quantity.TIME, "steps a destination", "destinations of one holder")
+    size = Series(ROLE, "renewal on the wire", Quantity.BYTES, "bytes a renewal", "destinations of one holder")
+    by_holder = Series(ROLE, "renewal, by holders", Quantity.TIME, "steps a holder", "holders of 20 destinations")
+    for count in GRANTED[mode]:
+        ledger = _ledger(count, 1)
+        given: list[bytes] = []
+        first.add(count, steps_of(_serialized, ledger, iter([QUIET_US]), given, repeats=1))
+        times = iter(range(QUIET_US + RENEW_US, 1 << 40, RENEW_US))
+        again.add(count, steps_of(_serialized, ledger, times, given))
+        size.add(count, sum(map(len, given)))
+    for count in HOLDERS[mode]:
+        ledger = _ledger(HOLDER_DESTINATIONS, count)
+        _serialized(ledger, iter([QUIET_US]), [])
+        times = iter(range(QUIET_US + RENEW_US, 1 << 40, RENEW_US))
+        by_holder.add(count, steps_of(_serialized, ledger, times, []))
+    return [first, again, size, by_holder]
+
+
+def grants_memory(mode: str) -> list[Series]:
+    series = Series(ROLE, "grant", Quantity.MEMORY, "bytes a destination", "destinations of one holder")
+    for count in GRANTED[mode]:
+        series.add(count, memory_of(_granted, count))
+    return [series]
+
+
+def streams(mode: str) -> list[Series]:
+    """A round of heartbeats, or a change sent to all, with the acknowledgements, by streams and by the names of one."""
+    beats = Series(ROLE, "heartbeat", Quantity.TIME, "steps a stream", "streams of 3 names")
+    changes = Series(ROLE, "change, sent", Quantity.TIME, "steps a stream", "streams of 3 names")
+    names = Series(ROLE, "heartbeat, by names", Quantity.TIME, "steps a name", "names of one stream")
+    size = Series(ROLE, "heartbeat on the wire", Quantity.BYTES, "bytes a name", "names of one stream")
+    catalog = _catalog(max(NAMES[mode]), fixed=False)
+    for count in STREAMS[mode]:
+        made, responses = [_stream(catalog, STREAM_NAMES) for _ in range(count)], wire.Responses()
+        beats.add(count, steps_of(_beating(made, responses, [])))
+        changes.add(count, steps_of(_telling(catalog, made, responses)))
+    for count in NAMES[mode]:
+        made, responses, sent = [_stream(catalog, count)], wire.Responses(), []
+        names.add(count, steps_of(_beating(made, responses, sent)))
+        size.add(count, len(sent[0]))
+    return [beats, changes, names, size]
+
+
+def streams_memory(mode: str) -> list[Series]:
+    series = Series(ROLE, "stream", Quantity.MEMORY, "bytes a stream", "streams of 3 names")
+    names = Series(ROLE, "subscribed name", Quantity.MEMORY, "bytes a name", "names of one stream")
+    catalog = _catalog(max(NAMES[mode]), fixed=False)
+    for count in STREAMS[mode]:
+        series.add(count, memory_of(_streams, catalog, count))
+    for count in NAMES[mode]:
+        names.add(count, memory_of(_stream, catalog, count))
+    return [series, names]
+
+
+def catalog(mode: str) -> list[Series]:
+    """Four resources a destination: built whole, and one of them changed."""
+    build = Series(ROLE, "catalog, built", Quantity.TIME, "steps a destination", "destinations")
+    update = Series(ROLE, "catalog, one changed", Quantity.TIME, "steps a destination", "destinations")
+    for count in CATALOG[mode]:
+        build.add(count, steps_of(_catalog, count, repeats=3))
+        made = _catalog(count)
+        update.add(count, steps_of(_updating(made)))
+    return [build, update]
+
+
+def catalog_memory(mode: str) -> list[Series]:
+    series = Series(ROLE, "catalog", Quantity.MEMORY, "bytes a destination", "destinations")
+    for count in CATALOG[mode]:
+        series.add(count, memory_of(_catalog, count))
+    return [series]
+
+
+def _allocator(count: int) -> Allocator:
+    """After what is down was told of, and the first turn in which the ledger looks at all destinations."""
+    module, ledger = Sender(configuration.settings(), 1), Ledger(0, OPTIONS.lease_us, OPTIONS.delay_us)
+    made = Allocator(module, ledger)
+    endpoints = [configuration.entry(number).endpoint for number in range(count)]
+    failed = [
+        i.Reported(configuration.endpoint_id(number), at, i.Outcome.CONNECT_FAILED)
+        for number in range(count)
+        if configuration.is_down(number)
+        for at in (1, 2)
+    ]
+    made.turn(0, [i.Listed(i.ListKind.WHOLE, endpoints)])
+    made.turn(SECOND // 2, failed)
+    made.turn(QUIET_US, [])
+    return made
+
+
+def _ledger(destinations: int, holders: int) -> Ledger:
+    ledger = Ledger(0, OPTIONS.lease_us, OPTIONS.delay_us)
+    for number in range(holders):
+        ledger.join(f"n{number}/i")
+    for destination in range(destinations):
+        ledger.allow(destination, UNLIMITED)
+        for number in range(holders):
+            ledger.want(f"n{number}/i", destination, max(LEAST, CALLS))
+    return ledger
+
+
+def _serialized(ledger: Ledger, times: Iterator[int], into: list[bytes]) -> None:
+    """A turn at the next of the times, and its messages."""
+    into[:] = [
+        wire.grant(grant, {wire.ROUTE: f"{grant.destination}"}, 1).SerializeToString()
+        for grant in ledger.turn(next(times))
+    ]
+
+
+def _granted(count: int) -> Ledger:
+    ledger = _ledger(count, 1)
+    _serialized(ledger, iter([QUIET_US]), [])
+    return ledger
+
+
+def _turn(made: Allocator, clock: Iterator[int]) -> None:
+    made.turn(next(clock), [])
+
+
+def _streams(catalog_: Catalog, count: int) -> list[Stream]:
+    return [_stream(catalog_, STREAM_NAMES) for _ in range(count)]
+
+
+def _catalog(count: int, fixed: bool = True) -> Catalog:
+    fleet: Fleet = configuration.configuration(count)
+    rows = {entry.endpoint.destination: [entry] for entry in fleet.entries}
+    made = resources.fixed(rows, fleet.routes, configuration.settings()) if fixed else []
+    made += [_endpoints(number) for number in fleet.routes]
+    catalog_ = Catalog()
+    catalog_.replace(made)
+    return catalog_
+
+
+def _endpoints(number: int, status: i.Status = i.Status.READY) -> object:
+    return resources.endpoints(number, [configuration.entry(number, status)], [], 0, TTL_US)
+
+
+def _updating(made: Catalog) -> Callable[[], object]:
+    """Changes one set of endpoints to and fro."""
+    full, empty = _endpoints(0), resources.endpoints(0, [], [], 0, TTL_US)
+
+    def change() -> None:
+        other = empty if made.get(full.key) == full else full
+        assert made.update([other]), "nothing has changed"
+
+    return change
+
+
+def _stream(catalog_: Catalog, names: int) -> Stream:
+    """One that has what it asked for and has acknowledged it."""
+    stream = Stream(catalog_, "n", True)
+    (response,) = stream.request(Request(EDS, names=tuple(resources.name(number) for number in range(names))))
+    stream.request(Request(EDS, response.nonce))
+    return stream
+
+
+def _telling(catalog_: Catalog, made: list[Stream], responses: wire.Responses) -> Callable[[], object]:
+    """Tells all streams that one set of endpoints has changed. The catalog's own part is _updating's."""
+    change = _updating(catalog_)
+
+    def tell() -> None:
+        change()
+        for stream in made:
+            (action,) = stream.changed({(EDS, resources.name(0))})
+            responses.bytes(action, True, True)
+            stream.request(Request(EDS, action.nonce))
+
+    return tell
+
+
+def _beating(made: list[Stream], responses: wire.Responses, sent: list[bytes]) -> Callable[[], object]:
+    clock = iter(range(SECOND, 1 << 40, SECOND))
+
+    def beat() -> None:
+        now = next(clock)
+        sent.clear()
+        for stream in made:
+            (action,) = stream.beat(now)
+            assert isinstance(action, Response) and action.beat
+            sent.append(responses.bytes(action, True, True))
+            stream.request(Request(EDS, action.nonce))
+
+    return beat
--- /dev/null
+++ b/benchmarks/scaling/failures.py
@@ -0,0 +1,166 @@
+"""Role: what failures cost, played with hollow senders: control's processor time, messages and bytes, and recovery.
+
+One fleet a size plays the failures one after the other, with rest between them. A failure is told by what its window
+takes in all, to be held against the same span of rest. All senders ask for the same few destinations; one is down.
+"""
+
+from __future__ import annotations
+
+import gc
+import statistics
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from benchmarks.scaling.figures import Quantity, Role
+from benchmarks.scaling.processor import step_ns
+from benchmarks.scaling.series import Series
+from scalefall.lab.hollow import configuration
+from scalefall.lab.hollow.clock import SECOND
+from scalefall.lab.hollow.fleet import Fleet, FleetPlan
+from scalefall.lab.hollow.link import KEEPALIVE_US
+from scalefall.lab.hollow.traffic import AliasTable, independent, zipf_weights
+from scalefall.lab.proxy.meter import Direction, Kind
+
+ROLE = Role.FAILURES
+SENDERS = {"quick": (8, 16, 32), "full": (225, 450, 900)}
+DESTINATIONS = 4
+TOLD = ("process restarted", "process replaced", "zone cut", "control restarted")
+SILENT = ("machine lost", "rack lost", "zone lost")  # control learns of these by its keepalive
+CALLS = 2.0  # a second of each sender
+REST_US = 4 * SECOND
+WINDOW_US = 8 * SECOND
+SLICE_US = SECOND // 4  # between timings of the fixed loop
+SETTLE_US = KEEPALIVE_US + 3 * SECOND
+LOOK_US = SECOND // 10  # between looks at who may send again
+RETURN_US = 2 * SECOND  # until what was lost is there again
+CHANGE_US = 16 * SECOND  # within which a change has to be in force everywhere
+
+
+@dataclass(slots=True)
+class _Cost:
+    bytes: int
+    messages: int
+    control: float  # steps
+    unsent: int  # messages of the traffic that could not go out
+
+
+def lost(mode: str) -> list[Series]:
+    """Machines that are gone without a word."""
+    return _played(mode, SILENT, with_rest=False)
+
+
+def played(mode: str) -> list[Series]:
+    """Rest, a change, and the other failures."""
+    return _played(mode, TOLD, with_rest=True)
+
+
+def _played(mode: str, names: Iterable[str], with_rest: bool) -> list[Series]:
+    found: dict[str, Series] = {}
+
+    def add(name: str, quantity: Quantity, unit: str, size: int, value: float) -> None:
+        found.setdefault(name, Series(ROLE, name, quantity, unit, "senders")).add(size, value)
+
+    for count in SENDERS[mode]:
+        fleet = _fleet(count)
+        fleet.run_for(REST_US)
+        gc.collect()
+        gc.freeze()  # a full collection in one window and none in another is no difference between failures
+        if with_rest:
+            _rest(fleet, count, add)
+        for name in names:
+            _failures(fleet)[name]()
+            during = _cost(fleet, WINDOW_US)
+            add(f"{name}, bytes", Quantity.BYTES, "bytes in 8 s a sender", count, during.bytes)
+            add(f"{name}, control", Quantity.TIME, "steps in 8 s a sender", count, during.control)
+            add(f"{name}, unsent", Quantity.BYTES, "messages in 8 s a sender", count, during.unsent)
+            fleet.run_for(SETTLE_US if name in SILENT else SECOND)
+            assert fleet.control.streams == 3 * count, f"after {name} not all are back"
+    return list(found.values())
+
+
+def _rest(fleet: Fleet, count: int, add: Callable[[str, Quantity, str, int, float], None]) -> None:
+    rest, seconds = _cost(fleet, WINDOW_US, even=True), WINDOW_US / SECOND
+    add("at rest, bytes", Quantity.BYTES, "bytes a second and sender", count, rest.bytes / seconds)
+    add("at rest, messages", Quantity.BYTES, "messages a second and sender", count, rest.messages / seconds)
+    add("at rest, control", Quantity.TIME, "steps a second and sender", count, rest.control / seconds)
+    size, took_us = _change(fleet)
+    add("change, bytes", Quantity.BYTES, "bytes a change and sender", count, size)
+    assert took_us < CHANGE_US, "a change is not in force in time"
+
+
+def _fleet(count: int) -> Fleet:
+    table = AliasTable(zipf_weights(DESTINATIONS, 1.1))
+    return Fleet(
+        FleetPlan(
+            configuration.settings(),
+            configuration.configuration(DESTINATIONS),
+            count,
+            lambda number: list(range(DESTINATIONS)),
+            lambda number, random_: independent(table, CALLS, random_),
+            configuration.is_down,
+            timer=time.process_time_ns,
+        ),
+        seed=7,
+    )
+
+
+def _failures(fleet: Fleet) -> dict[str, Callable[[], None]]:
+    """What is played; each leaves the fleet whole in the end."""
+    zone, rack = fleet.in_zone(0), fleet.in_rack(0)
+
+    def cut_zone() -> None:
+        fleet.cut(zone)
+        fleet.clock.after(RETURN_US, lambda: fleet.heal(zone))
+
+    return {
+        "process restarted": lambda: fleet.restart(0),
+        "process replaced": lambda: fleet.replace(1),
+        "machine lost": lambda: fleet.lose(fleet.on_machine(0), RETURN_US),
+        "rack lost": lambda: fleet.lose(rack, RETURN_US),
+        "zone lost": lambda: fleet.lose(zone, RETURN_US),
+        "zone cut": cut_zone,
+        "control restarted": lambda: fleet.restart_control(RETURN_US),
+    }
+
+
+def _cost(fleet: Fleet, span_us: int, even: bool = False) -> _Cost:
+    """even: each second takes the same, so that the median of them stands for all."""
+    size, messages, unsent = _bytes(fleet), _messages(fleet), _unsent(fleet)
+    seconds, before = [0.0] * (span_us // SECOND), step_ns()
+    for number in range(span_us // SLICE_US):
+        spent = fleet.control_time.spent
+        fleet.run_for(SLICE_US)
+        after = step_ns()
+        seconds[number * SLICE_US // SECOND] += (fleet.control_time.spent - spent) / min(before, after)
+        before = after
+    control = statistics.median(seconds) * len(seconds) if even else sum(seconds)
+    return _Cost(_bytes(fleet) - size, _messages(fleet) - messages, control, _unsent(fleet) - unsent)
+
+
+def _change(fleet: Fleet) -> tuple[int, int]:
+    """One destination drains, and is back: the bytes of the first change, and how long it takes until the last sender
+    has it."""
+    at, before = fleet.clock.now, _resource_bytes(fleet)
+    fleet.configure(configuration.configuration(DESTINATIONS, {DESTINATIONS - 1}))
+    fleet.run_for(SECOND)
+    size, took_us = _resource_bytes(fleet) - before, max(sender.last_change for sender in fleet.senders) - at
+    fleet.configure(configuration.configuration(DESTINATIONS))
+    fleet.run_for(SECOND)
+    return size, took_us
+
+
+def _unsent(fleet: Fleet) -> int:
+    return sum(outcomes.refused + outcomes.fallen for outcomes in fleet.outcomes)
+
+
+def _resource_bytes(fleet: Fleet) -> int:
+    return sum(fleet.meter.count(direction, Kind.RESOURCES).bytes for direction in Direction)
+
+
+def _bytes(fleet: Fleet) -> int:
+    return sum(fleet.meter.count(direction, kind).bytes for direction in Direction for kind in Kind)
+
+
+def _messages(fleet: Fleet) -> int:
+    return sum(fleet.meter.count(direction, kind).messages for direction in Direction for kind in Kind)
--- /dev/null
+++ b/benchmarks/scaling/job.py
@@ -0,0 +1,55 @@
+"""One measurement in a process of its own: `python -m benchmarks.scaling.job NAME MODE` prints its figures as JSON."""
+
+from __future__ import annotations
+
+import json
+import sys
+
+from benchmarks.scaling import control_instance, failures, lists, sample, sender_control, sender_messages, touched
+from benchmarks.scaling.processor import step_ns
+
+JOBS = {  # the longest first, so that they do not begin last
+    "failures": failures.played,
+    "failures-lost": failures.lost,
+    "delivered": sender_messages.delivered,
+    "granted": sender_control.granted,
+    "allocator": control_instance.allocator,
+    "catalog": control_instance.catalog,
+    "grants": control_instance.grants,
+    "streams": control_instance.streams,
+    "list-change": sender_control.list_change,
+    "changed": sender_control.changed,
+    "journal": sender_messages.journal,
+    "source": lists.source,
+    "catalog-memory": control_instance.catalog_memory,
+    "allocator-memory": control_instance.allocator_memory,
+    "grants-memory": control_instance.grants_memory,
+    "streams-memory": control_instance.streams_memory,
+    "listed-memory": sender_control.listed,
+    "held-memory": sender_messages.held,
+}
+FACTS = {"sample": sample.run, "touched": lambda mode: touched.touched()}  # not slopes
+TIMED = (
+    "failures",
+    "failures-lost",
+    "delivered",
+    "granted",
+    "allocator",
+    "catalog",
+    "grants",
+    "streams",
+    "list-change",
+)
+MEMORY = "-memory"  # ends the names of jobs whose process has to allocate by malloc
+
+
+def main(name: str, mode: str) -> None:
+    if name in FACTS:
+        print(json.dumps({"step_ns": step_ns(), "figures": [], "facts": FACTS[name](mode)}))
+        return
+    figures = [series.figure().as_json() for series in JOBS[name](mode)]
+    print(json.dumps({"step_ns": step_ns(), "figures": figures, "facts": None}))
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- /dev/null
+++ b/benchmarks/scaling/output.py
@@ -0,0 +1,88 @@
+"""What a run leaves behind: tables as JSON, one plot a role, and lines for people."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import Any
+
+from benchmarks.scaling.figures import Figure, Role
+from benchmarks.scaling.plots import plot
+from benchmarks.scaling.reckoning import Row
+
+TITLES = {
+    Role.SENDER_MESSAGES: "A sender, its messages",
+    Role.SENDER_CONTROL: "A sender, its part of control",
+    Role.CONTROL: "A control instance",
+    Role.LIST_SOURCE: "The source of the list",
+    Role.FAILURES: "Failures",
+}
+DIGITS = 6  # of a figure in a table
+
+
+def write(folder: Path, mode: str, figures: list[Figure], rows: dict[str, list[Row]], facts: dict[str, Any]) -> None:
+    folder.mkdir(parents=True, exist_ok=True)
+    for role in Role:
+        of_role = [figure for figure in figures if figure.role is role]
+        table = {"mode": mode, "figures": [_rounded(figure.as_json()) for figure in of_role]}
+        _json(folder / f"{role.value}.json", table)
+        (folder / f"{role.value}.svg").write_text(plot(f"{TITLES[role]} ({mode})", of_role))
+    reckoned = {traffic: [_row(row) for row in of_traffic] for traffic, of_traffic in rows.items()}
+    _json(folder / "without-assignment.json", {"mode": mode, "reckoned": _rounded(reckoned)} | _rounded(facts))
+
+
+def _row(row: Row) -> dict[str, Any]:
+    return {"name": row.name, "value": row.value, "unit": row.unit, "budget": row.most, "verdict": row.verdict}
+
+
+def figure_lines(figures: list[Figure]) -> list[str]:
+    lines = []
+    for role in Role:
+        lines.append(f"\n{TITLES[role]}")
+        for figure in figures:
+            if figure.role is role:
+                line = figure.line
+                lines.append(
+                    f"  {figure.name:<32} {line.slope:>14,.4g} {figure.unit:<40} from {line.intercept:,.4g}; "
+                    f"line kept within {line.deviation:.1%}, grows as size^{line.power:.2f}"
+                )
+    return lines
+
+
+def reckoned_lines(rows: dict[str, list[Row]]) -> list[str]:
+    """One column a kind of traffic."""
+    title = "Without assignment, 900 senders and 420,000 destinations (reckoned)"
+    lines = [f"\n{title:<68}" + "".join(f"{traffic:>30}" for traffic in rows)]
+    for same in zip(*rows.values()):
+        cells = [f"{row.value:,.4g}" + (f" ({row.verdict})" if row.most is not None else "") for row in same]
+        budget = f", budget {same[0].most:,.4g}" if same[0].most is not None else ""
+        lines.append(f"  {f'{same[0].name}, {same[0].unit}{budget}':<66}" + "".join(f"{cell:>30}" for cell in cells))
+    return lines
+
+
+def sample_lines(sample: dict[str, Any], same_size: dict[str, float]) -> list[str]:
+    """A run and what the slopes say of its size, bytes a second and sender."""
+    lines = [
+        f"\nRun: {sample['senders']} senders, {sample['destinations']:,} destinations, of which each asks for "
+        f"{sample['touched']:.0f}; {sample['messages']:.0f} messages a second and sender; a sender takes "
+        f"{sample['sender_cores']:.2%} of a core, control {sample['control_cores']:.2f} cores; "
+        f"{sample['unsent']:.1%} of the messages were not let out"
+    ]
+    for kind, reckoned in same_size.items():
+        run = sample["bytes_by_kind"][kind]
+        lines.append(f"  {kind:<12} run {run:>12,.0f}   reckoned {reckoned:>12,.0f} bytes/s")
+    return lines
+
+
+def _rounded(value: Any) -> Any:
+    if isinstance(value, float):
+        return float(f"{value:.{DIGITS}g}")
+    if isinstance(value, dict):
+        return {key: _rounded(each) for key, each in value.items()}
+    if isinstance(value, (list, tuple)):
+        return [_rounded(each) for each in value]
+    return value
+
+
+def _json(path: Path, table: Any) -> None:
+    path.write_text(json.dumps(table, indent=1) + "\n")
--- /dev/null
+++ b/benchmarks/scaling/reckoning.py
@@ -0,0 +1,137 @@
+"""What the target size takes without an assignment of destinations to senders, from the measured slopes.
+
+Any sender may be handed a message for any destination, so each holds grants for all that it has touched lately and
+knows the whole list. Everything here is reckoned; what was run at a smaller size is sample.py's.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from benchmarks.scaling import target
+from benchmarks.scaling.checks import Budget, key
+from benchmarks.scaling.figures import Figure, Quantity
+from scalefall.control.service import WATCHED
+
+NS = 1e9
+TURN_S = WATCHED / 1e6  # between turns while something is down, as something always is at this size
+EVENTS = Quantity.BYTES  # counts come out as exactly as bytes
+
+
+@dataclass(slots=True, frozen=True)
+class Row:
+    name: str
+    quantity: Quantity
+    value: float
+    unit: str
+    most: float | None = None  # the budget; None: told for itself
+
+    @property
+    def verdict(self) -> str:
+        if self.most is None:
+            return "-"
+        return "fits" if self.value <= self.most else f"over by x{self.value / self.most:,.1f}"
+
+
+class Slopes:
+    """Figures by role and name."""
+
+    def __init__(self, figures: list[Figure]) -> None:
+        self._slopes = {key(figure): figure.line.slope for figure in figures}
+
+    def of(self, name: str) -> float:
+        return self._slopes[name]
+
+
+def without_assignment(slopes: Slopes, step_ns: float, touched: int, reported: int) -> list[Row]:
+    """touched: destinations in use at one sender; reported: those in one load report; step_ns: of the machine by which
+    processor time is told."""
+    return _sender(slopes, step_ns, touched, reported) + _control(slopes, step_ns, touched) + _source(slopes)
+
+
+def same_size(slopes: Slopes, sample: dict[str, Any]) -> dict[str, float]:
+    """What the slopes say of the sample that was run: bytes a second and sender by kind."""
+    sender, touched = "sender-control: ", sample["touched"]
+    return {
+        "grants": slopes.of(sender + "grants on the wire") * touched,
+        "usage": slopes.of(sender + "usage on the wire") * touched,
+        "loads": slopes.of(sender + "loads on the wire") * sample["reported"],
+        "heartbeats": slopes.of(sender + "heartbeats on the wire") * touched,
+    }
+
+
+def by_traffic(slopes: Slopes, step_ns: float, touched: dict[str, dict[str, int]]) -> dict[str, list[Row]]:
+    """The rows of each kind of traffic; all have the same names in the same order."""
+    return {name: without_assignment(slopes, step_ns, row["used"], row["reported"]) for name, row in touched.items()}
+
+
+def budgets(rows: dict[str, list[Row]]) -> list[Budget]:
+    return [
+        Budget(f"{traffic}: {row.name}", row.quantity, row.value, row.most, row.unit)
+        for traffic, of_traffic in rows.items()
+        for row in of_traffic
+        if row.most is not None
+    ]
+
+
+def _sender(slopes: Slopes, step_ns: float, touched: int, reported: int) -> list[Row]:
+    sender = "sender-control: "
+    wire = {
+        "grants": slopes.of(sender + "grants on the wire") * touched,
+        "reports of use": slopes.of(sender + "usage on the wire") * touched,
+        "load reports": slopes.of(sender + "loads on the wire") * reported,
+        "heartbeats": slopes.of(sender + "heartbeats on the wire") * touched,
+        "changes": slopes.of(sender + "configuration change") * target.CHANGES,
+    }
+    whole = slopes.of(sender + "heartbeats on the wire") * target.DESTINATIONS
+    steps = slopes.of(sender + "grants and reports") * touched
+    steps += slopes.of(sender + "list, one changed") * target.DESTINATIONS * target.CHANGES
+    entries, module = slopes.of(sender + "list, entries"), slopes.of(sender + "list, module")
+    memory = (entries + module) * target.DESTINATIONS + slopes.of(sender + "contract's state") * touched
+    rows = [Row("sender, destinations in use and grants held", EVENTS, touched, "grants")]
+    rows += [Row(f"sender, {name}", Quantity.BYTES, size, "bytes/s") for name, size in wire.items()]
+    return [
+        *rows,
+        Row("sender, heartbeats if all are leased by name", Quantity.BYTES, whole, "bytes/s"),
+        Row("sender, link", Quantity.BYTES, sum(wire.values()), "bytes/s", target.WIRE),
+        Row("sender, memory", Quantity.MEMORY, memory, "bytes", target.MEMORY),
+        Row("sender, processor", Quantity.TIME, steps * step_ns / NS, "cores", target.CORE),
+    ]
+
+
+def _control(slopes: Slopes, step_ns: float, touched: int) -> list[Row]:
+    control = "control-instance: "
+    seconds = step_ns / NS
+    turn = slopes.of(control + "allocator's turn") * target.DESTINATIONS * seconds
+    reports = slopes.of(control + "a sender's grants and reports") * touched * target.SENDERS * seconds
+    built = slopes.of(control + "catalog, built") * target.DESTINATIONS * seconds
+    memory = (slopes.of(control + "catalog") + slopes.of(control + "module and ledger")) * target.DESTINATIONS
+    memory += slopes.of(control + "grant") * touched * target.SENDERS
+    memory += slopes.of(control + "stream") * target.SENDERS
+    memory += slopes.of(control + "subscribed name") * touched * target.SENDERS
+    return [
+        Row("control, allocator's turn", Quantity.TIME, turn, "s", TURN_S),
+        Row("control, allocator's turns", Quantity.TIME, turn / TURN_S, "cores"),
+        Row("control, renewals", EVENTS, touched * target.SENDERS, "a second"),
+        Row("control, grants, reports and heartbeats", Quantity.TIME, reports, "cores"),
+        Row("control, processor in all", Quantity.TIME, reports + turn / TURN_S, "cores", target.MACHINES),
+        Row("control, a change until it goes out", Quantity.TIME, built, "s", target.IN_FORCE_S),
+        Row("control, memory", Quantity.MEMORY, memory, "bytes"),
+        Row(
+            "region cut, lists asked for when it is back",
+            Quantity.BYTES,
+            slopes.of("sender-control: endpoints on the wire, first") * touched * target.SENDERS / target.REGIONS,
+            "bytes",
+        ),
+    ]
+
+
+def _source(slopes: Slopes) -> list[Row]:
+    whole = slopes.of("list-source: list, whole") * target.DESTINATIONS
+    changes = slopes.of("list-source: list, changes") * target.CHANGES
+    return [
+        Row("list source, whole list to a sender", Quantity.BYTES, whole, "bytes"),
+        Row("list source, whole list to all", Quantity.BYTES, whole * target.SENDERS, "bytes"),
+        Row("list source, changes to all", Quantity.BYTES, changes * target.SENDERS, "bytes/s"),
+    ]
--- /dev/null
+++ b/benchmarks/scaling/run.py
@@ -0,0 +1,99 @@
+"""All measurements of a mode, each in a process of its own, so many at a time."""
+
+from __future__ import annotations
+
+import json
+import os
+import pathlib
+import statistics
+import subprocess
+import sys
+from collections.abc import Sequence
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from typing import Any
+
+from benchmarks.scaling.checks import key
+from benchmarks.scaling.figures import Figure, Quantity, figure, from_json
+from benchmarks.scaling.job import FACTS, JOBS, MEMORY, TIMED
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+MOST_S = 3600  # of one job
+MOST_WORKERS = 4
+TIME = Quantity.TIME
+
+
+class JobFailed(RuntimeError):
+    """A measurement ended with an error; the text has its last lines."""
+
+
+@dataclass(slots=True)
+class Measured:
+    runs: dict[str, list[list[Figure]]]  # by job, the figures of each run
+    step_ns: float  # the smallest of all jobs
+    touched: dict[str, dict[str, int]]
+    sample: dict[str, Any]
+
+    def all_figures(self) -> list[Figure]:
+        """One of each, of all its runs."""
+        return [middle(same) for name in JOBS for same in zip(*self.runs[name])]
+
+
+def measured(mode: str, workers: int, rounds: int = 1) -> Measured:
+    """Jobs that time something are done so many times and middle() is taken. JobFailed if one fails, after the
+    others have ended."""
+    names = ["sample", *JOBS, "touched"]
+    results = _jobs([name for name in names for _ in range(rounds if name in TIMED else 1)], mode, workers)
+    runs = {name: [_figures(row) for job, row in results if job == name] for name in JOBS}
+    step_ns = min(row["step_ns"] for _, row in results)
+    facts = {name: row["facts"] for name, row in results if name in FACTS}
+    return Measured(runs, step_ns, facts["touched"], facts["sample"])
+
+
+def measure_again(found: Measured, suspects: set[str], mode: str, workers: int) -> list[str]:
+    """Does the jobs anew that timed one of these figures (checks.key); their names."""
+    names = [
+        name for name in TIMED if any(key(each) in suspects for each in found.runs[name][0] if each.quantity is TIME)
+    ]
+    for name, row in _jobs(names, mode, workers):
+        found.runs[name].append(_figures(row))
+    return names
+
+
+def middle(figures: Sequence[Figure]) -> Figure:
+    """One figure of several runs. Of a time the median at each size (the lower one of two): other work on the machine
+    makes it come out too high, or too low where it met the fixed loop. What is counted is the first run's."""
+    first = figures[0]
+    if first.quantity is not TIME:
+        return first
+    points = []
+    for same in zip(*(each.points for each in figures)):
+        points.append((same[0][0], statistics.median_low(value for _, value in same)))
+    return figure(first.role, first.name, first.quantity, first.unit, first.sizes, points)
+
+
+def _figures(result: dict[str, Any]) -> list[Figure]:
+    return [from_json(row) for row in result["figures"]]
+
+
+def _jobs(names: list[str], mode: str, workers: int) -> list[tuple[str, dict[str, Any]]]:
+    with ThreadPoolExecutor(min(workers, MOST_WORKERS)) as pool:
+        return list(zip(names, pool.map(lambda name: _job(name, mode), names)))
+
+
+def _job(name: str, mode: str) -> dict[str, Any]:
+    environment = dict(os.environ)
+    environment.pop("PYTHONMALLOC", None)
+    if name.endswith(MEMORY):
+        environment["PYTHONMALLOC"] = "malloc"
+    done = subprocess.run(
+        [sys.executable, "-m", "benchmarks.scaling.job", name, mode],
+        cwd=ROOT,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=MOST_S,
+    )
+    if done.returncode:
+        raise JobFailed(f"{name}: {done.stderr.strip()[-2000:]}")
+    return json.loads(done.stdout.splitlines()[-1])
--- /dev/null
+++ b/benchmarks/scaling/sender_control.py
@@ -0,0 +1,160 @@
+"""Role: a sender's part of control. Its list of endpoints, grants, reports of use and of load, changes."""
+
+from __future__ import annotations
+
+import statistics
+import time
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+from benchmarks.scaling import lists
+from benchmarks.scaling.figures import Quantity, Role
+from benchmarks.scaling.processor import Steps, memory_of, steps_of
+from benchmarks.scaling.series import Series
+from scalefall.lab.hollow import configuration
+from scalefall.lab.hollow.clock import SECOND
+from scalefall.lab.hollow.fleet import Fleet, FleetPlan
+from scalefall.lab.hollow.traffic import AliasTable, independent, zipf_weights
+from scalefall.lab.proxy.meter import Direction, Kind
+from scalefall.lab.sizes import deep_size
+from scalefall.net.endpoint_list import EndpointList
+from scalefall.net.list_stream import ListUpdate, read_list
+from scalefall.net.scheduler import Scheduler
+from scalefall.policy import Sender
+
+ROLE = Role.SENDER_CONTROL
+LISTED = {"quick": (1000, 2000, 4000), "full": (20_000, 40_000, 80_000)}
+GRANTED = {"quick": (100, 200, 400), "full": (250, 500, 1000)}
+CHANGES = {"quick": (4, 8, 16), "full": (8, 16, 32)}
+STEADY_US, WINDOW_US = 4 * SECOND, 7 * SECOND
+CALLS = 4.0  # a second to each destination, so that each is in nearly every load report
+PER_WINDOW = SECOND / WINDOW_US
+
+
+@dataclass(slots=True, frozen=True)
+class _Taken:
+    """Processor time, steps a second."""
+
+    sender: float
+    control: float
+
+
+def listed(mode: str) -> list[Series]:
+    """The list in memory: the entries with their indexes, and the module's record of each."""
+    parts = {
+        "entries": Series(ROLE, "list, entries", Quantity.MEMORY, "bytes an endpoint", "endpoints"),
+        "module": Series(ROLE, "list, module", Quantity.MEMORY, "bytes an endpoint", "endpoints"),
+    }
+    for count in LISTED[mode]:
+        events: list = []
+        kept = EndpointList(Scheduler(), None, ListUpdate(0, True, []), events.append)
+        parts["entries"].add(count, memory_of(_learn, kept, count))
+        module = Sender(configuration.settings(), 1)
+        parts["module"].add(count, memory_of(_tell, module, events))
+    return list(parts.values())
+
+
+def list_change(mode: str) -> list[Series]:
+    """One changed endpoint in lists of several lengths: the list and the module take it in."""
+    series = Series(ROLE, "list, one changed", Quantity.TIME, "steps an endpoint of the list", "endpoints")
+    for count in LISTED[mode]:
+        module, events = Sender(configuration.settings(), 1), []
+        kept = EndpointList(Scheduler(), None, ListUpdate(0, True, []), events.append)
+        _learn(kept, count)
+        _tell(module, events)
+        versions = iter(range(3, 1 << 20))
+        series.add(count, steps_of(_learn_change, kept, module, events, versions))
+    return [series]
+
+
+def granted(mode: str) -> list[Series]:
+    """One sender that uses all its destinations: bytes a second of each kind, processor time and state."""
+    found = {
+        kind: Series(
+            ROLE, f"{kind.value} on the wire", Quantity.BYTES, "bytes a second and destination", "destinations"
+        )
+        for kind in (Kind.GRANTS, Kind.USAGE, Kind.LOADS, Kind.HEARTBEATS)
+    }
+    messages = Series(ROLE, "messages on the wire", Quantity.BYTES, "messages a second and destination", "destinations")
+    listed_ = Series(ROLE, "endpoints on the wire, first", Quantity.BYTES, "bytes a destination", "destinations")
+    state = Series(ROLE, "contract's state", Quantity.MEMORY, "bytes a destination", "destinations")
+    spent = Series(ROLE, "grants and reports", Quantity.TIME, "steps a second and destination", "destinations")
+    control = Series(
+        Role.CONTROL, "a sender's grants and reports", Quantity.TIME, "steps a second and destination", "destinations"
+    )
+    for count in GRANTED[mode]:
+        fleet = _one_sender(count)
+        fleet.run_for(STEADY_US)
+        listed_.add(count, _bytes(fleet, Kind.RESOURCES))
+        before, sent = {kind: _bytes(fleet, kind) for kind in Kind}, _messages(fleet)
+        taken = _steps(fleet)
+        spent.add(count, taken.sender)
+        control.add(count, taken.control)
+        for kind, series in found.items():
+            series.add(count, (_bytes(fleet, kind) - before[kind]) * PER_WINDOW)
+        messages.add(count, (_messages(fleet) - sent) * PER_WINDOW)
+        state.add(count, deep_size(fleet.senders[0].contract))
+    return [*found.values(), messages, listed_, state, spent, control]
+
+
+def changed(mode: str) -> list[Series]:
+    """Changes of one endpoint each, and what they cost a sender on the wire with their acknowledgements."""
+    series = Series(ROLE, "configuration change", Quantity.BYTES, "bytes a change", "changes")
+    for count in CHANGES[mode]:
+        fleet = _one_sender(max(CHANGES[mode]), calls=0)
+        fleet.run_for(STEADY_US)
+        before = _bytes(fleet, Kind.RESOURCES)
+        for number in range(count):
+            fleet.configure(configuration.configuration(max(CHANGES[mode]), set(range(number + 1))))
+            fleet.run_for(SECOND // 10)
+        series.add(count, _bytes(fleet, Kind.RESOURCES) - before)
+    return [series]
+
+
+def _learn(kept: EndpointList, count: int) -> None:
+    """As its watch does with an object of the list."""
+    kept._learn(read_list(lists.whole(count)))
+
+
+def _learn_change(kept: EndpointList, module: Sender, events: list, versions: Iterator[int]) -> None:
+    events.clear()
+    kept._learn(read_list(lists.change(1) | {"seq": next(versions)}))
+    _tell(module, events)
+
+
+def _tell(module: Sender, events: list) -> None:
+    module.handle(0, events)
+
+
+def _one_sender(destinations: int, calls: float = CALLS) -> Fleet:
+    table = AliasTable(zipf_weights(destinations, 0))
+    return Fleet(
+        FleetPlan(
+            configuration.settings(),
+            configuration.configuration(destinations),
+            1,
+            lambda number: list(range(destinations)),
+            lambda number, random_: independent(table, destinations * calls, random_) if calls else iter(()),
+            timer=time.process_time_ns,
+        ),
+        seed=11,
+    )
+
+
+def _steps(fleet: Fleet) -> _Taken:
+    """What both sides take a second: the median of those in WINDOW_US."""
+    sender, control = [], []
+    for _ in range(WINDOW_US // SECOND):
+        steps, begun = Steps(), (fleet.sender_time.spent, fleet.control_time.spent)
+        fleet.run_for(SECOND)
+        sender.append(steps.of(fleet.sender_time.spent - begun[0]))
+        control.append(steps.of(fleet.control_time.spent - begun[1]))
+    return _Taken(statistics.median(sender), statistics.median(control))
+
+
+def _bytes(fleet: Fleet, kind: Kind) -> int:
+    return sum(fleet.meter.count(direction, kind).bytes for direction in Direction)
+
+
+def _messages(fleet: Fleet) -> int:
+    return sum(fleet.meter.count(direction, kind).messages for direction in Direction for kind in Kind)
--- a/scalefall/lab/hollow/control.py
+++ b/scalefall/lab/hollow/control.py
@@ -25,6 +25,8 @@
 from scalefall.lab.proxy.meter import Kind
 from scalefall.net.config import Fleet, RouteRules
 
+TIMER_LATE_US = 500  # by which an event loop's timer comes late: epoll waits in whole milliseconds, rounded up
+
 Send = Callable[[Kind, bytes], None]
 
 
@@ -218,7 +220,7 @@
                 return
             self._timer.cancel()
         self._armed = at
-        self._timer = self._clock.at(at, self._turn)
+        self._timer = self._clock.at(at + TIMER_LATE_US, self._turn)
 
     def _turn(self) -> None:
         self._timer = None
--- a/scalefall/lab/hollow/fleet.py
+++ b/scalefall/lab/hollow/fleet.py
@@ -14,7 +14,7 @@
 from scalefall.lab.hollow.clock import VirtualClock
 from scalefall.lab.hollow.control import Control, ControlOptions, ServiceFactory, make_service
 from scalefall.lab.hollow.link import Link
-from scalefall.lab.hollow.sender import HollowSender, Traffic
+from scalefall.lab.hollow.sender import HollowSender, Outcomes, Traffic
 from scalefall.lab.hollow.stopwatch import Stopwatch, no_timer
 from scalefall.lab.proxy.meter import Meter
 from scalefall.net.config import Fleet as Configuration
@@ -64,6 +64,7 @@
         self.control: Control | None = self._new_control(0)
         self.places = places(plan.senders)
         self.meters = [Meter() for _ in range(plan.senders)]  # of each sender's place, over all its processes
+        self.outcomes = [Outcomes() for _ in range(plan.senders)]  # likewise
         self._instances = [0] * plan.senders
         self.links: list[Link] = [None] * plan.senders
         self.senders: list[HollowSender] = [None] * plan.senders
@@ -155,5 +156,6 @@
             self.sender_time,
             plan.traffic(number, random_),
             plan.is_down,
+            self.outcomes[number],
         )
         sender.start()
--- a/scalefall/lab/hollow/sender.py
+++ b/scalefall/lab/hollow/sender.py
@@ -30,7 +30,7 @@
 
 @dataclass(slots=True)
 class Outcomes:
-    """Of the sender's messages so far."""
+    """Of a sender's messages so far."""
 
     sent: int = 0
     refused: int = 0
@@ -50,14 +50,16 @@
         stopwatch: Stopwatch,
         traffic: Traffic | None = None,
         is_down: Callable[[int], bool] = lambda destination: False,
+        outcomes: Outcomes | None = None,
     ) -> None:
-        """control: the instance that can be reached now, if any. is_down: whether a call to a destination fails."""
+        """control: the instance that can be reached now, if any. is_down: whether a call to a destination fails.
+        outcomes: counted on, where an earlier process of this place has begun."""
         self._clock, self._control, self._link = clock, control, link
         self.node, self.instance, self._routes = node, instance, routes
         self._random, self._stopwatch, self._traffic, self._is_down = random_, stopwatch, traffic or iter(()), is_down
         self.contract = Contract(routes)
         self.grants = DestinationGrants(node, self.contract)
-        self.outcomes = Outcomes()
+        self.outcomes = outcomes or Outcomes()
         self.last_change = -1  # when a list last arrived
         self._calls: dict[tuple[int, str], list[messages.Call]] = defaultdict(list)
         self._first: set[int] = set()  # routes whose list has not come on this stream
--- a/scalefall/lab/proxy/__main__.py
+++ b/scalefall/lab/proxy/__main__.py
@@ -94,6 +94,8 @@
         call = ads_pb2_grpc.AggregatedDiscoveryServiceStub(channel).DeltaAggregatedResources()
         names, first = [resources.name(route) for route in self._routes], set(self._routes)
         self._contract.opened(_now())
+        if self._options.count:
+            self.say("opened")
         await self._write(call, Kind.RESOURCES, messages.subscription(self._options.node, names))
         async for response in call:
             kind = Kind.HEARTBEATS if messages.is_heartbeat(response) else Kind.RESOURCES
--- /dev/null
+++ b/tests/scaling/test_checks.py
@@ -0,0 +1,98 @@
+"""The line through measured points, and what a check says of a figure or a budget."""
+
+import json
+
+import pytest
+
+from benchmarks.scaling.checks import (
+    Budget,
+    Verdict,
+    check_budget,
+    check_figure,
+    key,
+    made_reference,
+    read_reference,
+    write_reference,
+)
+from benchmarks.scaling.figures import Quantity, Role, figure, from_json
+from benchmarks.scaling.fit import fit
+from benchmarks.scaling.plots import plot
+from benchmarks.scaling.run import middle
+
+KINDS = {"bytes": Quantity.BYTES, "memory": Quantity.MEMORY, "time": Quantity.TIME}
+
+
+def measured(slope, quantity):
+    points = [(size, 7 + slope * size) for size in (1, 2, 4)]
+    return figure(Role.CONTROL, "x", quantity, "a unit", "units", points)
+
+
+def budget(value, quantity=Quantity.BYTES):
+    return Budget("b", quantity, value, 100, "bytes")
+
+
+def test_a_line_is_found_and_what_is_none_says_how_far_off_it_is():
+    line = fit([(1, 5), (2, 7), (4, 11)])
+    assert (line.slope, line.intercept, line.deviation) == pytest.approx((2, 3, 0))
+    square = fit([(1, 1), (2, 4), (4, 16)])
+    assert square.slope == pytest.approx(36 / 7) and square.power == pytest.approx(2)
+    assert square.deviation == pytest.approx(6)  # at size 1: measured 1, the line 36/7 - 5 = 1/7
+
+
+def test_two_sizes_make_no_line():
+    with pytest.raises(ValueError):
+        fit([(1, 1), (2, 2), (2, 3)])
+
+
+@pytest.mark.parametrize(
+    "kind, change, verdict",
+    [
+        ("bytes", 1.09, Verdict.FITS),
+        ("bytes", 1.11, Verdict.FAILED),
+        ("bytes", 0.89, Verdict.FAILED),  # the page is wrong then too
+        ("memory", 1.11, Verdict.FAILED),
+        ("time", 1.49, Verdict.FITS),
+        ("time", 1.51, Verdict.FAILED),
+        ("time", 0.2, Verdict.FITS),
+    ],
+)
+def test_a_figure_that_got_worse_fails(kind, change, verdict):
+    reference = made_reference(1.0, [measured(100, KINDS[kind])], [])
+    assert check_figure(measured(100 * change, KINDS[kind]), reference).verdict is verdict
+
+
+def test_a_figure_that_the_reference_lacks_fails():
+    assert check_figure(measured(1, Quantity.BYTES), made_reference(1.0, [], [])).verdict is Verdict.FAILED
+
+
+def test_a_budget_that_is_over_is_never_said_to_fit():
+    known = made_reference(1.0, [], [budget(150)])
+    assert check_budget(budget(100), known).verdict is Verdict.FITS
+    assert check_budget(budget(101), known).verdict is Verdict.NO_WORSE
+    assert check_budget(budget(164), known).verdict is Verdict.NO_WORSE
+    assert check_budget(budget(166), known).verdict is Verdict.FAILED
+    assert check_budget(budget(224, Quantity.TIME), known).verdict is Verdict.NO_WORSE
+    unknown = made_reference(1.0, [], [budget(100)])
+    assert check_budget(budget(101), unknown).verdict is Verdict.FAILED
+    assert "fits" not in check_budget(budget(101), known).line()
+
+
+def test_a_reference_is_read_as_written_and_the_other_mode_stays(tmp_path):
+    path, one = tmp_path / "reference.json", made_reference(2.0, [measured(3, Quantity.TIME)], [budget(150)])
+    write_reference(path, "quick", one)
+    write_reference(path, "full", made_reference(1.0, [], []))
+    assert read_reference(path, "quick") == one and read_reference(path, "other").figures == {}
+
+
+def test_of_several_runs_the_median_time_at_each_size_counts_and_what_is_counted_stays():
+    one, two, three = [(1, 5), (2, 7), (4, 30)], [(1, 9), (2, 8), (4, 11)], [(1, 6), (2, 1), (4, 12)]
+    for quantity, points in ((Quantity.TIME, ((1, 6), (2, 7), (4, 12))), (Quantity.BYTES, tuple(one))):
+        runs = [figure(Role.CONTROL, "x", quantity, "a unit", "units", rows) for rows in (one, two, three)]
+        assert middle(runs).points == points and middle(runs).line == fit(points)
+
+
+def test_a_figure_goes_through_json_and_a_plot_is_the_same_each_time():
+    one = measured(3, Quantity.TIME)
+    again = from_json(json.loads(json.dumps(one.as_json())))
+    assert again == one and key(again) == "control-instance: x"
+    assert plot("t", [one]) == plot("t", [again]) and plot("t", [one]).count("<circle") == 3
