--- a/scalefall/assignment/service.py
+++ b/scalefall/assignment/service.py
@@ -26,7 +26,7 @@
 from scalefall.assignment.assembly import AssignmentSettings, assemble
 from scalefall.assignment.coordinator import Coordinator
 from scalefall.assignment.model import UNLIMITED, Node, ShardGrant
-from scalefall.control.catalog import EDS, Key
+from scalefall.control.catalog import Key
 from scalefall.control.members import Change, Joined, Refused, State
 from scalefall.control.service import Builder, Out, Service
 from scalefall.net.config import Fleet
@@ -342,15 +342,13 @@
             delay_ms=self.ledger.delay // 1000,
         )
 
-    def _changed(self, keys: set[Key]) -> list[Out]:
-        """Only nodes that hold a destination are told of its resources; endpoints first."""
-        first = {key for key in keys if key[0] == EDS}
-        out: list[Out] = []
-        for part in (first, keys - first):
-            for node, theirs in self._by_node(part).items():
-                for stream in self._node_streams.get(node, ()):
-                    out += [(stream, action) for action in self._streams[stream].changed(theirs)]
-        return out
+    def _receivers(self, keys: set[Key]) -> Iterable[tuple[int, set[Key]]]:
+        """Only nodes that hold a destination are told of its resources."""
+        return [
+            (stream, theirs)
+            for node, theirs in self._by_node(keys).items()
+            for stream in self._node_streams.get(node, ())
+        ]
 
     def _by_node(self, keys: Iterable[Key]) -> dict[str, set[Key]]:
         """The keys that each node with a stream is to be told of; what is gone or shared, all of them."""
--- a/scalefall/control/service.py
+++ b/scalefall/control/service.py
@@ -305,10 +305,14 @@
         first = {key for key in keys if key[0] == EDS}
         out: list[Out] = []
         for part in (first, keys - first):
-            if part:
-                out += [(stream, action) for stream, client in self._streams.items() for action in client.changed(part)]
+            for stream, theirs in self._receivers(part):
+                out += [(stream, action) for action in self._streams[stream].changed(theirs)]
         return out
 
+    def _receivers(self, keys: set[Key]) -> Iterable[tuple[int, set[Key]]]:
+        """The streams that are to be told of some of these keys, and of which."""
+        return [(stream, keys) for stream in self._streams] if keys else []
+
     def _enter(self, holder: str, now: int) -> None:
         """A process can be heard, for the first time or again."""
         self.ledger.join(holder)
