Read over: one measure of state, no count of loads where nothing is divided, no dead look-up

benchmarks/scaling/watch.py had written lab/sizes.deep_size again; it is called now. Totals of load reports were taken for every installation and used only with shards. A turn compared the isolated destinations each time; a sharding is a value, so the same one says that nothing differs. Allocator.destination_of was called by nobody any more.

--- a/benchmarks/scaling/divided.py
+++ b/benchmarks/scaling/divided.py
@@ -29,6 +29,7 @@
 from scalefall.lab.hollow import configuration
 from scalefall.lab.hollow.control import ControlOptions
 from scalefall.lab.hollow.fleet import START_US, FleetPlan
+from scalefall.lab.sizes import deep_size
 from scalefall.lab.hollow.sharded import Division, ShardedFleet, sharded_fleet
 
 SECOND = 1_000_000
@@ -221,7 +222,7 @@
         control * SECOND / 1e9 / REST_US,
         senders * SECOND / 1e9 / REST_US / size.senders,
         *(0.0, 0.0, 0.0),
-        max(watch.deep_size(sender.contract) for sender in random.Random(SEED).sample(fleet.senders, 8)),
+        max(deep_size(sender.contract) for sender in random.Random(SEED).sample(fleet.senders, 8)),
         0.0,
         0.0,
     )
--- a/benchmarks/scaling/watch.py
+++ b/benchmarks/scaling/watch.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import sys
-from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any
 
 from benchmarks.scaling.demand import Demand
 from scalefall.assignment.coordinator import Coordinator
@@ -131,19 +128,3 @@
 def quantile(values: list[float], part: float) -> float:
     """Of ascending values."""
     return values[min(len(values) - 1, int(part * len(values)))]
-
-
-def deep_size(value: Any, seen: set[int] | None = None) -> int:
-    """Bytes of a value and of all that it holds; classes, functions and modules aside."""
-    seen = set() if seen is None else seen
-    if id(value) in seen or isinstance(value, type | Callable | type(sys)):
-        return 0
-    seen.add(id(value))
-    total = sys.getsizeof(value)
-    if isinstance(value, dict):
-        total += sum(deep_size(key, seen) + deep_size(each, seen) for key, each in value.items())
-    elif isinstance(value, list | tuple | set | frozenset):
-        total += sum(deep_size(each, seen) for each in value)
-    slots = {name for kind in type(value).__mro__ for name in getattr(kind, "__slots__", ())}
-    fields = [getattr(value, name) for name in slots if hasattr(value, name)]
-    return total + sum(deep_size(each, seen) for each in [*fields, *getattr(value, "__dict__", {}).values()])
--- a/scalefall/assignment/service.py
+++ b/scalefall/assignment/service.py
@@ -99,6 +99,7 @@
 
     def __init__(self, coordinator: Coordinator) -> None:
         self._coordinator = coordinator
+        self._sharding: object = None  # a value: it is another one whenever the isolated destinations are others
         self._isolated: dict[int, int] = {}
         self._by_shard: dict[int, set[int]] = {}
         self._shards: dict[int, int] = {}  # of each destination
@@ -128,7 +129,10 @@
 
     def follow_sharding(self) -> None:
         """Destinations that have got a shard of their own, or lost it, are of another shard."""
-        isolated = self._coordinator.sharding.isolated
+        if self._coordinator.sharding is self._sharding:
+            return
+        self._sharding = self._coordinator.sharding
+        isolated = self._sharding.isolated
         moved = [
             number for number in {**self._isolated, **isolated} if self._isolated.get(number) != isolated.get(number)
         ]
--- a/scalefall/control/allocator.py
+++ b/scalefall/control/allocator.py
@@ -99,10 +99,6 @@
         else:
             self._destinations[end.id] = end.destination
 
-    def destination_of(self, endpoint: str) -> int | None:
-        """The destination of an endpoint that a list has named."""
-        return self._destinations.get(endpoint)
-
     def grants(self, now: int) -> list[Grant]:
         """What follows from news of holders alone; the module isn't asked."""
         self.said, self.changed = [], {}
--- a/scalefall/control/edge/server.py
+++ b/scalefall/control/edge/server.py
@@ -455,7 +455,8 @@
                 answer.load_reporting_interval.FromMicroseconds(self._options.report_us)
                 self._put(peer, answer.SerializeToString())
             now = _now()
-            self.service.counted(self._index.loads(message.cluster_stats))
+            if self._options.sharding is not None:
+                self.service.counted(self._index.loads(message.cluster_stats))
             calls = list(self._index.events(message.cluster_stats, now))
             if calls:
                 self.service.reported(calls, now)
--- a/scalefall/control/service.py
+++ b/scalefall/control/service.py
@@ -14,7 +14,7 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 from math import inf
 
@@ -209,9 +209,6 @@
         """Calls that holders have made."""
         self.recalled(calls, now)
 
-    def counted(self, calls: Mapping[int, int]) -> None:
-        """Calls that holders have made since their last reports, by destination; of no use where grants go by it."""
-
     def recalled(self, events: Iterable[i.Event], now: int) -> None:
         """What the service before this one knew, as events (memory.py)."""
         self._events += events
--- a/scalefall/lab/hollow/control.py
+++ b/scalefall/lab/hollow/control.py
@@ -216,7 +216,8 @@
             answer.load_reporting_interval.FromMicroseconds(self._options.report_us)
             peer.send(Kind.LOADS, answer.SerializeToString())
         now = self._clock.now
-        self.service.counted(self._index.loads(message.cluster_stats))
+        if self._options.divided:
+            self.service.counted(self._index.loads(message.cluster_stats))
         calls = list(self._index.events(message.cluster_stats, now))
         if calls:
             self.service.reported(calls, now)
