Capacity checks: a time that does not grow with size is held to one step a unit

Since a catalog changes in place its cost does not grow with size, the slope is noise, and a bound of half above a negative number is no bound. Others are as they were.

--- a/benchmarks/scaling/checks.py
+++ b/benchmarks/scaling/checks.py
@@ -18,6 +18,7 @@
 
 EXACT = 0.10  # bytes and memory
 TIME = 0.50  # a ratio of processor times
+LEAST_STEPS = 1.0  # a slope of time below it is that of noise, and may come out negative
 NEARLY = 1 / (1 + TIME)  # of its budget
 TOLERANCE = {Quantity.BYTES: EXACT, Quantity.MEMORY: EXACT, Quantity.TIME: TIME}
 
@@ -67,6 +68,8 @@
     known = reference.figures.get(name)
     if known is None:
         return Check(name, value, "none written", Verdict.FAILED)
+    if figure.quantity is Quantity.TIME:
+        known = max(known, LEAST_STEPS)
     tolerance = TOLERANCE[figure.quantity]
     above = value - known > tolerance * abs(known)
     below = known - value > tolerance * abs(known) and figure.quantity is not Quantity.TIME
--- a/tests/scaling/test_checks.py
+++ b/tests/scaling/test_checks.py
@@ -100,3 +100,10 @@
     assert (
         drawn == plot("t", [again]) and len(re.findall("<use [^>]*fill: #1f77b4", drawn)) == 3
     )  # a marker for each point
+
+
+@pytest.mark.parametrize("slope, verdict", [(1.4, Verdict.FITS), (1.6, Verdict.FAILED), (-2.0, Verdict.FITS)])
+def test_a_time_that_did_not_grow_with_size_may_stray_by_noise_and_fails_where_it_grows(slope, verdict):
+    points = [(size, 1000 + slope * size) for size in (250, 500, 1000)]
+    made = figure(Role.CONTROL, "x", Quantity.TIME, "steps a unit", "units", points)
+    assert check_figure(made, Reference(1.0, {key(made): -0.3}, {})).verdict is verdict
