--- a/tests/scaling/test_checks.py
+++ b/tests/scaling/test_checks.py
@@ -6,6 +6,7 @@
 import pytest
 
 from benchmarks.scaling.checks import (
+    Reference,
     Budget,
     Verdict,
     check_budget,
