Review stand-ins: take free ports below those of outgoing connections

A port that is free for a moment may be given to an outgoing connection of another process before the sender listens on it: seen once in 20 starts of parallel trials ('Address already in use').

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -8,10 +8,12 @@
 
 import asyncio
 import base64
+import contextlib
 import copy
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import socket
@@ -458,11 +460,14 @@
 
 
 def free_address() -> str:
-    """Return an address with a free port."""
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        sock.bind((HOST, 0))
-        return f"{HOST}:{sock.getsockname()[1]}"
+    """Return an address with a free port, below those that the system gives to outgoing connections."""
+    while True:
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            port = random.randrange(10_000, 30_000)
+            with contextlib.suppress(OSError):
+                sock.bind((HOST, port))
+                return f"{HOST}:{port}"
 
 
 class Case:
