--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
-"""A new configuration drops a class while messages of it are held; a planned restart follows."""
+"""Discovery has moved; then the file of the configuration is replaced by one that lacks a key."""
 
 import asyncio
-import copy
 import pathlib
 import signal
 import sys
@@ -9,16 +8,18 @@
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent / "common"))
 
-from standins import CannotRunError, Case, Endpoint, Message, RatePartner, play  # noqa: E402
+from standins import CannotRunError, Case, Message, RatePartner, play  # noqa: E402
 
 DESTINATION = 7
-LIMIT_PER_S = 4.5  # the page: a partner takes at least 1.8 to 4.9 calls a second
-BURST = LIMIT_PER_S  # calls that it takes at once after a rest
+LIMIT_PER_S = 1.8  # the page: a partner takes 1.8 to 4.9 calls a second at least
+BURST = 1.0  # calls that it takes at once after a rest
 WORK_S = 0.25  # the page: 170 to 300 ms at a partner of usual pace
-CLUMP = 15  # the page: as many as the partner takes in 1.4 to 3.5 s
-DEADLINE_MS = 24_000  # the class's
+CLUMP = 6  # the page: as many as the partner takes in 1.4 to 3.5 s
+LEFT_MS = 2_500  # what is left of the class's 24 s, as of a message that its client hands in once more
 FIRST_SECOND_S = 1.5  # the page: no SIGHUP in the first second, nor before the sender is ready
-HELD_S = 0.3  # from SIGHUP to the kill of the restart
+COUNTS_S = 4.5  # the page: 4 s after SIGHUP, what discovery has to tell counts as told
+LATE_S = 0.5  # the page: up to half a second after its time a message's end is only late; later it is lost
+CLUMPS = 3
 
 
 async def steps(case: Case) -> list[str]:
@@ -28,63 +29,38 @@
     sender = await case.start("the sender")
     await case.until_ready(sender)
     await asyncio.sleep(FIRST_SECOND_S)
-    await asyncio.gather(
-        *(
-            case.hand_in(Message(f"fee-{number}", "fee-order", DESTINATION, DEADLINE_MS, b"fee %d" % number))
-            for number in range(CLUMP)
-        )
-    )
-    if case.trouble:
-        drop_class(case)
+    await case.platform.move()
     case.write_config()
-    case.record(f"platform: SIGHUP, fee-order {'dropped' if case.trouble else 'kept'}")
+    case.record("platform: SIGHUP, discovery moved")
     sender.send_signal(signal.SIGHUP)
-    await asyncio.sleep(HELD_S)
-    sender = await case.restart(sender, graceful=False)
-    ready_at = case.record.now()
-    called_before = {name for call in partner.calls if call.at < ready_at for name in call.ids}
-    untried = [
-        message
-        for message in case.messages.values()
-        if message.status in (200, 202)
-        and message.id not in called_before
-        and message.sent_at + message.deadline_ms / 2000 > ready_at
-    ]
-    if not untried:
-        raise CannotRunError("the restart found no untried message")
-    last = max(message.sent_at + message.deadline_ms / 1000 for message in untried)
-    while case.record.now() < last + 0.5 and not all(is_over(case, partner, message) for message in untried):
-        await asyncio.sleep(0.1)
-    early = [message for message in untried if given_up_early(case, partner, message)]
-    case.record(f"untried at the restart: {len(untried)}, given up early with no call: {len(early)}")
-    if 2 * len(early) > len(untried):
-        return [f"{len(early)} of {len(untried)} untried messages were given up early with no call"]
-    return []
-
-
-def drop_class(case: Case) -> None:
-    """Replace the class by one of another name with the same values."""
-    case.settings = copy.deepcopy(case.settings)
-    for grade in case.settings["grades"]:
-        if grade["name"] == "fee-order":
-            grade["name"] = "fee-order-b"
-
-
-def called(partner: Endpoint, message: Message) -> bool:
-    """Return whether a message was ever sent to the partner."""
-    return any(message.id in call.ids for call in partner.calls)
-
-
-def is_over(case: Case, partner: Endpoint, message: Message) -> bool:
-    """Return whether a message was delivered or ended by a notice."""
-    return message.id in case.platform.notices or any(message.id == name for _, name, _ in partner.ran)
-
-
-def given_up_early(case: Case, partner: Endpoint, message: Message) -> bool:
-    """Return whether a message was ended by a notice with half of its time left, and never called."""
-    notices = case.platform.notices.get(message.id, [])
-    half = message.sent_at + message.deadline_ms / 2000
-    return bool(notices) and notices[0][0] < half and not called(partner, message)
+    await asyncio.sleep(COUNTS_S)
+    case.write_config(without="discovery" if case.trouble else "")
+    case.record(f"platform: SIGHUP, the file {'lacks its key discovery' if case.trouble else 'is as before'}")
+    sender.send_signal(signal.SIGHUP)
+    await asyncio.sleep(COUNTS_S)
+    for clump in range(CLUMPS):
+        await asyncio.gather(
+            *(
+                case.hand_in(Message(f"fee-{clump}-{number}", "fee-order", DESTINATION, LEFT_MS, b"a paid fee"))
+                for number in range(CLUMP)
+            )
+        )
+        await asyncio.sleep(LEFT_MS / 1000 + 1)
+    await asyncio.sleep(2)
+    taken = [message for message in case.messages.values() if message.status in (200, 202)]
+    if not taken:
+        raise CannotRunError("no message was taken on")
+    ran = {name for _, name, _ in partner.ran}
+    lost = [message.id for message in taken if message.id not in ran and not has_notice(case, message)]
+    noticed = sum(message.id in case.platform.notices for message in taken)
+    case.record(f"taken on: {len(taken)}, delivered: {len(ran)}, with a notice: {noticed}, lost: {len(lost)}")
+    return [f"{name} was taken on, and is neither delivered nor ended by a notice" for name in lost]
+
+
+def has_notice(case: Case, message: Message) -> bool:
+    """Return whether a message was ended by a notice before it counts as lost."""
+    last = message.sent_at + message.deadline_ms / 1000 + LATE_S
+    return any(at <= last for at, _ in case.platform.notices.get(message.id, []))
 
 
 if __name__ == "__main__":
