Log the states of the client connections that a shutdown ends

Three explanations fitted the log alike: a request read before the connections are shut down and answered too late, one that waits for its decision just then, and one that is read only afterwards. The shutdown now logs the open connections by state when it ends them.

--- a/scalefall/net/ingress_server.py
+++ b/scalefall/net/ingress_server.py
@@ -4,6 +4,7 @@
 
 import re
 import socket
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import IntEnum
@@ -198,6 +199,11 @@
 
         A socket that is closed with bytes unread is reset, and an answer that its client has not read yet is lost.
         """
+        counts = Counter(client.state for client in self._clients)
+        log.info(
+            "client connections shut down: %s",
+            ", ".join(f"{counts[state]} {state.name}" for state in sorted(counts)) or "none",
+        )
         for client in self._clients:
             try:
                 client.sock.shutdown(socket.SHUT_WR)
