Submit nothing from client connections that a shutdown has ended

What callers saw: a request that crossed the end of its connection, about 1 s after SIGTERM, got no answer and was delivered all the same, by the ending process or by the next one.

Cause: `IngressServer.shut_down_connections` shut the sending side but left each connection's task waiting in `_read_request`. In the 5 ms before the exit it read what came and submitted it, and admission was still open. The 202 failed on the shut socket.

Change: a connection that the process ends goes over to dropping like one that drain or SIGTERM ends: LINGERING, its task woken, and nothing that it reads from then on is parsed, whatever resumed it. A connection whose request waits for its decision is not ended before its answer. Admission closes in the same moment, for any other ingress.

--- a/scalefall/net/ingress_server.py
+++ b/scalefall/net/ingress_server.py
@@ -195,9 +195,11 @@
             listener.close()
 
     def shut_down_connections(self) -> None:
-        """End all connections before the process does.
+        """End all connections before the process does, except those whose request is being answered.
 
-        A socket that is closed with bytes unread is reset, and an answer that its client has not read yet is lost.
+        What still arrives is read and dropped: its client has seen the connection end without an answer and submits
+        the request again, so it must have no effect here. A socket that is closed with bytes unread is reset, and an
+        answer that its client has not read yet is lost.
         """
         counts = Counter(client.state for client in self._clients)
         log.info(
@@ -205,6 +207,9 @@
             ", ".join(f"{counts[state]} {state.name}" for state in sorted(counts)) or "none",
         )
         for client in self._clients:
+            if client.state is ConnectionState.ANSWERING:
+                continue
+            client.set_state(ConnectionState.LINGERING, self._scheduler.now())
             try:
                 client.sock.shutdown(socket.SHUT_WR)
             except OSError:
@@ -212,6 +217,7 @@
             bytes_left = MAX_LINGER_BYTES  # a client that floods must not delay the end
             while bytes_left > 0 and (data := _receive_available(client.sock)):
                 bytes_left -= len(data)
+            self._scheduler.wake(client.task, streams.Interrupted("the process ends"))
 
     @property
     def unavailable(self) -> bool:
@@ -378,9 +384,11 @@
     def _read_request(self, client: ClientConnection) -> int:
         """Read one request, and return when its first byte was read.
 
-        The reader is not complete if the connection ended first.
+        The reader is not complete if the connection ended first, or if the sender has shut it down.
         """
         reader, read_at_us = client.reader, self._scheduler.now()
+        if client.state is ConnectionState.LINGERING:  # shut down before its task first ran
+            return read_at_us
         answered_expect, deadline_us = False, read_at_us + IDLE_TIMEOUT_US
         if client.state is not ConnectionState.IDLE:
             client.set_state(ConnectionState.AWAITING_FIRST_BYTE, read_at_us)
@@ -390,12 +398,12 @@
             try:
                 data = streams.receive(self._scheduler, client.sock, deadline_us)
             except streams.TimedOut:
-                if reader.begun:
+                if reader.begun and client.state is not ConnectionState.LINGERING:
                     raise http.MalformedMessage(408, "the request took too long") from None
                 data = _receive_available(client.sock)  # bytes may have arrived since the last poll
             except streams.Interrupted:
                 data = _receive_available(client.sock) if client in self._clients and not reader.begun else b""
-            if not data:
+            if not data or client.state is ConnectionState.LINGERING:
                 return read_at_us
             if not reader.begun:
                 read_at_us = self._scheduler.now()
--- a/scalefall/net/shutdown.py
+++ b/scalefall/net/shutdown.py
@@ -53,7 +53,7 @@
             scheduler: The clock; it is stopped last.
             open_requests: The open requests.
             events: Passes the deadline of all attempts to the engine.
-            admission: Rejects new messages from that deadline on.
+            admission: Rejects new messages from that deadline on, or from the end of the clients' connections.
             ingress: The clients' connections, which are closed.
             attempts: The attempts in flight.
             delivery_reports: The reports that the platform has not confirmed.
@@ -97,6 +97,7 @@
         # Clients that were in the listener's backlog are served, and the messages that they submitted are waited for.
         while self._elapsed_us() < LAST_ANSWERS_US and (self._ingress.answering or not self._may_end()):
             self._scheduler.sleep(LAST_POLL_US)
+        self._admission.close_at(self._scheduler.now())  # what is submitted from now on cannot be answered
         self._ingress.shut_down_connections()
         self._scheduler.sleep(LAST_POLL_US)
         log.info(
--- a/tests/test_docs_names.py
+++ b/tests/test_docs_names.py
@@ -35,6 +35,7 @@
         *(ROOT / "docs" / "design").glob("*.md"),
         *(ROOT / "docs" / "operate").glob("*.md"),
         *(ROOT / "docs" / "capacity").glob("*.md"),
+        *(ROOT / "docs" / "incidents").glob("*.md"),
     ]
 )
 EXTERNAL_NAMES = {
--- a/tests/test_ingress_races.py
+++ b/tests/test_ingress_races.py
@@ -9,6 +9,7 @@
 from scalefall.net import http
 from scalefall.net.delivery_request import Accepted
 from scalefall.net.ingress_server import EVICTION_GRACE_US, IDLE_TIMEOUT_US, MAX_LINGER_BYTES
+from scalefall.net.scheduler import TIMED_OUT
 
 CLOSE_REASONS = {
     "shutdown": lambda harness: harness.ingress.close_idle(),
@@ -150,6 +151,76 @@
     harness.world.play(play)
 
 
+REQUEST = http.request("POST", "/safe", "s", list(HEAD.items()), b"body")
+SENT_BEFORE_THE_END = {  # what a connection has sent, and what is still to come when the process ends it
+    "no request yet": (b"", REQUEST),
+    "half a request": (REQUEST[:20], REQUEST[20:]),
+    "a request that was answered": (REQUEST, REQUEST),
+}
+
+
+@pytest.mark.parametrize("sent", SENT_BEFORE_THE_END)
+@pytest.mark.parametrize("arrives", ["before the end, unread", "after the end", "as its time is up"])
+def test_a_request_that_crosses_the_end_of_its_connection_at_a_shutdown_is_never_submitted(sent, arrives):
+    """Guards against requests that were forwarded while their clients saw the connection end with no answer."""
+    harness = IngressHarness(result=Accepted())
+    earlier, later = SENT_BEFORE_THE_END[sent]
+
+    def play():
+        sock = harness.dial()
+        sock.send(earlier)
+        harness.world.sleep(MS)
+        submitted_count = len(harness.submitted)
+        resume_within_poll(harness.world)
+        if arrives == "before the end, unread":
+            sock.send(later)
+        if arrives == "as its time is up":  # the connection's task resumes after the end, for another reason
+            (client,) = harness.ingress._clients
+            harness.world.wake(client.task, TIMED_OUT)
+        harness.ingress.shut_down_connections()
+        if arrives != "before the end, unread":
+            sock.send(later)
+        harness.world.sleep(5 * MS)
+        assert len(harness.submitted) == submitted_count
+        sock.shutdown(socket.SHUT_WR)
+        assert read_to_end(sock).count(b"202 ") == submitted_count
+
+    harness.world.play(play)
+
+
+def test_a_connection_that_has_just_been_accepted_submits_nothing_after_its_end():
+    """Guards against the same for a connection whose task runs for the first time after the end."""
+    harness = IngressHarness(result=Accepted())
+
+    def play():
+        resume_within_poll(harness.world)
+        sock = harness.dial()
+        harness.ingress.stop_listening()
+        harness.ingress.shut_down_connections()
+        harness.send_request(sock)
+        harness.world.sleep(5 * MS)
+        assert harness.submitted == []
+
+    harness.world.play(play)
+
+
+def test_a_request_that_waits_for_its_result_is_answered_though_the_other_connections_end():
+    """Guards against an answer that cannot be written any more, so that its message is withdrawn after its call."""
+    harness = IngressHarness()
+
+    def play():
+        sock = harness.dial()
+        harness.send_request(sock)
+        harness.world.wait_until(lambda: harness.submitted)
+        harness.ingress.close_idle()
+        harness.ingress.shut_down_connections()
+        harness.submitted[0].decide(Accepted())
+        assert harness.answer(sock).status == 202
+        assert not harness.withdrawn
+
+    harness.world.play(play)
+
+
 @pytest.mark.parametrize("has_request", [False, True])
 def test_an_idle_connection_with_an_unread_request_is_not_evicted(has_request):
     harness = IngressHarness(max_clients=4, result=Accepted())
--- a/tests/test_sender_races.py
+++ b/tests/test_sender_races.py
@@ -12,8 +12,9 @@
 from test_journal import used_bytes
 from test_sender import SenderHarness, accepted_delivery, play
 
-from scalefall.net import http
+from scalefall.net import http, streams
 from scalefall.net.config import ConfigError
+from scalefall.net.shutdown import LAST_POLL_US
 from scalefall.policy.settings import Idempotency
 
 
@@ -244,6 +245,32 @@
     play(harness, after_restart)
 
 
+def test_requests_sent_as_a_shutdown_ends_their_connections_have_no_effect(tmp_path):
+    """Guards against requests that this process or the next one forwarded, though their clients got no answer."""
+    harness = SenderHarness(tmp_path, tick_us=LAST_POLL_US)  # the engine's last step comes just as the process ends
+    world, crossing = harness.world, []
+
+    def rest(name):
+        sock = socket.create_connection(harness.sender.address)
+        sock.setblocking(False)
+        assert streams.receive(world, sock, world.now() + 10 * S) == b""
+        crossing.append(harness.submit(name, cls="unsafe", sock=sock))
+
+    def steps():
+        harness.sender.close()
+        for number in range(6):
+            world.spawn(rest, f"m{number}")
+
+    assert ends_in_time(harness, steps)
+    assert len(crossing) == 6
+    assert harness.pending_ids() == []
+    harness.kill()
+    harness.start()
+    world.play(lambda: world.sleep(2 * S))
+    with pytest.raises(BlockingIOError):
+        harness.endpoint.listener.accept()
+
+
 def test_a_pending_message_of_a_class_that_was_removed_fails_at_the_restart(harness):
     def steps():
         harness.sender.journal.record_accepted(accepted_delivery(harness, "m", "keyed"))
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -94,9 +94,12 @@
         "close_idle",
         "stop_listening",
         "close",
+        "close_at",  # at once: a message that is accepted after the connections' end has no client to answer
         "shut_down_connections",
         "save_final",
     ]
+    _, closed_at_us, rejects_from_us = harness.components.calls[5]
+    assert closed_at_us == rejects_from_us
     assert harness.components.calls[0] == ("close_at", started_us, started_us + ATTEMPTS_END_US)
     assert harness.engine_events == [ShuttingDown(started_us + ATTEMPTS_END_US)]
 
