Take no configuration that lacks a key of the one in force

Cause: `read_config` fills a missing key from the environment or a default, in a reload as at the start; the environment of a running process has the values of its start, so the watch and the delivery reports moved back to an address that discovery had left. Evidence: the log has "configuration read again: discovery at" the first address after the second SIGHUP, then refused connections. Ruled out: a move taken in part (both parts follow the same value), reports lost on their way (none was sent to the new address).

Change: `Config.keys` names the keys of the file and of its objects; `SettingsReloader` takes no file that lacks one of those in force, with one line that names them. It compares with the file in force, not with a list: `admin` and `peers` stand in some files only, and a deployment may name discovery in the environment alone. The same holds now for `listen`, `name`, `seed`, `limits`, `known`, whose absence was filled in the same way and let the file's classes and attempts be applied.

--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -54,6 +54,7 @@
     needs_restart: tuple[str, ...] = ()  # after a reload: changes that take a restart
     admin: Address | None = None  # None: no admin server
     warnings: tuple[str, ...] = ()  # inconsistent or missing values, and what is used instead
+    keys: frozenset[str] = frozenset()  # the keys of the file and of its objects, such as "limits.sockets"
 
 
 def read_address(value: Any, name: str) -> Address:
@@ -116,11 +117,22 @@
             warnings=warnings,
             admin=_admin(environ.get("RELAY_ADMIN") or table.get("admin")),
             known=known,
+            keys=_keys_with_values(table),
         )
     except (ValueError, TypeError, KeyError, OverflowError) as error:
         raise ConfigError(str(error) or type(error).__name__) from error
 
 
+def _keys_with_values(table: dict[str, Any], prefix: str = "") -> frozenset[str]:
+    """Return the keys of the file and of the objects that it holds, as `object.key`; null counts as missing."""
+    keys = {prefix + key for key, value in table.items() if value is not None}
+    if not prefix:
+        for key, value in table.items():
+            if isinstance(value, dict):
+                keys |= _keys_with_values(value, f"{key}.")
+    return frozenset(keys)
+
+
 def _admin(value: Any) -> Address | None:
     return read_address(value, "admin") if value else None
 
--- a/scalefall/net/reloader.py
+++ b/scalefall/net/reloader.py
@@ -29,10 +29,14 @@
     """Reloads a sender that uses discovery: the address of discovery, the message classes and the attempt limit.
 
     The platform has the same address as discovery. All other settings need a restart.
+
+    A file that lacks a key of the file in force is incomplete, and nothing of it is applied. At the start the
+    environment or a default may stand in for a missing key; later the value in force may be another.
     """
 
     def __init__(
         self,
+        keys: frozenset[str],
         settings: Settings,
         endpoint_list: DiscoveryList,
         delivery_reports: DeliveryReporter,
@@ -40,10 +44,12 @@
         """Set up reloading of these components.
 
         Args:
+            keys: The keys of the configuration file in force.
             settings: The current settings. Ingress, admission and engine share its table of classes.
             endpoint_list: Moves its watch to the new address of discovery.
             delivery_reports: Posts to the new address as well.
         """
+        self._keys = keys
         self._settings = settings
         self._endpoint_list = endpoint_list
         self._delivery_reports = delivery_reports
@@ -52,6 +58,7 @@
         """Load the configuration and apply it at once; see `Reloader.reload`."""
         try:
             config = load_config()
+            self._check_complete(config)
         except ConfigError as error:
             log.error("configuration not taken, the old settings stay: %s", error)
             return
@@ -59,8 +66,15 @@
         log.info("configuration read again: discovery at %s:%d", *config.discovery)
         self._endpoint_list.move(config.discovery)
         self._delivery_reports.move(config.discovery)
+        self._keys = config.keys
         self._apply(config.settings)
 
+    def _check_complete(self, config: Config) -> None:
+        """Raise ConfigError if the configuration lacks keys of the one in force."""
+        missing = self._keys - config.keys
+        if missing:
+            raise ConfigError(f"missing keys: {', '.join(sorted(missing))}")
+
     def _apply(self, new: Settings) -> None:
         """Apply message classes and the attempt limit; pending messages keep the rules of their acceptance."""
         self._log_changes(new)
--- a/scalefall/net/sender.py
+++ b/scalefall/net/sender.py
@@ -159,7 +159,7 @@
                 config.seed,
                 endpoint_retention_us(settings),
             )
-            return endpoint_list, SettingsReloader(settings, endpoint_list, self.delivery_reports)
+            return endpoint_list, SettingsReloader(config.keys, settings, endpoint_list, self.delivery_reports)
         static_list = StaticList(scheduler, config.known, self._endpoint_list_changed, settings.drain_grace_us)
         reloader = FleetReloader(scheduler, settings, static_list, self.routes)
         reloader.apply_routes(config.fleet)
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -201,6 +201,41 @@
         other.end()
 
 
+def without_key(path):
+    """Return the example with one key missing, given as `key` or `object.key`."""
+    table = json.loads(json.dumps(EXAMPLE))
+    *parents, key = path.split(".")
+    for parent in parents:
+        table = table[parent]
+    del table[key]
+    return table
+
+
+def test_a_file_that_lacks_a_key_changes_nothing_and_reports_go_to_the_address_of_the_last_whole_file(
+    sender, toy, tmp_path
+):
+    """Guards against an incomplete file that was taken with the address of the start: reports went there for good."""
+    process = sender("-O")
+    other = Process("example/toy_server.py", "--discovery", "0", "--endpoints", "0", "0")
+    try:
+        address = other.line("discovery at").split()[-1]
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(EXAMPLE | {"discovery": address}))
+        process.child.send_signal(signal.SIGHUP)
+        process.line(f"discovery at {address}")
+        for key in [*EXAMPLE, "limits.disk_mb", "known.hosts", "settings.caps", "settings.tick"]:
+            path.write_text(json.dumps(without_key(key)))
+            process.child.send_signal(signal.SIGHUP)
+            process.line("configuration not taken, the old settings stay")
+        assert send_request(process, "nowhere", dest=9, deadline="8000m").status == 202
+        assert json.loads(other.line("nowhere").removeprefix("notice "))["state"] == "returned"
+        path.write_text(json.dumps(EXAMPLE))
+        process.child.send_signal(signal.SIGHUP)
+        process.line(f"discovery at {EXAMPLE['discovery']}")
+    finally:
+        other.end()
+
+
 def settings_without(key):
     return EXAMPLE | {"settings": {name: value for name, value in EXAMPLE["settings"].items() if name != key}}
 
--- a/tests/test_settings_reload.py
+++ b/tests/test_settings_reload.py
@@ -4,7 +4,7 @@
 
 import pytest
 from helpers import message_class, settings
-from nethelp import S, list_update, host_row, reset
+from nethelp import S, StubServer, list_update, host_row, reset
 from test_sender import SenderHarness, play
 
 from scalefall.net import http
@@ -74,6 +74,50 @@
     play(harness, steps)
 
 
+@pytest.mark.parametrize(
+    ("before", "after", "taken"),
+    [
+        ({"discovery", "limits.sockets"}, {"discovery", "limits.sockets", "admin"}, True),
+        ({"limits.sockets"}, {"limits.sockets"}, True),  # the environment has named discovery from the start
+        ({"discovery", "limits.sockets"}, {"limits.sockets"}, False),
+        ({"discovery", "limits.sockets"}, {"discovery"}, False),
+    ],
+)
+def test_a_configuration_that_lacks_a_key_of_the_one_in_force_is_not_taken(harness, caplog, before, after, taken):
+    """Guards against an incomplete file: what stood in for its missing address was that of the process's start."""
+    other = StubServer(harness.world)
+
+    def reload_from(address, keys):
+        harness.sender.reload(lambda: replace(harness.sender.config, discovery=address, keys=frozenset(keys)))
+
+    def steps():
+        reload_from(harness.platform.address, before)
+        reload_from(other.address, after)
+        assert ("missing keys" in caplog.text) is not taken
+        harness.submit_accepted("m", cls="unsafe")
+        reset(harness.accept_call()[0])  # it may have run: failed, with a report
+        platform = other if taken else harness.platform
+        while platform.read(sock := platform.accept()).method != "POST":
+            sock.close()
+
+    play(harness, steps)
+
+
+def test_what_a_configuration_lacks_is_compared_with_the_last_one_that_was_taken(harness):
+    """A key that came with a later file has to stay, too, and a file that was not taken changes nothing of this."""
+
+    def reload_with(*keys):
+        harness.sender.reload(lambda: replace(harness.sender.config, keys=frozenset(keys)))
+        return harness.sender.reloader._keys
+
+    def steps():
+        assert reload_with("discovery") == {"discovery"}
+        assert reload_with("discovery", "admin") == {"discovery", "admin"}
+        assert reload_with("admin", "peers") == {"discovery", "admin"}
+
+    play(harness, steps)
+
+
 KEYED = {"idempotency": Idempotency.WITH_KEY}
 CHANGED = {  # the class at acceptance, the class at the next start, the message's final answer
     "was not idempotent, now is": ({"idempotency": Idempotency.NOT_IDEMPOTENT}, {}, "failed"),
