Count the wait of a request that comes during the start from when the sender listened

What the first poll found counted as unread for the whole 400 ms that a client waits.

Change: the listener knows when it began, and what its queue holds cannot have arrived earlier; from then on a start is as any other moment. The test of a hidden wait of 400 ms at the start stands unchanged and passes. New test: the wait is counted exactly at the start (three cases, each fails without the change).

--- a/scalefall/net/ingress_server.py
+++ b/scalefall/net/ingress_server.py
@@ -159,9 +159,11 @@
         self._listener: socket.socket | None = None
         self.shutting_down = self.draining = False
         self._logged_rejections, self._unlogged_rejections, self._rejection_window_ends_us = 0, 0, 0
+        self._listening_since_us = 0
         self._backlog_earliest_arrival_us = 0  # connections in the listener's queue cannot have arrived before this
 
     def listen(self, address: tuple[str, int]) -> tuple[str, int]:
+        self._listening_since_us = self._scheduler.now()
         self._listener = streams.listen(address, LISTEN_BACKLOG)
         self._accepting = self._scheduler.spawn(self._accept)
         return self._listener.getsockname()
@@ -237,9 +239,8 @@
         while self._listener is not None:
             if self._scheduler.pause(None, self._listener, READ) is not READY or self._listener is None:
                 continue
-            self._backlog_earliest_arrival_us = (
-                self._backlog_earliest_arrival_us if backlogged else self._scheduler.earliest_arrival_us
-            )
+            if not backlogged:
+                self._backlog_earliest_arrival_us = max(self._listening_since_us, self._scheduler.earliest_arrival_us)
             backlogged = True
             try:
                 for _ in range(MAX_ACCEPTS_PER_STEP):
--- a/tests/test_ingress_server.py
+++ b/tests/test_ingress_server.py
@@ -135,6 +135,21 @@
     harness.world.play(play)
 
 
+@pytest.mark.parametrize("busy_us", [0, 300 * MS, 380 * MS])
+def test_the_wait_of_a_request_that_arrives_during_the_start_is_counted_from_when_the_sender_listened(busy_us):
+    """Guards against a wait of 400 ms that was assumed for whatever the first poll found."""
+    harness = IngressHarness(result=Accepted(), classes={"safe": message_class(deadline_us=6 * S)})
+
+    def play():
+        assert harness.answer(sock).status == 202
+        assert harness.submitted[0].due_us == listened_at + 5000 * MS - max(0, 300 * MS - busy_us)
+
+    listened_at, sock = harness.world.now(), harness.dial()
+    harness.send_request(sock, X_Deadline="5000m")
+    harness.world.clock += busy_us  # the rest of the start
+    harness.world.play(play)
+
+
 @pytest.mark.parametrize(
     ("result", "status", "retry_after"),
     [(Rejected(250_000), 429, "0.250"), (Rejected(1, True), 503, "0.001"), (GivenUp(), 500, None)],
