Keep back 0.15 s of a message's time for an unseen wait, in place of 0.4 s

What remains has a reason of its own: a sender may be held up for up to 0.15 s between reading its clock and writing, so that at least 150 ms are kept back, or a twentieth of the class's deadline where that is less. What the scheduler sees of a wait is kept back as before, up to 400 ms, and so is the lag of its timers: others may have the processor on any machine.

--- a/scalefall/net/ingress_server.py
+++ b/scalefall/net/ingress_server.py
@@ -32,10 +32,10 @@
 REJECTION_LOG_WINDOW_US = 10 * SECOND_US
 
 # The client's deadline runs while its request waits unread in the socket buffer. That wait is estimated and
-# subtracted from the time left. The clock of a starting process shows nothing of the wait, so a minimum is always
-# subtracted.
+# subtracted from the time left.
 MAX_UNREAD_US = 400_000  # most time subtracted for the wait: a client waits no longer for its answer
-MIN_UNREAD_DIVISOR = 20  # the minimum is the class's deadline divided by this
+MIN_UNREAD_US = 150_000  # least time subtracted: the process may be held up this long between the poll and its clock
+MIN_UNREAD_DIVISOR = 20  # at most the class's deadline divided by this is the least time
 MAX_UNREAD_DIVISOR = 2  # at most the time left divided by this is subtracted for the wait
 
 # The end of a message takes an engine step, a delivery report and its answer; each may be as late as timers are.
@@ -116,7 +116,7 @@
     unread_us = min(
         MAX_UNREAD_US,
         time_left_us // MAX_UNREAD_DIVISOR,
-        max(unread_us, message_class.deadline_us // MIN_UNREAD_DIVISOR),
+        max(unread_us, min(MIN_UNREAD_US, message_class.deadline_us // MIN_UNREAD_DIVISOR)),
     )
     time_left_us -= unread_us + min(time_left_us // MAX_LAG_DIVISOR, LAG_STEPS * lag_us)
     return DeliveryRequest(message_id, class_name, int(route[0]), read_at_us + time_left_us, key, bytes(reader.body))
