Lock the state folder, so that a second process changes nothing in it

Evidence: without the second start nothing is repeated, and the repeated messages are those that waited at the second start. Ruled out: a record written too late by the first process (all calls were answered half a second before the restart).

The system releases the lock however the process ends.

--- a/scalefall/net/journal.py
+++ b/scalefall/net/journal.py
@@ -3,7 +3,7 @@
 Each record is appended before the step that it records takes effect, so that recovery finds every accepted message and
 every attempt that may have run. An incomplete record at the end, as a killed process leaves it, is truncated. The
 journal is compacted when the file and a compacted copy of it would together exceed the journal's limit. A message is
-accepted only if its records fit within that limit.
+accepted only if its records fit within that limit. An open journal keeps other processes out of its folder.
 """
 
 from __future__ import annotations
@@ -30,6 +30,7 @@
     RecordError,
 )
 from scalefall.net.logs import log
+from scalefall.net.state_folder_lock import StateFolderLock
 
 FILE_NAME = "journal"
 COPY_FLAGS = os.O_RDWR | os.O_CREAT | os.O_TRUNC | os.O_APPEND  # overwrites an incomplete copy
@@ -59,8 +60,10 @@
             limit_bytes: The most bytes that the file and its compacted copy may take together.
 
         Raises:
+            StateFolderInUseError: Another process uses the folder; nothing in it has been changed.
             OSError: The file cannot be opened or read.
         """
+        self._lock = StateFolderLock(folder)
         self.pending: dict[str, PendingDelivery] = {}
         self._path = os.path.join(folder, FILE_NAME)
         self._copy_path = self._path + ".new"
@@ -84,8 +87,9 @@
         self.close()
 
     def close(self) -> None:
-        """Close the file; no further record can be written."""
+        """Close the file and release the folder; no further record can be written."""
         os.close(self._file)
+        self._lock.release()
 
     @property
     def unused_bytes(self) -> int:
@@ -140,7 +144,7 @@
         """Record that the attempt in flight ended without delivering the message; see record_finished for delivery."""
         if message_id in self.pending:
             self._append(journal_records.encode_attempt_finished(message_id, may_have_run))
-            self._finish_attempt(self.pending[message_id], may_have_run)
+            self.pending[message_id].finish_attempt(may_have_run)
 
     def record_finished(self, message_id: str) -> None:
         """Record that a message is finished: delivered, withdrawn, or its final answer reported."""
@@ -167,13 +171,6 @@
         delivery.attempt_started_wall_us = wall_us
         delivery.attempt_zone = zone
 
-    @staticmethod
-    def _finish_attempt(delivery: PendingDelivery, may_have_run: bool) -> None:
-        if may_have_run and not delivery.may_have_run_wall_us:
-            delivery.may_have_run_wall_us = delivery.attempt_started_wall_us
-            delivery.may_have_run_zone = delivery.attempt_zone
-        delivery.in_flight = False
-
     def _give_final_answer(self, delivery: PendingDelivery, final_answer: FinalAnswer, retry_after_ms: int) -> None:
         delivery.final_answer = final_answer
         delivery.retry_after_ms = retry_after_ms
@@ -200,7 +197,7 @@
         """Apply a record that ends an attempt or the delivery itself."""
         match record:
             case AttemptFinished():
-                self._finish_attempt(delivery, record.may_have_run)
+                delivery.finish_attempt(record.may_have_run)
             case FinalAnswerGiven():
                 self._give_final_answer(delivery, record.final_answer, record.retry_after_ms)
             case Finished():
--- a/scalefall/net/journal_records.py
+++ b/scalefall/net/journal_records.py
@@ -118,6 +118,13 @@
     copy_bytes: int = field(default=0, repr=False)
     zone_bytes: int = field(default=RESERVED_ZONE_BYTES, repr=False)
 
+    def finish_attempt(self, may_have_run: bool) -> None:
+        """Note that the attempt in flight has finished without delivering the message."""
+        if may_have_run and not self.may_have_run_wall_us:
+            self.may_have_run_wall_us = self.attempt_started_wall_us
+            self.may_have_run_zone = self.attempt_zone
+        self.in_flight = False
+
 
 class AttemptStarted(NamedTuple):
     """One attempt with one or several messages is about to start.
--- a/scalefall/net/sender.py
+++ b/scalefall/net/sender.py
@@ -75,7 +75,7 @@
         """Connect the components and read the state folder; send nothing and do not listen yet.
 
         Raises:
-            OSError: The state folder cannot be used.
+            OSError: The state folder cannot be used, or another process uses it.
         """
         max_sockets = (config.sockets - RESERVED_SOCKETS) // 2  # as many for clients as for endpoints
         settings = replace(config.settings, call_slots=min(config.settings.call_slots, max_sockets))
--- a/tests/test_program.py
+++ b/tests/test_program.py
@@ -147,6 +147,34 @@
     assert not [line for line in restarted.seen if "restored" in line]
 
 
+def test_a_second_process_on_the_same_state_folder_ends_and_leaves_the_journal_to_the_first(sender, toy, tmp_path):
+    """Guards against fee-orders that took effect twice: the second process replaced the journal of the first."""
+    process = sender("-O")
+    journal = tmp_path / "state" / "journal"
+    assert send_request(process, "paid").status == 202
+    toy.line("delivered paid at")
+    before = journal.stat().st_ino
+    environ = {
+        "RELAY_CONFIG": str(tmp_path / "config.json"),
+        "RELAY_STATE": str(tmp_path / "state"),
+        "RELAY_LISTEN": "{}:{}".format(*process.at),
+        "RELAY_DISCOVERY": toy.address,
+    }
+    second = subprocess.run(
+        [sys.executable, "-O", "-m", "scalefall"],
+        cwd=ROOT,
+        env=os.environ | environ,
+        text=True,
+        capture_output=True,
+        timeout=PROCESS_TIMEOUT_S,
+    )
+    assert (second.returncode, len(second.stderr.splitlines())) == (2, 1)
+    assert "in use by another process" in second.stderr
+    assert journal.stat().st_ino == before
+    assert process.end(signal.SIGKILL) == -signal.SIGKILL
+    assert send_request(sender("-O"), "later").status == 202
+
+
 def test_messages_pending_at_sigterm_stay_in_the_journal_and_are_delivered_after_the_restart(sender, toy):
     process = sender("-O")
     names = [f"m{n}" for n in range(12)]
