Split the ingress server: connections, delivery requests on the wire, and the log of rejections

Behaviour unchanged: `client_connection.py` has a connection's state, its rank in eviction and how its sending side is shut down; `delivery_request_http.py` reads a delivery request from HTTP, one header a function, and writes its result; `rejection_log.py` bounds the log of rejected requests. Tests change in imports alone.

--- a/scalefall/net/ingress_server.py
+++ b/scalefall/net/ingress_server.py
@@ -2,139 +2,28 @@
 
 from __future__ import annotations
 
-import re
 import socket
 from collections import Counter
 from collections.abc import Callable
-from dataclasses import dataclass
-from enum import IntEnum
-from urllib.parse import unquote
 
 from scalefall.net import http, streams
-from scalefall.net.delivery_request import Accepted, AdmissionResult, Conflict, DeliveryRequest, GivenUp, NotServed
+from scalefall.net.client_connection import MAX_LINGER_BYTES, ClientConnection, ConnectionState
+from scalefall.net.delivery_request import DeliveryRequest
+from scalefall.net.delivery_request_http import encode_admission_result, parse_delivery_request
 from scalefall.net.logs import log
-from scalefall.net.scheduler import READ, READY, Scheduler, Task
-from scalefall.policy.settings import Idempotency, MessageClass
+from scalefall.net.rejection_log import RejectionLog
+from scalefall.net.scheduler import READ, READY, Scheduler
+from scalefall.policy.settings import MessageClass
 
 SECOND_US = 1_000_000  # microseconds in a second
 REQUEST_TIMEOUT_US = 2 * SECOND_US  # from a request's first byte to its last; also for a new connection's first byte
 WRITE_TIMEOUT_US = 2 * SECOND_US  # the time that a client has to read an answer
 IDLE_TIMEOUT_US = 2050_000  # a connection that has been idle between requests for this long is closed
-LONG_IDLE_US = 2 * SECOND_US  # an idle connection is among the first to be evicted from this age on
 HALF_FULL_FIRST_BYTE_TIMEOUT_US = SECOND_US // 4  # limit for a new connection, while half of max_clients are open
-EVICTION_GRACE_US = SECOND_US // 20  # a connection whose request is incomplete is not evicted before this age
 EVICTION_RETRY_US = SECOND_US // 200  # wait before the next attempt to evict a connection, when none can be
 LINGER_US = SECOND_US // 2  # after the last answer, incoming bytes are read and dropped for at most this long
-MAX_LINGER_BYTES = 256 * 1024  # most bytes that are read and dropped after the last answer
 LISTEN_BACKLOG = 512  # connections in the listener's queue
 MAX_ACCEPTS_PER_STEP = 32  # connections accepted in a row before other tasks run
-MAX_LOGGED_REJECTIONS = 10  # rejected requests logged one by one in each window; the others are counted
-REJECTION_LOG_WINDOW_US = 10 * SECOND_US
-
-# The client's deadline runs while its request waits unread in the socket buffer. That wait is estimated and
-# subtracted from the time left.
-MAX_UNREAD_US = 400_000  # most time subtracted for the wait: a client waits no longer for its answer
-MIN_UNREAD_US = 150_000  # least time subtracted: the process may be held up this long between the poll and its clock
-MIN_UNREAD_DIVISOR = 20  # at most the class's deadline divided by this is the least time
-MAX_UNREAD_DIVISOR = 2  # at most the time left divided by this is subtracted for the wait
-
-# The end of a message takes an engine step, a delivery report and its answer; each may be as late as timers are.
-LAG_STEPS = 3
-MAX_LAG_DIVISOR = 10  # at most the time left divided by this is subtracted for the lag
-
-MICROSECONDS_BY_UNIT = {"m": 1000, "u": 1}  # suffixes of X-Deadline
-DEADLINE = re.compile(r"(\d{1,12})(?:\.(\d{1,6})\d*)?([mu])\Z")
-ROUTE = re.compile(r"(?:^|[,;\s])dest=(\d{1,9})(?:[,;\s]|\Z)")
-WORD = re.compile(r"[!-~]{1,200}\Z")
-
-
-class ConnectionState(IntEnum):
-    """State of a client's connection; also its eviction rank, lowest first."""
-
-    LINGERING = 0  # its last answer has been sent; incoming bytes are dropped
-    LONG_IDLE = 1  # idle for at least LONG_IDLE_US (only a rank)
-    AWAITING_FIRST_BYTE = 2  # no byte of its first request has come
-    READING = 3  # part of a request has come
-    IDLE_SINGLE_USE = 4  # idle, and has submitted at most one message (only a rank)
-    NEW = 5  # not served yet, or waiting or reading for less than EVICTION_GRACE_US; never evicted
-    IDLE = 6  # a request has been answered, and nothing has come since
-    ANSWERING = 7  # a request is being answered; never evicted
-
-
-@dataclass(slots=True, eq=False)
-class ClientConnection:
-    """A connection from a client."""
-
-    sock: socket.socket
-    reader: http.RequestReader
-    since_us: int  # when it entered its state
-    task: Task | None = None
-    state: ConnectionState = ConnectionState.NEW  # until its task first runs
-    submitted_count: int = 0  # messages
-    earliest_arrival_us: int = 0  # the next bytes to be read cannot have arrived before this time
-
-    def set_state(self, state: ConnectionState, now_us: int) -> None:
-        self.state, self.since_us = state, now_us
-
-
-def parse_delivery_request(
-    reader: http.RequestReader, classes: dict[str, MessageClass], read_at_us: int, unread_us: int = 0, lag_us: int = 0
-) -> DeliveryRequest:
-    """Return the delivery request that an HTTP request carries, with its deadline on the scheduler's clock.
-
-    Args:
-        reader: Holds the complete HTTP request.
-        classes: The message classes by name.
-        read_at_us: When its first byte was read.
-        unread_us: How long that byte may have waited unread.
-        lag_us: How late the scheduler runs its timers.
-
-    Raises:
-        http.MalformedMessage: A header field is missing or invalid, or the path or method is unknown.
-    """
-    path = re.sub(r"\Ahttp://[^/?]*", "", reader.target).partition("?")[0]
-    class_name = unquote(path).split("/")[1] if path.startswith("/") else ""
-    message_class = classes.get(class_name)
-    if message_class is None:
-        raise http.MalformedMessage(404, "no such path or class")
-    if reader.method != "POST":
-        raise http.MalformedMessage(405, "only POST")
-    fields = reader.fields
-    message_id, key = fields.get("x-request-id", ""), fields.get("idempotency-key")
-    if not WORD.match(message_id):
-        raise http.MalformedMessage(400, "X-Request-Id is missing or not a word")
-    if not WORD.match("-" if key is None and message_class.idempotency is not Idempotency.WITH_KEY else key or ""):
-        raise http.MalformedMessage(400, "Idempotency-Key is missing or not a word")
-    deadline, route = DEADLINE.match(fields.get("x-deadline", "")), ROUTE.findall(fields.get("x-route-to", ""))
-    if deadline is None:
-        raise http.MalformedMessage(400, "X-Deadline is missing or not a time")
-    if len(route) != 1:
-        raise http.MalformedMessage(400, "X-Route-To does not name one dest")
-    time_left_us = min(
-        int(float(f"{deadline[1]}.{deadline[2] or 0}") * MICROSECONDS_BY_UNIT[deadline[3]]), message_class.deadline_us
-    )
-    unread_us = min(
-        MAX_UNREAD_US,
-        time_left_us // MAX_UNREAD_DIVISOR,
-        max(unread_us, min(MIN_UNREAD_US, message_class.deadline_us // MIN_UNREAD_DIVISOR)),
-    )
-    time_left_us -= unread_us + min(time_left_us // MAX_LAG_DIVISOR, LAG_STEPS * lag_us)
-    return DeliveryRequest(message_id, class_name, int(route[0]), read_at_us + time_left_us, key, bytes(reader.body))
-
-
-def encode_admission_result(result: AdmissionResult, keep: bool) -> bytes:
-    """Return the HTTP answer for an admission result; with keep, the connection stays open."""
-    if isinstance(result, Accepted):
-        return http.answer(202, [], keep=keep)
-    if isinstance(result, GivenUp):
-        return http.answer(500, [], b"given up\n", keep)
-    if isinstance(result, Conflict):
-        return http.answer(409, [], b"the id of another message that is open\n", keep)
-    if isinstance(result, NotServed):
-        return http.answer(404, [], b"the route carries no messages of this class\n", keep)
-    seconds = f"{-(-result.retry_after_us // 1000) / 1000:.3f}"
-    fields = [("Retry-After", seconds)] if result.retry_after_us > 0 else []
-    return http.answer(503 if result.unavailable else 429, fields, keep=keep)
 
 
 class IngressServer:
@@ -158,7 +47,7 @@
         self._clients: dict[ClientConnection, None] = {}
         self._listener: socket.socket | None = None
         self.shutting_down = self.draining = False
-        self._logged_rejections, self._unlogged_rejections, self._rejection_window_ends_us = 0, 0, 0
+        self._rejection_log = RejectionLog()
         self._listening_since_us = 0
         self._backlog_earliest_arrival_us = 0  # connections in the listener's queue cannot have arrived before this
 
@@ -211,14 +100,10 @@
         for client in self._clients:
             if client.state is ConnectionState.ANSWERING:
                 continue
-            client.set_state(ConnectionState.LINGERING, self._scheduler.now())
             try:
-                client.sock.shutdown(socket.SHUT_WR)
+                client.shut_down(self._scheduler.now())
             except OSError:
                 continue
-            bytes_left = MAX_LINGER_BYTES  # a client that floods must not delay the end
-            while bytes_left > 0 and (data := _receive_available(client.sock)):
-                bytes_left -= len(data)
             self._scheduler.wake(client.task, streams.Interrupted("the process ends"))
 
     @property
@@ -285,10 +170,10 @@
         while True:
             client = min(
                 self._clients,
-                key=lambda candidate: (self._eviction_rank(candidate, now_us), candidate.since_us),
+                key=lambda candidate: (candidate.eviction_rank(now_us), candidate.since_us),
                 default=None,
             )
-            rank = ConnectionState.ANSWERING if client is None else self._eviction_rank(client, now_us)
+            rank = ConnectionState.ANSWERING if client is None else client.eviction_rank(now_us)
             if (
                 rank is ConnectionState.NEW
                 or rank > max_rank
@@ -299,29 +184,11 @@
                 )
             ):
                 return False
-            if client.state is ConnectionState.LINGERING or not _has_unread_bytes(client.sock):
+            if client.state is ConnectionState.LINGERING or not client.has_unread_bytes():
                 self._close(client)
                 return True
             client.set_state(ConnectionState.READING, now_us)  # bytes of a request have arrived since its last read
 
-    @staticmethod
-    def _eviction_rank(client: ClientConnection, now_us: int) -> ConnectionState:
-        age_us = now_us - client.since_us
-        if (
-            client.state in (ConnectionState.AWAITING_FIRST_BYTE, ConnectionState.READING)
-            and age_us < EVICTION_GRACE_US
-        ):
-            return ConnectionState.NEW
-        if client.state is not ConnectionState.IDLE:
-            return client.state
-        return (
-            ConnectionState.LONG_IDLE
-            if age_us >= LONG_IDLE_US
-            else ConnectionState.IDLE
-            if client.submitted_count > 1
-            else ConnectionState.IDLE_SINGLE_USE
-        )
-
     def _close(self, client: ClientConnection) -> None:
         if client in self._clients:
             del self._clients[client]
@@ -401,9 +268,9 @@
             except streams.TimedOut:
                 if reader.begun and client.state is not ConnectionState.LINGERING:
                     raise http.MalformedMessage(408, "the request took too long") from None
-                data = _receive_available(client.sock)  # bytes may have arrived since the last poll
+                data = client.receive_available()  # bytes may have arrived since the last poll
             except streams.Interrupted:
-                data = _receive_available(client.sock) if client in self._clients and not reader.begun else b""
+                data = client.receive_available() if client in self._clients and not reader.begun else b""
             if not data or client.state is ConnectionState.LINGERING:
                 return read_at_us
             if not reader.begun:
@@ -431,7 +298,7 @@
         while request.admission is None:
             reason = self._scheduler.pause(None, client.sock, READ)
             if reason is READY and request.admission is None:
-                data = _receive_available(client.sock)
+                data = client.receive_available()
                 if data == b"":
                     self._withdraw(request)
                     raise ConnectionResetError("client disconnected before its answer")
@@ -446,7 +313,7 @@
         streams.send(self._scheduler, client.sock, data, self._scheduler.now() + WRITE_TIMEOUT_US)
 
     def _reject(self, client: ClientConnection, error: http.MalformedMessage) -> None:
-        self._log_rejection(error)
+        self._rejection_log.record(error, self._scheduler.now())
         client.set_state(ConnectionState.LINGERING, self._scheduler.now())
         fields = [("Allow", "POST")] if error.status == 405 else []
         try:
@@ -473,35 +340,3 @@
                 self._scheduler.sleep(0)  # a client that floods must not starve other tasks
         except OSError:
             pass
-
-    def _log_rejection(self, error: http.MalformedMessage) -> None:
-        """Log the first rejections of each window, and count the others: a client that floods must not fill the log."""
-        now_us = self._scheduler.now()
-        if now_us >= self._rejection_window_ends_us:
-            if self._unlogged_rejections:
-                log.info("requests rejected: %d more", self._unlogged_rejections)
-            self._logged_rejections, self._unlogged_rejections = 0, 0
-            self._rejection_window_ends_us = now_us + REJECTION_LOG_WINDOW_US
-        self._logged_rejections += 1
-        if self._logged_rejections > MAX_LOGGED_REJECTIONS:
-            self._unlogged_rejections += 1
-        else:
-            log.info("request rejected: %d %s", error.status, error)
-
-
-def _has_unread_bytes(sock: socket.socket) -> bool:
-    """Return whether the socket has bytes to read."""
-    try:
-        return bool(sock.recv(1, socket.MSG_PEEK))
-    except OSError:
-        return False
-
-
-def _receive_available(sock: socket.socket) -> bytes | None:
-    """Return what can be read at once: b"" at the end of the stream, None if there is nothing yet."""
-    try:
-        return sock.recv(streams.MAX_READ_BYTES)
-    except BlockingIOError:
-        return None
-    except OSError:
-        return b""
--- a/tests/test_ingress_races.py
+++ b/tests/test_ingress_races.py
@@ -7,8 +7,9 @@
 from test_ingress_server import HEAD, IngressHarness
 
 from scalefall.net import http
+from scalefall.net.client_connection import EVICTION_GRACE_US, MAX_LINGER_BYTES
 from scalefall.net.delivery_request import Accepted
-from scalefall.net.ingress_server import EVICTION_GRACE_US, IDLE_TIMEOUT_US, MAX_LINGER_BYTES
+from scalefall.net.ingress_server import IDLE_TIMEOUT_US
 from scalefall.net.scheduler import TIMED_OUT
 
 CLOSE_REASONS = {
