Leave connections that already linger open until the process has ended

Such a task ends by closing its socket, 5 ms early; bytes that its client still sends would reset the connection, and an answer on its way would be lost with it.

Change: only connections that were not lingering before are resumed. The new test fails without it (the connection is reset).

--- a/scalefall/net/ingress_server.py
+++ b/scalefall/net/ingress_server.py
@@ -120,11 +120,13 @@
         for client in self._clients:
             if client.state is ConnectionState.ANSWERING:
                 continue
+            drops_already = client.state is ConnectionState.LINGERING  # its task must go on: it would close at once
             try:
                 client.shut_down(self._scheduler.now())
             except OSError:
                 continue
-            self._resume(client, "the process ends")
+            if not drops_already:
+                self._resume(client, "the process ends")
 
     @property
     def unavailable(self) -> bool:
--- a/tests/test_ingress_races.py
+++ b/tests/test_ingress_races.py
@@ -222,6 +222,28 @@
     harness.world.play(play)
 
 
+def test_a_connection_that_lingers_after_its_answer_stays_open_until_the_process_has_ended():
+    """Guards against an answer that is lost as its connection is closed, and so reset by what the client still sends."""
+    harness = IngressHarness(result=Accepted())
+
+    def play():
+        sock = harness.dial()
+        harness.send_request(sock)
+        harness.ingress.close_idle()
+        harness.world.wait_until(lambda: harness.submitted)
+        harness.world.sleep(MS)  # answered, and the connection lingers
+        harness.ingress.shut_down_connections()
+        harness.world.sleep(MS)
+        sock.send(b"more")
+        harness.world.sleep(MS)
+        sock.send(b"and more")
+        reader = http.AnswerReader()
+        reader.feed(read_to_end(sock))
+        assert reader.status == 202
+
+    harness.world.play(play)
+
+
 @pytest.mark.parametrize("has_request", [False, True])
 def test_an_idle_connection_with_an_unread_request_is_not_evicted(has_request):
     harness = IngressHarness(max_clients=4, result=Accepted())
