--- a/tests/test_ingress_races.py
+++ b/tests/test_ingress_races.py
@@ -223,7 +223,7 @@
 
 
 def test_a_connection_that_lingers_after_its_answer_stays_open_until_the_process_has_ended():
-    """Guards against an answer that is lost as its connection is closed, and so reset by what the client still sends."""
+    """Guards against an answer that is lost as its connection is closed too early, and reset by further bytes."""
     harness = IngressHarness(result=Accepted())
 
     def play():
