Read a configuration's keys without recursion, and check limits before the state folder again

`_keys_with_values` called itself one level deep behind a prefix that told it where it was; two loops say the same. And the split of `read_config` had swapped two checks, so that a configuration with both errors named the other one: the order is as it was before the split.

--- a/scalefall/net/config.py
+++ b/scalefall/net/config.py
@@ -96,12 +96,12 @@
         ConfigError: The file or a variable of the environment cannot be used.
     """
     table = _load_file(environ.get("RELAY_CONFIG", ""))
-    state = environ.get("RELAY_STATE", "")
-    if not os.path.isdir(state):
-        raise ConfigError(f"RELAY_STATE must name a folder, not {state!r}")
     limits = table.get("limits", {})
     if not isinstance(limits, dict):
         raise ConfigError("limits must be an object")
+    state = environ.get("RELAY_STATE", "")
+    if not os.path.isdir(state):
+        raise ConfigError(f"RELAY_STATE must name a folder, not {state!r}")
     try:
         settings, warnings = _reconcile_replica_count(read_settings(table.get("settings")), table.get("peers"))
         known_table: Any = table.get("known") or {"seq": 0, "whole": True, "hosts": []}
@@ -161,13 +161,12 @@
     )
 
 
-def _keys_with_values(table: dict[str, Any], prefix: str = "") -> frozenset[str]:
+def _keys_with_values(table: dict[str, Any]) -> frozenset[str]:
     """Return the keys of the file and of the objects that it holds, as `object.key`; null counts as missing."""
-    keys = {prefix + key for key, value in table.items() if value is not None}
-    if not prefix:
-        for key, value in table.items():
-            if isinstance(value, dict):
-                keys |= _keys_with_values(value, f"{key}.")
+    keys = {key for key, value in table.items() if value is not None}
+    for name, nested in table.items():
+        if isinstance(nested, dict):
+            keys.update(f"{name}.{key}" for key, value in nested.items() if value is not None)
     return frozenset(keys)
 
 
