Log memory, descriptors and client connections every 10 s, and why connections ended

A line every 10 s says what the process holds, by state of its connections, and counts their ends by reason.

--- a/scalefall/net/connection_handler.py
+++ b/scalefall/net/connection_handler.py
@@ -11,6 +11,7 @@
 from scalefall.net.delivery_request import DeliveryRequest
 from scalefall.net.delivery_request_http import encode_admission_result, parse_delivery_request
 from scalefall.net.rejection_log import RejectionLog
+from scalefall.net.resource_log import ConnectionEnd, ConnectionEnds
 from scalefall.net.scheduler import READ, READY, Scheduler
 from scalefall.policy.settings import MessageClass
 
@@ -43,6 +44,7 @@
         submit: Callable[[DeliveryRequest], object],
         withdraw: Callable[[DeliveryRequest], object],
         status: ServerStatus,
+        ends: ConnectionEnds,
     ) -> None:
         """Set up the handler for all connections of a server.
 
@@ -52,12 +54,14 @@
             submit: Submits a delivery request for admission.
             withdraw: Withdraws a request whose client has disconnected before its answer.
             status: The state of the server.
+            ends: Counts why connections ended.
         """
         self._scheduler = scheduler
         self._classes = classes
         self._submit = submit
         self._withdraw = withdraw
         self._status = status
+        self._ends = ends
         self._rejection_log = RejectionLog()
 
     def serve(self, client: ClientConnection) -> None:
@@ -65,12 +69,17 @@
         try:
             while not client.closed and self._serve_request(client):
                 client.reader.begin_next()
-            self._linger(client)
+            if not client.closed:
+                self._ends.count(ConnectionEnd.CLOSED)
+                self._linger(client)
         except http.MalformedMessage as error:
             if not client.closed:
+                timed_out = error.status == http.REQUEST_TIMEOUT
+                self._ends.count(ConnectionEnd.TIMED_OUT if timed_out else ConnectionEnd.REJECTED)
                 self._reject(client, error)
-        except OSError:
-            pass  # the client has disconnected; a message without an answer has been withdrawn
+        except OSError:  # a message without an answer has been withdrawn
+            if not client.closed:
+                self._ends.count(ConnectionEnd.DISCONNECTED)
 
     # -- one request
 
@@ -182,7 +191,7 @@
             data = streams.receive(self._scheduler, client.sock, deadline_us)
         except streams.TimedOut:
             if has_begun and client.state is not ConnectionState.LINGERING:
-                raise http.MalformedMessage(408, "the request took too long") from None
+                raise http.MalformedMessage(http.REQUEST_TIMEOUT, "the request took too long") from None
             data = client.receive_available()  # bytes may have arrived since the last poll
         except streams.Interrupted:
             data = b"" if client.closed or has_begun else client.receive_available()
--- a/scalefall/net/http.py
+++ b/scalefall/net/http.py
@@ -13,6 +13,7 @@
 STATUS_LINE_PREFIX = b"HTTP/1."
 MAX_FRAMING_BYTES = 2 * MAX_BODY_BYTES  # head, chunk lines and trailer together, which the body limit does not bound
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
+REQUEST_TIMEOUT = 408
 REASONS = {
     200: "OK",
     202: "Accepted",
@@ -20,7 +21,7 @@
     400: "Bad Request",
     404: "Not Found",
     405: "Method Not Allowed",
-    408: "Request Timeout",
+    REQUEST_TIMEOUT: "Request Timeout",
     409: "Conflict",
     413: "Content Too Large",
     417: "Expectation Failed",
--- a/scalefall/net/ingress_server.py
+++ b/scalefall/net/ingress_server.py
@@ -11,6 +11,7 @@
 from scalefall.net.connection_handler import ConnectionHandler
 from scalefall.net.delivery_request import DeliveryRequest
 from scalefall.net.logs import log
+from scalefall.net.resource_log import ConnectionEnd, ConnectionEnds
 from scalefall.net.scheduler import READ, READY, Scheduler, Task
 from scalefall.policy.settings import MessageClass
 
@@ -28,6 +29,7 @@
     Attributes:
         shutting_down: Whether the process is about to end.
         draining: Whether operators are draining the sender.
+        ends: Counts why connections ended.
     """
 
     def __init__(
@@ -49,7 +51,8 @@
         """
         self._scheduler = scheduler
         self._max_clients = max_clients
-        self._handler = ConnectionHandler(scheduler, classes, submit, withdraw, self)
+        self.ends = ConnectionEnds()
+        self._handler = ConnectionHandler(scheduler, classes, submit, withdraw, self, self.ends)
         self._clients: dict[ClientConnection, None] = {}
         self._listener: socket.socket | None = None
         self._accepting: Task | None = None
@@ -112,11 +115,7 @@
         the request again, so it must have no effect here. A socket that is closed with bytes unread is reset, and an
         answer that its client has not read yet is lost.
         """
-        counts = Counter(client.state for client in self._clients)
-        log.info(
-            "client connections shut down: %s",
-            ", ".join(f"{counts[state]} {state.name}" for state in sorted(counts)) or "none",
-        )
+        log.info("client connections shut down: %s", self.describe_connections())
         for client in self._clients:
             if client.state is ConnectionState.ANSWERING:
                 continue
@@ -128,6 +127,11 @@
             if not drops_already:
                 self._resume(client, "the process ends")
 
+    def describe_connections(self) -> str:
+        """Return the number of open connections in each state as text."""
+        counts = Counter(client.state for client in self._clients)
+        return ", ".join(f"{counts[state]} {state.name}" for state in sorted(counts)) or "none"
+
     @property
     def unavailable(self) -> bool:
         """Whether the process is shutting down or draining."""
@@ -194,6 +198,7 @@
             if not _is_evictable(client, max_rank, now_us):
                 return False
             if client.state is ConnectionState.LINGERING or not client.has_unread_bytes():
+                self.ends.count(ConnectionEnd.EVICTED)
                 self._close(client)
                 return True
             client.set_state(ConnectionState.READING, now_us)  # bytes of a request have arrived since its last read
--- a/scalefall/net/sender.py
+++ b/scalefall/net/sender.py
@@ -26,6 +26,7 @@
 from scalefall.net.rate_saver import RateSaver
 from scalefall.net.recovery import Recovery
 from scalefall.net.reloader import FleetReloader, LoadConfig, Reloader, SettingsReloader, endpoint_retention_us
+from scalefall.net.resource_log import log_resources
 from scalefall.net.route_table import RouteTable
 from scalefall.net.scheduler import Scheduler
 from scalefall.net.sender_loop import SenderLoop
@@ -248,8 +249,9 @@
         self.recovery.release_learned_rates()
 
     def _run_housekeeping(self) -> None:
-        """Log violated invariants and drop expired waits, periodically."""
+        """Log violated invariants and resources, and drop expired waits, periodically."""
         invariants.log_violations()
+        log_resources(self.ingress.describe_connections(), self.ingress.ends.take_text())
         self.dispatcher.drop_expired_waits()
         self._scheduler.call_at(self._scheduler.now() + HOUSEKEEPING_INTERVAL_US, self._run_housekeeping)
 
