Free what a connection holds with the connection, without the cyclic garbage collector

Callers saw a sender of 32 MB pass its limit and be killed while hundreds of clients stopped half way through a request.

Cause: four kinds of references kept a connection's buffers after its end, until a run of the cyclic collector, which counts objects and not bytes: a reader referred to itself by the bound method that was its state; a task that was interrupted raised the exception that it had in a local, so the traceback and its frames referred to each other; an open message referred to the connection that it came on; and a rejected request's exception kept its frames while the connection dropped what still came. The last read (up to 64 KiB) was also kept by a local of each task that waited for more, beside the reader's copy, here and in endpoints' answers, the watch, the reports and the operators' calls.

--- a/scalefall/net/admin.py
+++ b/scalefall/net/admin.py
@@ -104,10 +104,8 @@
         deadline_us = self._scheduler.now() + READ_TIMEOUT_US
         try:
             while not reader.complete:
-                data = streams.receive(self._scheduler, sock, deadline_us)
-                if not data:
+                if not streams.receive_into(self._scheduler, sock, reader, deadline_us):
                     return b""
-                reader.feed(data)
         except http.MalformedMessage as error:
             return http.answer(error.status, [], f"{error}\n".encode(), keep=False)
         except streams.TimedOut:
--- a/scalefall/net/attempts.py
+++ b/scalefall/net/attempts.py
@@ -191,16 +191,15 @@
         """
         started_at_us = 0
         while not reader.complete:
-            data = streams.receive(self._scheduler, sock, deadline_us)
+            is_open = streams.receive_into(self._scheduler, sock, reader, deadline_us)
             started_at_us = started_at_us or self._scheduler.now()
             if attempt.over:
                 return False
-            if not data:
+            if not is_open:
                 reader.end_stream()
                 if reader.complete:
                     break
                 raise ConnectionResetError("the endpoint closed the connection")
-            reader.feed(data)
             is_delivered = reader.status == 200 and len(attempt.messages) == 1
             max_answer_us = MAX_DELIVERED_ANSWER_DURATION_US if is_delivered else MAX_ANSWER_DURATION_US
             deadline_us = min(deadline_us, started_at_us + max_answer_us)
--- a/scalefall/net/connection_handler.py
+++ b/scalefall/net/connection_handler.py
@@ -10,7 +10,7 @@
 from scalefall.net.client_connection import MAX_LINGER_BYTES, ClientConnection, ConnectionState
 from scalefall.net.delivery_request import DeliveryRequest
 from scalefall.net.delivery_request_http import encode_admission_result, parse_delivery_request
-from scalefall.net.rejection_log import RejectionLog
+from scalefall.net.rejection_log import Rejection, RejectionLog
 from scalefall.net.resource_log import ConnectionEnd, ConnectionEnds
 from scalefall.net.scheduler import READ, READY, Scheduler
 from scalefall.policy.settings import MessageClass
@@ -67,20 +67,32 @@
     def serve(self, client: ClientConnection) -> None:
         """Serve a connection until it ends; the caller closes it."""
         try:
-            while not client.closed and self._serve_request(client):
-                client.reader.begin_next()
-            if not client.closed:
+            rejection = self._serve_requests(client)
+            client.reader.release()
+            if client.closed:
+                return
+            if rejection is not None:
+                self._reject(client, rejection)
+            else:
                 self._ends.count(ConnectionEnd.CLOSED)
                 self._linger(client)
-        except http.MalformedMessage as error:
-            if not client.closed:
-                timed_out = error.status == http.REQUEST_TIMEOUT
-                self._ends.count(ConnectionEnd.TIMED_OUT if timed_out else ConnectionEnd.REJECTED)
-                self._reject(client, error)
         except OSError:  # a message without an answer has been withdrawn
             if not client.closed:
                 self._ends.count(ConnectionEnd.DISCONNECTED)
 
+    def _serve_requests(self, client: ClientConnection) -> Rejection | None:
+        """Serve requests until the connection is to be closed; return why, if the last one was rejected.
+
+        Raises:
+            OSError: The connection has ended.
+        """
+        try:
+            while not client.closed and self._serve_request(client):
+                client.reader.begin_next()
+        except http.MalformedMessage as error:
+            return Rejection(error.status, str(error))
+        return None
+
     # -- one request
 
     def _serve_request(self, client: ClientConnection) -> bool:
@@ -161,26 +173,28 @@
             deadline_us = read_at_us + REQUEST_TIMEOUT_US
         answered_expect = False
         while not reader.complete:
-            data = self._receive(client, deadline_us)
-            if not data:
+            had_begun = reader.begun
+            if not self._receive(client, deadline_us):
                 return read_at_us
-            if not reader.begun:
+            if not had_begun:
                 read_at_us = self._scheduler.now()
                 is_first_request = client.state is ConnectionState.AWAITING_FIRST_BYTE
                 request_deadline_us = read_at_us + REQUEST_TIMEOUT_US
                 deadline_us = min(deadline_us, request_deadline_us) if is_first_request else request_deadline_us
                 client.set_state(ConnectionState.READING, read_at_us)
-            reader.feed(data)
+            reader.advance()
             if reader.head_done and not reader.complete and not answered_expect and "expect" in reader.fields:
                 answered_expect = True
                 self._answer_expect(client)
         return read_at_us
 
-    def _receive(self, client: ClientConnection, deadline_us: int) -> bytes:
-        """Return the next bytes of a request.
+    def _receive(self, client: ClientConnection, deadline_us: int) -> bool:
+        """Pass the next bytes of a request to its reader, not parsed yet.
+
+        The bytes are held by the reader alone: this frame has ended when the task waits for more.
 
         Returns:
-            b"" if the connection has ended or has been shut down, or no request has begun by the deadline.
+            False if the connection has ended or has been shut down, or no request has begun by the deadline.
 
         Raises:
             http.MalformedMessage: A request has begun and is not complete by the deadline.
@@ -196,10 +210,11 @@
         except streams.Interrupted:
             data = b"" if client.closed or has_begun else client.receive_available()
         if not data or client.state is ConnectionState.LINGERING:
-            return b""
+            return False
         if not has_begun and poll_count != self._scheduler.poll_count:  # the socket was empty when the wait began
             client.earliest_arrival_us = max(receive_began_us, self._scheduler.earliest_arrival_us)
-        return data
+        client.reader.unparsed += data
+        return True
 
     def _answer_expect(self, client: ClientConnection) -> None:
         """Answer the field Expect of a request whose body has not come."""
@@ -212,13 +227,15 @@
     def _answer(self, client: ClientConnection, data: bytes) -> None:
         streams.send(self._scheduler, client.sock, data, self._scheduler.now() + WRITE_TIMEOUT_US)
 
-    def _reject(self, client: ClientConnection, error: http.MalformedMessage) -> None:
+    def _reject(self, client: ClientConnection, rejection: Rejection) -> None:
         """Answer a malformed request, and end its connection."""
-        self._rejection_log.record(error, self._scheduler.now())
+        is_timeout = rejection.status == http.REQUEST_TIMEOUT
+        self._ends.count(ConnectionEnd.TIMED_OUT if is_timeout else ConnectionEnd.REJECTED)
+        self._rejection_log.record(rejection, self._scheduler.now())
         client.set_state(ConnectionState.LINGERING, self._scheduler.now())
-        fields = [("Allow", "POST")] if error.status == 405 else []
+        fields = [("Allow", "POST")] if rejection.status == http.METHOD_NOT_ALLOWED else []
         try:
-            self._answer(client, http.answer(error.status, fields, f"{error}\n".encode(), keep=False))
+            self._answer(client, http.answer(rejection.status, fields, f"{rejection.reason}\n".encode(), keep=False))
         except OSError:
             return
         self._linger(client)
@@ -234,10 +251,10 @@
         try:
             client.sock.shutdown(socket.SHUT_WR)
             while bytes_left > 0 and self._scheduler.now() < deadline_us:
-                data = streams.receive(self._scheduler, client.sock, deadline_us)
-                if not data:
+                received = streams.discard(self._scheduler, client.sock, deadline_us)
+                if not received:
                     break
-                bytes_left -= len(data)
+                bytes_left -= received
                 self._scheduler.sleep(0)  # a client that floods must not starve other tasks
         except OSError:
             pass
--- a/scalefall/net/delivery_reports.py
+++ b/scalefall/net/delivery_reports.py
@@ -298,9 +298,7 @@
     def _read_answer(self, sock: socket.socket, until: int) -> http.AnswerReader:
         reader = http.AnswerReader()
         while not reader.complete:
-            data = streams.receive(self._scheduler, sock, until)
-            if data:
-                reader.feed(data)
+            if streams.receive_into(self._scheduler, sock, reader, until):
                 continue
             reader.end_stream()
             if not reader.complete:
--- a/scalefall/net/delivery_request.py
+++ b/scalefall/net/delivery_request.py
@@ -64,7 +64,7 @@
             one then no longer withdraws the message.
         send_alone: Whether it must not share a call with other messages.
         message_class: The rules of its class as of its acceptance.
-        on_decided: Called once the answer is decided.
+        on_decided: Called once the answer is decided, then dropped: an open message must not keep its connection.
     """
 
     id: str
@@ -88,5 +88,6 @@
         """Set the answer and notify the ingress; later answers are ignored."""
         if self.admission is None:
             self.admission = admission
-            if self.on_decided is not None:
-                self.on_decided()
+            on_decided, self.on_decided = self.on_decided, None
+            if on_decided is not None:
+                on_decided()
--- a/scalefall/net/delivery_request_http.py
+++ b/scalefall/net/delivery_request_http.py
@@ -32,7 +32,7 @@
     """Return the delivery request that an HTTP request carries, with its deadline on the scheduler's clock.
 
     Args:
-        reader: Holds the complete HTTP request.
+        reader: Holds the complete HTTP request; its body is taken out of it.
         classes: The message classes by name.
         read_at_us: When its first byte was read.
         unread_us: How long that byte may have waited unread.
@@ -57,7 +57,7 @@
         max(unread_us, min(MIN_UNREAD_US, message_class.deadline_us // MIN_UNREAD_DIVISOR)),
     )
     time_left_us -= unread_us + min(time_left_us // MAX_LAG_DIVISOR, LAG_STEPS * lag_us)
-    return DeliveryRequest(message_id, class_name, destination, read_at_us + time_left_us, key, bytes(reader.body))
+    return DeliveryRequest(message_id, class_name, destination, read_at_us + time_left_us, key, reader.take_body())
 
 
 def _class_name(target: str) -> str:
--- a/scalefall/net/http.py
+++ b/scalefall/net/http.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from collections.abc import Callable
 
 from scalefall.net.invariants import assert_invariant
 
@@ -13,6 +14,7 @@
 STATUS_LINE_PREFIX = b"HTTP/1."
 MAX_FRAMING_BYTES = 2 * MAX_BODY_BYTES  # head, chunk lines and trailer together, which the body limit does not bound
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
+METHOD_NOT_ALLOWED = 405
 REQUEST_TIMEOUT = 408
 REASONS = {
     200: "OK",
@@ -20,7 +22,7 @@
     204: "No Content",
     400: "Bad Request",
     404: "Not Found",
-    405: "Method Not Allowed",
+    METHOD_NOT_ALLOWED: "Method Not Allowed",
     REQUEST_TIMEOUT: "Request Timeout",
     409: "Conflict",
     413: "Content Too Large",
@@ -60,7 +62,13 @@
         self.body = bytearray()
         self.head_done = self.complete = False
         self._scanned = self._remaining_bytes = self._framing_bytes = 0
-        self._state = self._read_head
+        # A function, not a bound method: a reader must be freed with its last reference, without the cyclic collector.
+        self._state: Callable[[Reader], bool] = type(self)._read_head
+
+    def release(self) -> None:
+        """Free all that was received; the reader is not used any more."""
+        self.unparsed = bytearray()
+        self.begin_next()
 
     @property
     def begun(self) -> bool:
@@ -72,12 +80,12 @@
         self.advance()
 
     def advance(self) -> None:
-        while not self.complete and self._state():
+        while not self.complete and self._state(self):
             pass
 
     def end_stream(self) -> None:
         """Mark the end of the stream; it completes a body that runs up to there."""
-        if self._state == self._read_to_end:
+        if self._state is Reader._read_to_end:
             self.complete = True
 
     def take_body(self) -> bytes:
@@ -152,13 +160,13 @@
                 raise MalformedMessage(400, "a transfer coding in HTTP/1.0")
             if coding.lower() != "chunked":
                 raise MalformedMessage(501, "unknown transfer coding")
-            self._state = self._read_chunk_size
+            self._state = Reader._read_chunk_size
         elif length is not None:
             if not (length.isascii() and length.isdigit() and len(length) < 16):
                 raise MalformedMessage(400, "malformed length")
             self._remaining_bytes = int(length)
             self._check_body_size(self._remaining_bytes)
-            self._state = self._read_length
+            self._state = Reader._read_length
             self.complete = self._remaining_bytes == 0
         else:
             self._start_unframed_body()
@@ -198,20 +206,20 @@
             raise MalformedMessage(400, "malformed chunk")
         self._remaining_bytes = int(size, 16)
         self._check_body_size(self._remaining_bytes)
-        self._state = self._read_chunk if self._remaining_bytes else self._read_trailer
+        self._state = Reader._read_chunk if self._remaining_bytes else Reader._read_trailer
         return True
 
     def _read_chunk(self) -> bool:
         if not self._move_to_body():
             return False
-        self._state = self._read_chunk_end
+        self._state = Reader._read_chunk_end
         return True
 
     def _read_chunk_end(self) -> bool:
         if self.unparsed and not self.unparsed.startswith((b"\r\n", b"\n")) and self.unparsed != b"\r":
             raise MalformedMessage(400, "malformed chunk")
         line = self._line(2)
-        self._state = self._read_chunk_size if line is not None else self._state
+        self._state = Reader._read_chunk_size if line is not None else self._state
         return line is not None
 
     def _read_trailer(self) -> bool:
@@ -294,11 +302,11 @@
             super()._start_body()
 
     def _start_unframed_body(self) -> None:
-        self._state = self._read_to_end
+        self._state = Reader._read_to_end
 
     @property
     def keep(self) -> bool:
-        return super().keep and self._state != self._read_to_end
+        return super().keep and self._state is not Reader._read_to_end
 
 
 def request(method: str, target: str, host: str, fields: list[tuple[str, str]], body: bytes | None = None) -> bytes:
--- a/scalefall/net/list_watch.py
+++ b/scalefall/net/list_watch.py
@@ -200,22 +200,24 @@
         connection = _WatchConnection(reader, objects, now_us, now_us)
         while not reader.complete:
             self._check_address(discovery)
-            data = self._receive(sock, connection)
+            is_open = self._receive(sock, connection)
             self._check_address(discovery)
-            if not data:
+            if not is_open:
                 raise ConnectionResetError("discovery closed the connection")
             connection.received_at_us = self._scheduler.now()
-            reader.feed(data)
             if not reader.head_done:
                 continue
             if reader.status != 200:
                 raise OSError(f"discovery answered {reader.status}")
             self._process(connection, reader.take_body(), discovery)
 
-    def _receive(self, sock: socket.socket, connection: _WatchConnection) -> bytes:
-        """Return the next bytes of a watch; a TimedOut after the answer's head is an idle timeout."""
+    def _receive(self, sock: socket.socket, connection: _WatchConnection) -> bool:
+        """Read the next bytes of a watch, and return False at its end.
+
+        A TimedOut after the answer's head is an idle timeout.
+        """
         try:
-            return streams.receive(self._scheduler, sock, connection.deadline_us())
+            return streams.receive_into(self._scheduler, sock, connection.reader, connection.deadline_us())
         except streams.TimedOut:
             self._reconnect_soon = connection.reader.head_done  # the sender soon counts as notified of missed changes
             raise
--- a/scalefall/net/scheduler.py
+++ b/scalefall/net/scheduler.py
@@ -181,10 +181,13 @@
         while not done:
             self.pause()
         self._thread_calls.remove((task, done))
-        result, error = done[0]
-        if error is not None:
-            raise error
-        return result
+        result, error = done.pop()
+        try:
+            if error is not None:
+                raise error
+            return result
+        finally:
+            del error  # its traceback refers to this frame
 
     def _wake_finished_thread_calls(self) -> None:
         for task, done in self._thread_calls:
--- a/scalefall/net/streams.py
+++ b/scalefall/net/streams.py
@@ -6,6 +6,7 @@
 import os
 import socket
 
+from scalefall.net.http import Reader
 from scalefall.net.scheduler import READ, TIMED_OUT, WRITE, Scheduler
 
 MAX_READ_BYTES = 64 * 1024  # bytes that one read returns at most
@@ -26,7 +27,7 @@
     if reason is TIMED_OUT:
         raise TimedOut("timed out")
     if isinstance(reason, Interrupted):
-        raise reason
+        raise Interrupted(*reason.args)  # raising the local itself would leave a cycle of it and its traceback
 
 
 def dial(scheduler: Scheduler, address: tuple[str, int], deadline_us: int) -> socket.socket:
@@ -76,3 +77,22 @@
             return sock.recv(MAX_READ_BYTES)
         except BlockingIOError:
             _wait(scheduler, sock, READ, deadline_us)
+
+
+def discard(scheduler: Scheduler, sock: socket.socket, deadline_us: int) -> int:
+    """Read the next bytes and drop them; return their number, 0 at the end of the stream."""
+    return len(receive(scheduler, sock, deadline_us))
+
+
+def receive_into(scheduler: Scheduler, sock: socket.socket, reader: Reader, deadline_us: int) -> bool:
+    """Pass the next bytes to a reader, which parses them; return False at the end of the stream.
+
+    The reader alone holds the bytes: a local of the caller would keep the last read for as long as it waits for more.
+
+    Raises:
+        http.MalformedMessage: The bytes are not HTTP.
+    """
+    data = receive(scheduler, sock, deadline_us)
+    if data:
+        reader.feed(data)
+    return bool(data)
