Parse in bounded steps, so that no framing of a request keeps other clients waiting

Callers beside a crowd that sends its bodies in chunks of a byte, or trailers and heads of thousands of short lines, had no answer for 5 s and more, with the memory flat.

Cause: a read of up to 64 KiB was parsed in one step of the loop, at about 1 us a line and up to 40,000 lines a request; a field that came again and again was copied each time, so a head of 16 KiB took 12 ms. With 300 such clients a round of the loop took seconds, and each had up to 150 ms of the processor. Connections with unread bytes never gave way, so the crowd also held all places.

Change: a reader parses up to a number of steps. Heads and trailers have 100 lines at most, repeated names included, a body 1,024 chunks, so the work is linear in the bytes. A connection is spared once for unread bytes, and one that gives way in the middle of a request gets 503. The listener's queue is longer (4,096): beyond 512 a client's next try came a second later. Bytes are read into one buffer of the loop and held once, by the reader.

--- a/scalefall/net/client_connection.py
+++ b/scalefall/net/client_connection.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from dataclasses import dataclass
 from enum import IntEnum
 
 from scalefall.net import http, streams
-from scalefall.net.scheduler import Task
+from scalefall.net.scheduler import Scheduler, Task
 
 SECOND_US = 1_000_000  # microseconds in a second
 LONG_IDLE_US = 2 * SECOND_US  # an idle connection is among the first to be evicted from this age on
@@ -39,6 +40,8 @@
         task: The task that serves it.
         state: Its state; NEW until its task first runs.
         submitted_count: The number of messages submitted on it.
+        was_spared: Whether it was not evicted because bytes of its request had arrived unread.
+        last_read_poll: The number of the scheduler's poll before its last read.
         earliest_arrival_us: The next bytes to be read cannot have arrived before this time.
     """
 
@@ -48,6 +51,8 @@
     task: Task | None = None
     state: ConnectionState = ConnectionState.NEW
     submitted_count: int = 0
+    was_spared: bool = False
+    last_read_poll: int = -1
     earliest_arrival_us: int = 0
 
     def set_state(self, state: ConnectionState, now_us: int) -> None:
@@ -77,23 +82,29 @@
         except OSError:
             return False
 
-    def receive_available(self) -> bytes | None:
-        """Return what can be read at once: b"" at the end of the stream, None if there is nothing yet."""
+    def read_available(self, scheduler: Scheduler) -> int | None:
+        """Append what can be read at once to what its reader has not parsed yet.
+
+        Returns:
+            The number of bytes: 0 at the end of the stream, None if there is nothing yet.
+        """
         try:
-            return self.sock.recv(streams.MAX_READ_BYTES)
+            return streams.receive_available(scheduler, self.sock, self.reader)
         except BlockingIOError:
             return None
         except OSError:
-            return b""
+            return 0
 
-    def shut_down(self, now_us: int) -> None:
+    def shut_down(self, scheduler: Scheduler) -> None:
         """Shut down the sending side, and drop what has arrived unread, up to a limit.
 
         Raises:
             OSError: The connection has ended already.
         """
-        self.set_state(ConnectionState.LINGERING, now_us)
+        self.set_state(ConnectionState.LINGERING, scheduler.now())
+        self.reader.release()
         self.sock.shutdown(socket.SHUT_WR)
         bytes_left = MAX_LINGER_BYTES
-        while bytes_left > 0 and (data := self.receive_available()):
-            bytes_left -= len(data)
+        with contextlib.suppress(BlockingIOError):
+            while bytes_left > 0 and (received := self.sock.recv_into(scheduler.read_buffer)):
+                bytes_left -= received
--- a/scalefall/net/connection_handler.py
+++ b/scalefall/net/connection_handler.py
@@ -99,7 +99,7 @@
         """Read and answer one request, and return whether the connection stays open."""
         reader = client.reader
         read_at_us = self._read_request(client)
-        if not reader.complete:
+        if not reader.complete or client.closed or client.state is ConnectionState.LINGERING:
             return False
         client.set_state(ConnectionState.ANSWERING, self._scheduler.now())
         _reject_pipelining(reader)
@@ -108,6 +108,7 @@
         else:
             keep = self._answer_delivery_request(client, read_at_us)
         client.set_state(ConnectionState.IDLE, self._scheduler.now())
+        client.was_spared = False
         client.earliest_arrival_us = client.since_us
         return keep
 
@@ -145,11 +146,9 @@
         while request.admission is None:
             reason = self._scheduler.pause(None, client.sock, READ)
             if reason is READY and request.admission is None:
-                data = client.receive_available()
-                if data == b"":
+                if client.read_available(self._scheduler) == 0:
                     self._withdraw(request)
                     raise ConnectionResetError("client disconnected before its answer")
-                client.reader.unparsed += data or b""
                 try:
                     _reject_pipelining(client.reader)
                 except http.MalformedMessage:
@@ -161,7 +160,7 @@
     def _read_request(self, client: ClientConnection) -> int:
         """Read one request, and return when its first byte was read.
 
-        The reader is not complete if the connection ended first, or if the sender has shut it down.
+        Returns early if the connection ended first, or if the sender has shut it down.
         """
         reader, read_at_us = client.reader, self._scheduler.now()
         if client.state is ConnectionState.LINGERING:  # shut down before its task first ran
@@ -182,7 +181,8 @@
                 request_deadline_us = read_at_us + REQUEST_TIMEOUT_US
                 deadline_us = min(deadline_us, request_deadline_us) if is_first_request else request_deadline_us
                 client.set_state(ConnectionState.READING, read_at_us)
-            reader.advance()
+            if not self._parse(client, deadline_us):
+                return read_at_us
             if reader.head_done and not reader.complete and not answered_expect and "expect" in reader.fields:
                 answered_expect = True
                 self._answer_expect(client)
@@ -191,31 +191,47 @@
     def _receive(self, client: ClientConnection, deadline_us: int) -> bool:
         """Pass the next bytes of a request to its reader, not parsed yet.
 
-        The bytes are held by the reader alone: this frame has ended when the task waits for more.
-
         Returns:
             False if the connection has ended or has been shut down, or no request has begun by the deadline.
 
         Raises:
             http.MalformedMessage: A request has begun and is not complete by the deadline.
         """
-        has_begun, poll_count, receive_began_us = client.reader.begun, self._scheduler.poll_count, self._scheduler.now()
-        data: bytes | None
+        has_begun = client.reader.begun
+        poll_count, receive_began_us = self._scheduler.poll_count, self._scheduler.now()
+        received: int | None
         try:
-            data = streams.receive(self._scheduler, client.sock, deadline_us)
+            if client.last_read_poll == poll_count:  # a client that sends without a pause must not hold up the others
+                streams.yield_in_background(self._scheduler)
+                poll_count, receive_began_us = self._scheduler.poll_count, self._scheduler.now()
+            received = streams.receive_unparsed(self._scheduler, client.sock, client.reader, deadline_us)
         except streams.TimedOut:
             if has_begun and client.state is not ConnectionState.LINGERING:
                 raise http.MalformedMessage(http.REQUEST_TIMEOUT, "the request took too long") from None
-            data = client.receive_available()  # bytes may have arrived since the last poll
+            received = client.read_available(self._scheduler)  # bytes may have arrived since the last poll
         except streams.Interrupted:
-            data = b"" if client.closed or has_begun else client.receive_available()
-        if not data or client.state is ConnectionState.LINGERING:
+            received = 0 if client.closed or has_begun else client.read_available(self._scheduler)
+        if not received or client.state is ConnectionState.LINGERING:
             return False
         if not has_begun and poll_count != self._scheduler.poll_count:  # the socket was empty when the wait began
             client.earliest_arrival_us = max(receive_began_us, self._scheduler.earliest_arrival_us)
-        client.reader.unparsed += data
+        client.last_read_poll = self._scheduler.poll_count
         return True
 
+    def _parse(self, client: ClientConnection, deadline_us: int) -> bool:
+        """Parse what has arrived; return False if the connection has ended or has been shut down meanwhile.
+
+        Raises:
+            http.MalformedMessage: The request is malformed, or not parsed by the deadline.
+        """
+        try:
+            streams.parse_in_background(self._scheduler, client.reader, deadline_us)
+        except streams.TimedOut:
+            raise http.MalformedMessage(http.REQUEST_TIMEOUT, "the request took too long") from None
+        except streams.Interrupted:
+            pass
+        return not client.closed and client.state is not ConnectionState.LINGERING
+
     def _answer_expect(self, client: ClientConnection) -> None:
         """Answer the field Expect of a request whose body has not come."""
         if client.reader.fields["expect"].lower() != "100-continue":
--- a/scalefall/net/http.py
+++ b/scalefall/net/http.py
@@ -9,7 +9,9 @@
 
 MAX_HEAD_BYTES = 16 * 1024  # start line and header fields
 MAX_BODY_BYTES = 64 * 1024
-MAX_FIELDS = 100
+MAX_FIELDS = 100  # lines of a head, and of a trailer; a line that repeats a name counts as well
+MAX_LEADING_EMPTY_LINES = 16  # before the start line, where RFC 9112 has them ignored
+MAX_CHUNKS = 1024  # of a body, or of what has arrived since its last part was taken
 MAX_INTERIM_ANSWERS = 20  # 1xx answers before the final one
 STATUS_LINE_PREFIX = b"HTTP/1."
 MAX_FRAMING_BYTES = 2 * MAX_BODY_BYTES  # head, chunk lines and trailer together, which the body limit does not bound
@@ -62,6 +64,7 @@
         self.body = bytearray()
         self.head_done = self.complete = False
         self._scanned = self._remaining_bytes = self._framing_bytes = 0
+        self._line_count = self._chunk_count = 0
         # A function, not a bound method: a reader must be freed with its last reference, without the cyclic collector.
         self._state: Callable[[Reader], bool] = type(self)._read_head
 
@@ -79,9 +82,20 @@
         self.unparsed += data
         self.advance()
 
-    def advance(self) -> None:
-        while not self.complete and self._state(self):
-            pass
+    def advance(self, max_steps: int | None = None) -> bool:
+        """Parse what has arrived, up to a number of steps; return whether the limit left something to parse.
+
+        A step is a line, or a piece of the body. Its time does not depend on what has arrived besides.
+        """
+        steps_left = max_steps
+        while not self.complete:
+            if steps_left == 0:
+                return True
+            if not self._state(self):
+                return False
+            if steps_left is not None:
+                steps_left -= 1
+        return False
 
     def end_stream(self) -> None:
         """Mark the end of the stream; it completes a body that runs up to there."""
@@ -90,7 +104,7 @@
 
     def take_body(self) -> bytes:
         """Remove and return the part of the body that has arrived, for a body that is processed as a stream."""
-        data, self._framing_bytes = bytes(self.body), 0
+        data, self._framing_bytes, self._chunk_count = bytes(self.body), 0, 0
         self.body.clear()
         return data
 
@@ -101,6 +115,7 @@
         return "close" not in options and (self.version != "HTTP/1.0" or "keep-alive" in options)
 
     version = "HTTP/1.1"
+    _takes_body_in_parts = True  # otherwise a body of known length is held once, and moved when it is complete
 
     def _line(self, max_bytes: int) -> str | None:
         """Return the next line without its line end, or None while it is incomplete."""
@@ -123,17 +138,29 @@
             return False
         self._framing_bytes += len(line) + 2
         if not self.start_line:
-            if line:
-                self.start_line = line
-                self._parse_start_line(line)
-            return True  # empty lines before a message are ignored
+            self._read_start_line(line)
+            return True
         if line:
+            self._count_line(MAX_FIELDS, "too many header fields")
             self._parse_field(line)
             return True
-        self.head_done = True
+        self.head_done, self._line_count = True, 0
         self._start_body()
         return True
 
+    def _read_start_line(self, line: str) -> None:
+        """Parse a start line; empty lines before it are ignored."""
+        if not line:
+            self._count_line(MAX_LEADING_EMPTY_LINES, "too many empty lines")
+            return
+        self.start_line, self._line_count = line, 0
+        self._parse_start_line(line)
+
+    def _count_line(self, max_lines: int, error: str) -> None:
+        self._line_count += 1
+        if self._line_count > max_lines:
+            raise MalformedMessage(431, error)
+
     def _parse_field(self, line: str) -> None:
         name, colon, value = line.partition(":")
         if not colon or not TOKEN.match(name):
@@ -145,8 +172,6 @@
             if name == "content-length" and self.fields[name] != value:
                 raise MalformedMessage(400, "two lengths")
             value = value if name == "content-length" else f"{self.fields[name]}, {value}"
-        elif len(self.fields) >= MAX_FIELDS:
-            raise MalformedMessage(431, "too many header fields")
         self.fields[name] = value
 
     def _start_body(self) -> None:
@@ -185,7 +210,11 @@
         return self._remaining_bytes == 0
 
     def _read_length(self) -> bool:
-        self.complete = self._move_to_body()
+        if not self.body and len(self.unparsed) == self._remaining_bytes:  # the whole body, and nothing else
+            self.body, self.unparsed, self._remaining_bytes = self.unparsed, self.body, 0
+            self.complete = True
+        elif self._takes_body_in_parts or len(self.unparsed) > self._remaining_bytes:
+            self.complete = self._move_to_body()
         return False
 
     def _read_to_end(self) -> bool:
@@ -199,7 +228,8 @@
         if line is None:
             return False
         self._framing_bytes += len(line) + 2
-        if self._framing_bytes > MAX_FRAMING_BYTES:
+        self._chunk_count += 1
+        if self._framing_bytes > MAX_FRAMING_BYTES or self._chunk_count > MAX_CHUNKS:
             raise MalformedMessage(413, "too many chunks")
         size = line.partition(";")[0].strip()
         if not re.fullmatch(r"[0-9A-Fa-f]{1,8}", size):
@@ -224,8 +254,9 @@
 
     def _read_trailer(self) -> bool:
         line = self._line(MAX_HEAD_BYTES)
-        if line is not None:
+        if line:
             self._framing_bytes += len(line) + 2
+            self._count_line(MAX_FIELDS, "too many trailer fields")
         if self._framing_bytes > MAX_FRAMING_BYTES:
             raise MalformedMessage(431, "trailer too long")
         self.complete = line == ""
@@ -245,6 +276,7 @@
     """Parses requests."""
 
     method = target = ""
+    _takes_body_in_parts = False
 
     def _parse_start_line(self, line: str) -> None:
         parts = line.split(" ")
--- a/scalefall/net/ingress_server.py
+++ b/scalefall/net/ingress_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
 from collections import Counter
 from collections.abc import Callable
@@ -19,7 +20,8 @@
 ACCEPT_RETRY_US = SECOND_US // 10  # wait after a failed accept, such as one for want of descriptors
 HALF_FULL_FIRST_BYTE_TIMEOUT_US = SECOND_US // 4  # limit for a new connection, while half of max_clients are open
 EVICTION_RETRY_US = SECOND_US // 200  # wait before the next attempt to evict a connection, when none can be
-LISTEN_BACKLOG = 512  # connections in the listener's queue
+LISTEN_BACKLOG = 4096  # connections in the listener's queue; beyond it a client's next try comes 1 s later
+EVICTED_ANSWER = http.answer(503, [("Retry-After", "0.500")], b"too many incomplete requests\n", keep=False)
 MAX_ACCEPTS_PER_STEP = 32  # connections accepted in a row before other tasks run
 
 
@@ -121,7 +123,7 @@
                 continue
             drops_already = client.state is ConnectionState.LINGERING  # its task must go on: it would close at once
             try:
-                client.shut_down(self._scheduler.now())
+                client.shut_down(self._scheduler)
             except OSError:
                 continue
             if not drops_already:
@@ -191,19 +193,31 @@
         return len(self._clients) >= self._max_clients // 2
 
     def _evict_client(self, max_rank: ConnectionState = ConnectionState.IDLE) -> bool:
-        """Close the connection with the lowest rank up to max_rank, and return whether there was one."""
+        """Close the connection with the lowest rank up to max_rank, and return whether there was one.
+
+        One with unread bytes is spared once, as these may complete its request.
+        """
         now_us = self._scheduler.now()
         while self._clients:
             client = min(self._clients, key=lambda candidate: (candidate.eviction_rank(now_us), candidate.since_us))
             if not _is_evictable(client, max_rank, now_us):
                 return False
-            if client.state is ConnectionState.LINGERING or not client.has_unread_bytes():
-                self.ends.count(ConnectionEnd.EVICTED)
-                self._close(client)
+            if client.state is ConnectionState.LINGERING or client.was_spared or not client.has_unread_bytes():
+                self._evict(client)
                 return True
-            client.set_state(ConnectionState.READING, now_us)  # bytes of a request have arrived since its last read
+            client.was_spared = True
+            client.set_state(ConnectionState.READING, now_us)
         return False
 
+    def _evict(self, client: ClientConnection) -> None:
+        """Close a connection; one whose request has begun gets an answer, as its last bytes may be on their way."""
+        self.ends.count(ConnectionEnd.EVICTED)
+        if client.state is ConnectionState.READING:
+            with contextlib.suppress(OSError):
+                client.sock.send(EVICTED_ANSWER)
+                client.shut_down(self._scheduler)
+        self._close(client)
+
     def _close(self, client: ClientConnection) -> None:
         if client in self._clients:
             del self._clients[client]
--- a/scalefall/net/scheduler.py
+++ b/scalefall/net/scheduler.py
@@ -11,7 +11,7 @@
 import socket
 import threading
 import time
-from collections import deque
+from collections import OrderedDict, deque
 from collections.abc import Callable
 from itertools import count
 from typing import Any
@@ -21,6 +21,7 @@
 from scalefall.net.invariants import assert_invariant
 from scalefall.net.logs import log
 
+MAX_READ_BYTES = 64 * 1024  # bytes that one read of a socket returns at most
 READ, WRITE = select.POLLIN, select.POLLOUT
 THREAD_DONE = 255  # written to the wake-up socket when a thread ends; no signal has this number
 MIN_LAG_US = 10_000  # a timer that runs late by no more than this does not count as lag
@@ -60,9 +61,11 @@
     def __init__(self) -> None:
         self._poll, self._tasks_by_fd = select.poll(), {}
         self._ready: deque[tuple[Task, Any]] = deque()
+        self._background: OrderedDict[Task, None] = OrderedDict()  # in order of their turns
         self._timers: list[tuple[int, int, Timer]] = []
         self._timer_numbers, self._running, self._cancelled_timers = count(), False, 0
         self._measured_lag_us, self._lag_measured_at_us = 0, 0
+        self.read_buffer = bytearray(MAX_READ_BYTES)  # for a read whose bytes are copied or dropped before any pause
         self.poll_count = 0  # polls of the sockets so far
         # What the last poll found cannot have arrived before the first of these; the poll returned at the second.
         self.earliest_arrival_us = self._polled_at_us = 0
@@ -150,12 +153,26 @@
         if task.timer is not None:
             task.timer.cancel()
             task.timer = None
+        self._background.pop(task, None)
         self._ready.append((task, value))
         return True
 
     def sleep(self, duration_us: int) -> Any:
         return self.pause(self.now() + duration_us)
 
+    def yield_in_background(self) -> Any:
+        """Pause the running task until all tasks that are ready have run, and its turn among such pauses has come.
+
+        One of them is resumed per poll, so that long work of many tasks delays the others by one part of it at a time.
+
+        Returns:
+            READY, or the value given to wake().
+        """
+        task = getcurrent()
+        task.paused = True
+        self._background[task] = None
+        return self._loop.switch()
+
     def on_signal(self, number: int, function: Callable[[], object]) -> None:
         """Have the loop call a function for each signal with this number, between two tasks."""
         self._signals[number] = function
@@ -219,7 +236,7 @@
             heapq.heappop(self._timers)
             self._cancelled_timers -= 1
         poll_began_us, self.poll_count = self.now(), self.poll_count + 1
-        ready = self._poll_sockets(self._timers[0][0] if self._timers else None)
+        ready = self._poll_sockets(self._next_poll_end_us(poll_began_us))
         previous_poll_us, self._polled_at_us = self._polled_at_us, self.now()
         self.earliest_arrival_us = (
             previous_poll_us if self._polled_at_us - poll_began_us < IMMEDIATE_POLL_US else self._polled_at_us
@@ -249,6 +266,15 @@
                 except Exception:
                     self.log_failure("timer", function)
 
+        if self._background and self._running:
+            self.wake(next(iter(self._background)), READY)
+
+    def _next_poll_end_us(self, now_us: int) -> int | None:
+        """Return when the poll has to end though no socket is ready; None if it may wait."""
+        if self._background:
+            return now_us
+        return self._timers[0][0] if self._timers else None
+
     def _poll_sockets(self, deadline_us: int | None) -> list[tuple[int, int]]:
         return self._poll.poll(None if deadline_us is None else max(0, -(-(deadline_us - self.now()) // 1000)))
 
--- a/scalefall/net/streams.py
+++ b/scalefall/net/streams.py
@@ -7,9 +7,10 @@
 import socket
 
 from scalefall.net.http import Reader
-from scalefall.net.scheduler import READ, TIMED_OUT, WRITE, Scheduler
+from scalefall.net.scheduler import MAX_READ_BYTES, READ, TIMED_OUT, WRITE, Scheduler
 
-MAX_READ_BYTES = 64 * 1024  # bytes that one read returns at most
+MAX_PARSE_STEPS = 64  # steps of a reader before other tasks run; more than the head of an ordinary request takes
+MAX_BACKGROUND_PARSE_STEPS = 512  # the same for a task in the background, of which one runs per poll
 
 
 class TimedOut(OSError):
@@ -26,6 +27,10 @@
     reason = scheduler.pause(deadline_us, sock, mask)
     if reason is TIMED_OUT:
         raise TimedOut("timed out")
+    _raise_if_interrupted(reason)
+
+
+def _raise_if_interrupted(reason: object) -> None:
     if isinstance(reason, Interrupted):
         raise Interrupted(*reason.args)  # raising the local itself would leave a cycle of it and its traceback
 
@@ -79,20 +84,72 @@
             _wait(scheduler, sock, READ, deadline_us)
 
 
+def receive_unparsed(scheduler: Scheduler, sock: socket.socket, reader: Reader, deadline_us: int) -> int:
+    """Append the next bytes to what a reader has not parsed yet; return their number, 0 at the end of the stream.
+
+    The reader alone holds the bytes: a local of the caller would keep the last read for as long as it waits for more.
+    """
+    while True:
+        try:
+            return receive_available(scheduler, sock, reader)
+        except BlockingIOError:
+            _wait(scheduler, sock, READ, deadline_us)
+
+
+def receive_available(scheduler: Scheduler, sock: socket.socket, reader: Reader) -> int:
+    """Append what can be read at once to what a reader has not parsed yet; return the number of bytes.
+
+    Raises:
+        BlockingIOError: Nothing has arrived.
+    """
+    number = sock.recv_into(scheduler.read_buffer)
+    with memoryview(scheduler.read_buffer) as received:
+        reader.unparsed += received[:number]
+    return number
+
+
 def discard(scheduler: Scheduler, sock: socket.socket, deadline_us: int) -> int:
     """Read the next bytes and drop them; return their number, 0 at the end of the stream."""
-    return len(receive(scheduler, sock, deadline_us))
+    while True:
+        try:
+            return sock.recv_into(scheduler.read_buffer)
+        except BlockingIOError:
+            _wait(scheduler, sock, READ, deadline_us)
 
 
 def receive_into(scheduler: Scheduler, sock: socket.socket, reader: Reader, deadline_us: int) -> bool:
     """Pass the next bytes to a reader, which parses them; return False at the end of the stream.
 
-    The reader alone holds the bytes: a local of the caller would keep the last read for as long as it waits for more.
+    Raises:
+        http.MalformedMessage: The bytes are not HTTP.
+    """
+    if not receive_unparsed(scheduler, sock, reader, deadline_us):
+        return False
+    while reader.advance(MAX_PARSE_STEPS):
+        scheduler.sleep(0)
+    return True
+
+
+def yield_in_background(scheduler: Scheduler) -> None:
+    """Let all other tasks run, and wait for a turn among the tasks in the background.
+
+    Raises:
+        Interrupted: Another task has cancelled the operation.
+    """
+    _raise_if_interrupted(scheduler.yield_in_background())
+
+
+def parse_in_background(scheduler: Scheduler, reader: Reader, deadline_us: int) -> None:
+    """Have a reader parse what has arrived, in parts between which all other tasks run.
 
     Raises:
         http.MalformedMessage: The bytes are not HTTP.
+        TimedOut: The deadline has passed.
+        Interrupted: Another task has cancelled the operation.
     """
-    data = receive(scheduler, sock, deadline_us)
-    if data:
-        reader.feed(data)
-    return bool(data)
+    max_steps = MAX_PARSE_STEPS
+    while reader.advance(max_steps):
+        if scheduler.now() >= deadline_us:
+            raise TimedOut("timed out")
+        yield_in_background(scheduler)
+        max_steps = MAX_BACKGROUND_PARSE_STEPS
--- a/tests/nethelp.py
+++ b/tests/nethelp.py
@@ -50,7 +50,7 @@
                 task.parent = self._loop
                 with contextlib.suppress(BaseException):
                     task.throw()
-        for container in (self.tasks, self._ready, self._tasks_by_fd, self._timers):
+        for container in (self.tasks, self._ready, self._background, self._tasks_by_fd, self._timers):
             container.clear()
         # A thread may still write to these.
         for sock in (self._wakeup_receiver, self._wakeup_sender) if not self.threads else ():
@@ -59,6 +59,7 @@
     def kill(self):
         """Drop all tasks, timers and waits for sockets, as a SIGKILL of the process does."""
         self._ready.clear()
+        self._background.clear()
         for task in list(self._tasks_by_fd.values()):
             self._poll.unregister(task.fd)
         self._tasks_by_fd.clear()
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -18,6 +18,9 @@
 )
 
 
+CHUNKED_HEAD = b"POST /x HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
 def split(data, positions):
     bounds = sorted({0, len(data), *(position % len(data) for position in positions)})
     return [data[start:end] for start, end in itertools.pairwise(bounds)]
@@ -109,6 +112,10 @@
         (LINE + b"A: " + b"x" * 20_000, 431),
         (LINE + b"A: b\r\n" * 5000, 431),
         (b"".join([LINE, *(b"A%d: b\r\n" % n for n in range(200))]), 431),
+        (LINE + b"A:\n" * 101, 431),
+        (b"\r\n" * 17, 431),
+        (CHUNKED_HEAD + b"1\r\na\r\n" * 1025, 413),
+        (CHUNKED_HEAD + b"0\r\n" + b"a:\n" * 101, 431),
         (LINE + b"Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n", 400),
         (LINE + b"Transfer-Encoding: chunked\r\n\r\nx\r\n", 400),
         (LINE + b"Transfer-Encoding: chunked\r\n\r\n1\r\nabc", 400),
@@ -121,6 +128,34 @@
     assert caught.value.status == status
 
 
+# Guards against messages whose parsing took one step of 50 ms or more each: 300 kept other clients waiting for 5 s.
+@pytest.mark.parametrize(
+    "data",
+    [
+        LINE + b"A:\n" * 100 + b"\n",
+        b"\n" * 16 + LINE + b"\r\n",
+        CHUNKED_HEAD + b"1\r\na\r\n" * 1023 + b"0\r\n" + b"a:\n" * 100 + b"\n",
+        LINE + b"Content-Length: 65536\r\n\r\n" + b"x" * 65536,
+    ],
+)
+@pytest.mark.parametrize("max_steps", [1, 7, 64])
+def test_a_message_at_its_limits_is_parsed_in_parts_of_a_bounded_number_of_steps(data, max_steps):
+    class CountingReader(http.RequestReader):
+        lines = 0
+
+        def _line(self, max_bytes):
+            self.lines += 1
+            return super()._line(max_bytes)
+
+    reader = CountingReader()
+    reader.unparsed += data
+    parts = 1
+    while reader.advance(max_steps):
+        assert reader.lines <= parts * max_steps
+        parts += 1
+    assert reader.complete
+
+
 @settings(derandomize=True, deadline=None, max_examples=300)
 @given(
     st.lists(
--- a/tests/test_ingress_races.py
+++ b/tests/test_ingress_races.py
@@ -282,6 +282,9 @@
             assert self.bytes_read < 100 * MAX_LINGER_BYTES, "reads without a limit"
             return b"x" * size
 
+        def recv_into(self, buffer):
+            return len(self.recv(len(buffer)))
+
     def play():
         idle_connection(harness)
         (client,) = harness.ingress._clients
@@ -333,3 +336,23 @@
         assert harness.withdrawn == (harness.submitted if closes == "before its result" else [])
 
     harness.world.play(play)
+
+
+def test_a_connection_with_unread_bytes_is_spared_once_and_then_ends_with_an_answer():
+    """Guards against clients that always have unread bytes: none of them gave way, and good ones waited for a place."""
+    harness = IngressHarness(max_clients=4, result=Accepted())
+
+    def play():
+        sock = harness.dial()
+        sock.send(b"POST /safe HTTP/1.1\r\n")
+        for _ in range(2):
+            harness.world.sleep(2 * EVICTION_GRACE_US)
+            resume_within_poll(harness.world)
+            sock.send(b"X-More: x\r\n")
+            evicted = harness.ingress._evict_client()
+        assert evicted
+        answer = harness.answer(sock)
+        assert (answer.status, answer.keep, answer.fields["retry-after"]) == (503, False, "0.500")
+        assert harness.submitted == []
+
+    harness.world.play(play)
--- a/tests/test_ingress_server.py
+++ b/tests/test_ingress_server.py
@@ -486,3 +486,23 @@
         assert harness.answer(late).keep is not (len(harness.ingress._clients) >= 10)
 
     harness.world.play(play)
+
+
+def test_a_request_is_answered_while_others_are_still_being_parsed():
+    """Guards against steps in which every connection's chunks were parsed: good clients had no answer for 5 s."""
+    harness = IngressHarness(max_clients=100, result=Accepted())
+    head = "".join(f"{name}: {value}\r\n" for name, value in HEAD.items()).encode()
+    slow = b"POST /safe HTTP/1.1\r\n" + head + b"Transfer-Encoding: chunked\r\n\r\n" + b"1\r\na\r\n" * 1000
+
+    def play():
+        slow_clients = [harness.dial() for _ in range(20)]
+        for sock in slow_clients:
+            sock.send(slow + b"0\r\n\r\n")
+        sock = harness.dial()  # accepted after them
+        harness.send_request(sock, X_Request_Id="good")
+        assert harness.answer(sock).status == 202
+        assert [request.id for request in harness.submitted] == ["good"]
+        for sock in slow_clients:
+            assert harness.answer(sock).status == 202  # they are served as well, later
+
+    harness.world.play(play)
--- a/tests/test_resource_bounds.py
+++ b/tests/test_resource_bounds.py
@@ -120,3 +120,12 @@
     play_crowd(sender, kind, CLIENTS)
     peak = status_bytes(sender, "VmHWM")
     assert peak <= MEMORY_BYTES, f"{peak / 1e6:.1f} MB at the most, {MEMORY_MB} MB allowed"
+
+
+# Guards against a framing whose parsing took a step of seconds: good clients had no answer for 5 s.
+@pytest.mark.parametrize("kind", crowd.KINDS)
+def test_good_clients_are_answered_in_time_beside_a_crowd_of_bad_ones(sender, kind):
+    with good_clients(sender.at) as good:
+        play_crowd(sender, kind, CLIENTS)
+    assert good.failures == []
+    assert max(good.waits) <= CLIENT_PATIENCE_S, f"{max(good.waits):.2f} s"
--- a/tests/test_scheduler.py
+++ b/tests/test_scheduler.py
@@ -119,3 +119,37 @@
         assert calls == ["fired"]
 
     world.play(play)
+
+
+def test_one_task_in_the_background_runs_per_poll_after_all_that_is_ready():
+    """Otherwise long work of hundreds of connections delays every other one by a part of each."""
+    world, ran = VirtualTimeScheduler(), []
+
+    def work(name):
+        for _ in range(3):
+            assert world.yield_in_background() is READY
+            ran.append((name, world.poll_count))
+
+    def play():
+        for name in "abc":
+            world.spawn(work, name)
+        while len(ran) < 9:
+            world.sleep(0)
+        assert [name for name, _ in ran] == list("abcabcabc")
+        assert len({poll_count for _, poll_count in ran}) == 9
+
+    world.play(play)
+
+
+def test_a_task_in_the_background_can_be_woken_and_then_has_no_turn_left():
+    world, resumed = VirtualTimeScheduler(), []
+
+    def play():
+        task = world.spawn(lambda: resumed.append(world.yield_in_background()))
+        world.spawn(lambda: world.wake(task, "value"))
+        world.sleep(MS)
+        assert resumed == ["value"]
+        assert not world._background
+        assert not world.wake(task)
+
+    world.play(play)
