--- a/scalefall/net/admin.py
+++ b/scalefall/net/admin.py
@@ -12,6 +12,7 @@
 
 from scalefall.net import http, streams
 from scalefall.net.logs import log
+from scalefall.net.memory_budget import MemoryBudget, Reservation
 from scalefall.net.scheduler import READ, READY, Scheduler, Task
 
 SECOND_US = 1_000_000  # microseconds in a second
@@ -27,15 +28,19 @@
 class AdminServer:
     """Accepts operators' connections, reads each call and answers it."""
 
-    def __init__(self, scheduler: Scheduler, handle_call: Callable[[str, str], int]) -> None:
+    def __init__(
+        self, scheduler: Scheduler, handle_call: Callable[[str, str], int], budget: MemoryBudget | None = None
+    ) -> None:
         """Create the server; it does not listen yet.
 
         Args:
             scheduler: Runs the tasks.
             handle_call: Carries out a call, given its method and target, and returns the HTTP status of its answer.
+            budget: Accounts for the connections; None: there is no limit.
         """
         self._scheduler = scheduler
         self._handle_call = handle_call
+        self._budget = budget or MemoryBudget()
         self._waiting: dict[socket.socket, Task] = {}  # connections with an incomplete call, oldest first
         self._listener: socket.socket | None = None
         self._accepting: Task | None = None
@@ -91,20 +96,21 @@
     def _serve(self, sock: socket.socket) -> None:
         try:
             with contextlib.suppress(OSError):  # the caller disconnected, or was evicted
-                answer = self._answer(sock)
+                with self._budget.open() as reservation:
+                    answer = self._answer(sock, reservation)
                 if answer:
                     streams.send(self._scheduler, sock, answer, self._scheduler.now() + WRITE_TIMEOUT_US)
         finally:
             self._waiting.pop(sock, None)
             sock.close()
 
-    def _answer(self, sock: socket.socket) -> bytes:
+    def _answer(self, sock: socket.socket, reservation: Reservation) -> bytes:
         """Read a call, carry it out and return its answer; b"" if the caller disconnected before it was complete."""
         reader = http.RequestReader(MAX_BODY_BYTES)
         deadline_us = self._scheduler.now() + READ_TIMEOUT_US
         try:
             while not reader.complete:
-                if not streams.receive_into(self._scheduler, sock, reader, deadline_us):
+                if not streams.receive_into(self._scheduler, sock, reader, deadline_us, reservation):
                     return b""
         except http.MalformedMessage as error:
             return http.answer(error.status, [], f"{error}\n".encode(), keep=False)
--- a/scalefall/net/attempt_dispatcher.py
+++ b/scalefall/net/attempt_dispatcher.py
@@ -16,6 +16,7 @@
 from scalefall.net.journal import Journal
 from scalefall.net.list_stream import Entry
 from scalefall.net.logs import debug_event, log
+from scalefall.net.memory_budget import MemoryBudget
 from scalefall.net.scheduler import Scheduler
 from scalefall.policy.actions import Send
 from scalefall.policy.events import NEVER_RAN, AttemptFinished, Endpoint, Outcome
@@ -46,6 +47,7 @@
         journal: Journal,
         endpoint_list: EndpointList,
         wall_offset_us: int,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Start with no attempt in flight.
 
@@ -58,6 +60,7 @@
             journal: Records the starts and outcomes of attempts.
             endpoint_list: The endpoints and their addresses.
             wall_offset_us: Wall time minus monotonic time, in microseconds.
+            budget: Accounts for attempts and idle connections; None: there is no limit.
         """
         self._scheduler = scheduler
         self._settings = settings
@@ -69,7 +72,7 @@
         self._wall_offset_us = wall_offset_us
         self._retry_after_until: dict[int | str, int] = {}  # by wait scope, in monotonic microseconds
         self.attempts = Attempts(
-            scheduler, settings, max_sockets, self._handle_outcome, self.may_begin, tracker.open.__contains__
+            scheduler, settings, max_sockets, self._handle_outcome, self.may_begin, tracker.open.__contains__, budget
         )
 
     # -- sends
--- a/scalefall/net/attempts.py
+++ b/scalefall/net/attempts.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 
 from scalefall.net import http, streams
-from scalefall.net.attempt_request import encode_request
+from scalefall.net.attempt_request import batch_row_size, encode_request
 from scalefall.net.attempt_result import (
     AttemptResult,
     MessageResult,
@@ -24,6 +24,7 @@
 from scalefall.net.invariants import assert_invariant
 from scalefall.net.list_stream import Entry
 from scalefall.net.logs import log
+from scalefall.net.memory_budget import CONNECTION_BYTES, MemoryBudget, Reservation
 from scalefall.net.scheduler import Scheduler
 from scalefall.policy.events import AttemptFinished, Outcome
 from scalefall.policy.settings import Settings
@@ -44,6 +45,7 @@
         report_outcome: Callable[[AttemptFinished, bool], None],
         may_begin: Callable[[Entry], bool],
         is_pending: Callable[[str], bool] = lambda _: True,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Start with no attempt in flight.
 
@@ -55,13 +57,15 @@
                 read a call with several messages.
             may_begin: Returns whether a call may still go out to an endpoint, once its connection is up.
             is_pending: Returns whether the message with this id still waits for an answer.
+            budget: Accounts for the attempts and the idle connections; None: there is no limit.
         """
         self._scheduler = scheduler
         self._settings = settings
         self._report_outcome = report_outcome
         self._may_begin = may_begin
         self._is_pending = is_pending
-        self._pool = ConnectionPool(scheduler, settings, max_sockets)
+        self._budget = budget or MemoryBudget()
+        self._pool = ConnectionPool(scheduler, settings, max_sockets, self._budget)
         self._in_flight: dict[tuple[str, int], Attempt] = {}  # by a message's id and the number of its attempt
 
     @property
@@ -114,8 +118,9 @@
             return
         self._pool.in_use += 1
         reader = http.AnswerReader()
+        reservation = self._budget.open()
         try:
-            self._perform(attempt, reader)
+            self._perform(attempt, reader, reservation)
         except Exception as error:  # noqa: BLE001 - a program error must leave no message without an outcome
             if not isinstance(error, (OSError, http.MalformedMessage)):
                 self._scheduler.log_failure("attempt", self._perform)
@@ -123,11 +128,12 @@
                 self._end_broken(attempt, reader, error)
         finally:
             self._pool.in_use -= 1
+            reservation.release()
             if not attempt.over:
                 log.error("attempt ended with no result: endpoint %s", attempt.entry.endpoint.id)
                 self._end(attempt, MessageResult(Outcome.ERROR if attempt.written else Outcome.CONNECT_FAILED))
 
-    def _perform(self, attempt: Attempt, reader: http.AnswerReader) -> None:
+    def _perform(self, attempt: Attempt, reader: http.AnswerReader, reservation: Reservation) -> None:
         """Connect, send the call and read its answer.
 
         An endpoint runs a call only after its last byte, so a call that is cut off before that never ran. Sending stops
@@ -140,6 +146,9 @@
         """
         deadline_us = max(message.ends_at_us for message in attempt.messages)
         pool = self._pool
+        if not reservation.try_resize(CONNECTION_BYTES + _request_bytes(attempt)):
+            self._end(attempt, MessageResult(Outcome.NOT_SENT))
+            return
         avoid_stale = pool.stale_loss_rate > MAX_STALE_LOSS_RATE and any(
             message.not_idempotent for message in attempt.messages
         )
@@ -147,16 +156,7 @@
         if attempt.over:
             self._close_connection(attempt)
             return
-        if not self._may_begin(attempt.entry):  # a drain or a Retry-After came during the dial
-            pool.release(connection, attempt.entry)
-            attempt.connection = None
-            self._end(attempt, MessageResult(Outcome.NOT_SENT))
-            return
-        self._drop_late_messages(attempt)
-        if not attempt.messages:
-            pool.release(connection, attempt.entry)
-            attempt.connection = None
-            attempt.over = True
+        if not self._may_still_send(attempt, connection):
             return
         request = encode_request(attempt, self._scheduler.now())
         send_deadline_us = int(
@@ -164,9 +164,26 @@
         )
         streams.send(self._scheduler, connection.sock, request, send_deadline_us)
         attempt.written = True
-        if self._receive(attempt, connection.sock, reader, deadline_us):
+        del request
+        reservation.resize(CONNECTION_BYTES)
+        if self._receive(attempt, reader, connection.sock, deadline_us, reservation):
             self._end_answered(attempt, connection, reader)
 
+    def _may_still_send(self, attempt: Attempt, connection: Connection) -> bool:
+        """Return whether an attempt has messages to send, now that its connection is up; otherwise end it unsent."""
+        may_begin = self._may_begin(attempt.entry)  # a drain or a Retry-After may have come during the dial
+        if may_begin:
+            self._drop_late_messages(attempt)
+            if attempt.messages:
+                return True
+        self._pool.release(connection, attempt.entry)
+        attempt.connection = None
+        if may_begin:
+            attempt.over = True
+        else:
+            self._end(attempt, MessageResult(Outcome.NOT_SENT))
+        return False
+
     def _drop_late_messages(self, attempt: Attempt) -> None:
         """Drop from the call the messages that might take effect twice by now, or have ended.
 
@@ -182,7 +199,9 @@
             attempt.messages.remove(message)
             self._report(attempt, message, MessageResult(Outcome.NOT_SENT), {})
 
-    def _receive(self, attempt: Attempt, sock: socket.socket, reader: http.AnswerReader, deadline_us: int) -> bool:
+    def _receive(
+        self, attempt: Attempt, reader: http.AnswerReader, sock: socket.socket, deadline_us: int, held: Reservation
+    ) -> bool:
         """Read the complete answer; return False if the attempt ended before.
 
         Raises:
@@ -191,7 +210,7 @@
         """
         started_at_us = 0
         while not reader.complete:
-            is_open = streams.receive_into(self._scheduler, sock, reader, deadline_us)
+            is_open = streams.receive_into(self._scheduler, sock, reader, deadline_us, held)
             started_at_us = started_at_us or self._scheduler.now()
             if attempt.over:
                 return False
@@ -263,3 +282,8 @@
         if attempt.connection is not None:
             attempt.connection.sock.close()
             attempt.connection = None
+
+
+def _request_bytes(attempt: Attempt) -> int:
+    """Return the memory that the request of an attempt takes until it is written."""
+    return sum(batch_row_size(message.id, message.idempotency_key, message.body) for message in attempt.messages)
--- a/scalefall/net/client_connection.py
+++ b/scalefall/net/client_connection.py
@@ -8,6 +8,7 @@
 from enum import IntEnum
 
 from scalefall.net import http, streams
+from scalefall.net.memory_budget import CONNECTION_BYTES, Reservation
 from scalefall.net.scheduler import Scheduler, Task
 
 SECOND_US = 1_000_000  # microseconds in a second
@@ -36,6 +37,7 @@
     Attributes:
         sock: Its socket.
         reader: Reads its requests, one after the other.
+        reservation: Accounts for the connection, and for what it has received.
         since_us: When it entered its state.
         task: The task that serves it.
         state: Its state; NEW until its task first runs.
@@ -47,6 +49,7 @@
 
     sock: socket.socket
     reader: http.RequestReader
+    reservation: Reservation
     since_us: int
     task: Task | None = None
     state: ConnectionState = ConnectionState.NEW
@@ -75,6 +78,15 @@
             return ConnectionState.LONG_IDLE
         return ConnectionState.IDLE if self.submitted_count > 1 else ConnectionState.IDLE_SINGLE_USE
 
+    def memory_rank(self, now_us: int) -> ConnectionState:
+        """Return the rank in which it is closed for want of memory: that of evictions, without grace for a request."""
+        return self.state if self.state is ConnectionState.READING else self.eviction_rank(now_us)
+
+    def release_buffers(self) -> None:
+        """Free what it has received; what still comes is dropped."""
+        self.reader.release()
+        self.reservation.resize(CONNECTION_BYTES)
+
     def has_unread_bytes(self) -> bool:
         """Return whether bytes have arrived that have not been read."""
         try:
@@ -102,7 +114,7 @@
             OSError: The connection has ended already.
         """
         self.set_state(ConnectionState.LINGERING, scheduler.now())
-        self.reader.release()
+        self.release_buffers()
         self.sock.shutdown(socket.SHUT_WR)
         bytes_left = MAX_LINGER_BYTES
         with contextlib.suppress(BlockingIOError):
--- a/scalefall/net/connection_handler.py
+++ b/scalefall/net/connection_handler.py
@@ -10,6 +10,7 @@
 from scalefall.net.client_connection import MAX_LINGER_BYTES, ClientConnection, ConnectionState
 from scalefall.net.delivery_request import DeliveryRequest
 from scalefall.net.delivery_request_http import encode_admission_result, parse_delivery_request
+from scalefall.net.memory_budget import CONNECTION_BYTES
 from scalefall.net.rejection_log import Rejection, RejectionLog
 from scalefall.net.resource_log import ConnectionEnd, ConnectionEnds
 from scalefall.net.scheduler import READ, READY, Scheduler
@@ -19,6 +20,10 @@
 REQUEST_TIMEOUT_US = 2 * SECOND_US  # from a request's first byte to its last; also for a new connection's first byte
 WRITE_TIMEOUT_US = 2 * SECOND_US  # the time that a client has to read an answer
 IDLE_TIMEOUT_US = 2050_000  # a connection that has been idle between requests for this long is closed
+REJECTION_FIELDS = {  # of the answer to a rejected request, by status
+    http.METHOD_NOT_ALLOWED: [("Allow", "POST")],
+    http.SERVICE_UNAVAILABLE: [("Retry-After", "0.500")],
+}
 LINGER_US = SECOND_US // 2  # after the last answer, incoming bytes are read and dropped for at most this long
 
 
@@ -68,9 +73,9 @@
         """Serve a connection until it ends; the caller closes it."""
         try:
             rejection = self._serve_requests(client)
-            client.reader.release()
             if client.closed:
                 return
+            client.release_buffers()
             if rejection is not None:
                 self._reject(client, rejection)
             else:
@@ -89,6 +94,7 @@
         try:
             while not client.closed and self._serve_request(client):
                 client.reader.begin_next()
+                client.reservation.resize(CONNECTION_BYTES)
         except http.MalformedMessage as error:
             return Rejection(error.status, str(error))
         return None
@@ -225,7 +231,12 @@
             http.MalformedMessage: The request is malformed, or not parsed by the deadline.
         """
         try:
+            streams.reserve_held(client.reader, client.reservation)
             streams.parse_in_background(self._scheduler, client.reader, deadline_us)
+            streams.reserve_held(client.reader, client.reservation)
+        except streams.OutOfMemoryBudget:
+            if not client.closed:  # it is not the slowest client itself
+                raise http.MalformedMessage(http.SERVICE_UNAVAILABLE, "too many incomplete requests") from None
         except streams.TimedOut:
             raise http.MalformedMessage(http.REQUEST_TIMEOUT, "the request took too long") from None
         except streams.Interrupted:
@@ -249,7 +260,7 @@
         self._ends.count(ConnectionEnd.TIMED_OUT if is_timeout else ConnectionEnd.REJECTED)
         self._rejection_log.record(rejection, self._scheduler.now())
         client.set_state(ConnectionState.LINGERING, self._scheduler.now())
-        fields = [("Allow", "POST")] if rejection.status == http.METHOD_NOT_ALLOWED else []
+        fields = REJECTION_FIELDS.get(rejection.status, [])
         try:
             self._answer(client, http.answer(rejection.status, fields, f"{rejection.reason}\n".encode(), keep=False))
         except OSError:
--- a/scalefall/net/connection_pool.py
+++ b/scalefall/net/connection_pool.py
@@ -14,6 +14,7 @@
 from scalefall.net import streams
 from scalefall.net.connection_retention import ConnectionRetention
 from scalefall.net.list_stream import Entry
+from scalefall.net.memory_budget import CONNECTION_BYTES, MemoryBudget, Reservation
 from scalefall.net.scheduler import READ, TIMED_OUT, Scheduler, Task
 from scalefall.policy.settings import Settings
 
@@ -62,6 +63,7 @@
         key: The endpoint and its address.
         reusable_at_us: The earliest time of its reuse, in monotonic microseconds.
         idle_close_us: The endpoint's idle timeout, in microseconds.
+        reservation: Accounts for it.
         watcher: The task that watches it.
     """
 
@@ -69,6 +71,7 @@
     key: EndpointKey
     reusable_at_us: int
     idle_close_us: int
+    reservation: Reservation
     watcher: Task | None = None
 
 
@@ -81,17 +84,21 @@
         stale_loss_rate: The recent fraction of calls on stale connections that were reset without an answer.
     """
 
-    def __init__(self, scheduler: Scheduler, settings: Settings, max_sockets: int) -> None:
+    def __init__(
+        self, scheduler: Scheduler, settings: Settings, max_sockets: int, budget: MemoryBudget | None = None
+    ) -> None:
         """Start without connections.
 
         Args:
             scheduler: The clock, and the tasks that watch idle connections.
             settings: The dial timeout and the endpoints' idle timeout, where an endpoint's entry has none.
             max_sockets: The limit of connections, in use and idle.
+            budget: Accounts for the idle connections; the caller accounts for those in use. None: there is no limit.
         """
         self._scheduler = scheduler
         self._settings = settings
         self._max_sockets = max_sockets
+        self._budget = budget or MemoryBudget()
         self._idle_by_endpoint: dict[EndpointKey, deque[IdleConnection]] = {}  # most recently used last; none is empty
         self._idle: dict[IdleConnection, None] = {}  # all, the longest idle first
         self.in_use = 0
@@ -123,10 +130,14 @@
         the answer to the next call.
         """
         idle_close_us = entry.idle_us or self._settings.idle_close_us
-        if not self.retention.retention_us(connection.key, idle_close_us):
+        reservation = self._budget.open()
+        if not (
+            self.retention.retention_us(connection.key, idle_close_us) and reservation.try_resize(CONNECTION_BYTES)
+        ):
             connection.sock.close()
             return
-        idle = IdleConnection(connection.sock, connection.key, self._scheduler.now() + REUSE_DELAY_US, idle_close_us)
+        reusable_at_us = self._scheduler.now() + REUSE_DELAY_US
+        idle = IdleConnection(connection.sock, connection.key, reusable_at_us, idle_close_us, reservation)
         self._idle_by_endpoint.setdefault(idle.key, deque()).append(idle)
         self._idle[idle] = None
         idle.watcher = self._scheduler.spawn(self._watch, idle)
@@ -194,6 +205,7 @@
     def _remove(self, idle: IdleConnection) -> None:
         """Take a connection out of the pool, and end its watcher's wait for the socket."""
         del self._idle[idle]
+        idle.reservation.release()
         same_endpoint = self._idle_by_endpoint[idle.key]
         same_endpoint.remove(idle)
         if not same_endpoint:
--- a/scalefall/net/delivery_reports.py
+++ b/scalefall/net/delivery_reports.py
@@ -16,6 +16,7 @@
 
 from scalefall.net import http, streams
 from scalefall.net.logs import debug_event, log
+from scalefall.net.memory_budget import MemoryBudget, Reservation
 from scalefall.net.scheduler import Scheduler, Task
 
 MILLISECOND_US = 1000  # microseconds in a millisecond
@@ -125,7 +126,11 @@
     """Queues the reports that the platform has not confirmed, and posts them."""
 
     def __init__(
-        self, scheduler: Scheduler, platform: tuple[str, int], report_confirmed: Callable[[str], None]
+        self,
+        scheduler: Scheduler,
+        platform: tuple[str, int],
+        report_confirmed: Callable[[str], None],
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Start with nothing to report.
 
@@ -133,10 +138,12 @@
             scheduler: Runs the tasks.
             platform: The address that reports are posted to.
             report_confirmed: Called with the id of each message whose report the platform has confirmed.
+            budget: Accounts for the POSTs; the journal accounts for the reports. None: there is no limit.
         """
         self._scheduler = scheduler
         self._platform = platform
         self._report_confirmed = report_confirmed
+        self._budget = budget or MemoryBudget()
         self._reports: dict[str, _Report] = {}
         self._idle_socket: socket.socket | None = None  # reused by the next POST
         self._idle_socket_peer = platform
@@ -286,7 +293,8 @@
                 peer = self._platform
                 sock = streams.dial(self._scheduler, peer, until)
             streams.send(self._scheduler, sock, http.request("POST", "/reports", "discovery", [], body), until)
-            reader = self._read_answer(sock, until)
+            with self._budget.open() as reservation:
+                reader = self._read_answer(sock, until, reservation)
             if reader.keep and not reader.unparsed and self._idle_socket is None and peer == self._platform:
                 self._idle_socket, self._idle_socket_peer = sock, peer
                 sock = None
@@ -295,10 +303,10 @@
             if sock is not None:
                 sock.close()
 
-    def _read_answer(self, sock: socket.socket, until: int) -> http.AnswerReader:
+    def _read_answer(self, sock: socket.socket, until: int, reservation: Reservation) -> http.AnswerReader:
         reader = http.AnswerReader()
         while not reader.complete:
-            if streams.receive_into(self._scheduler, sock, reader, until):
+            if streams.receive_into(self._scheduler, sock, reader, until, reservation):
                 continue
             reader.end_stream()
             if not reader.complete:
--- a/scalefall/net/discovery_list.py
+++ b/scalefall/net/discovery_list.py
@@ -5,8 +5,9 @@
 from collections.abc import Callable
 
 from scalefall.net.endpoint_list import MIN_REMOVED_RETENTION_US, EndpointList
-from scalefall.net.list_stream import ListUpdate
+from scalefall.net.list_stream import EndpointListError, ListUpdate
 from scalefall.net.list_watch import ListWatch
+from scalefall.net.memory_budget import ENDPOINT_BYTES, MemoryBudget
 from scalefall.net.scheduler import Scheduler
 from scalefall.policy.events import EndpointListUpdate, ListUpdateKind
 
@@ -32,6 +33,7 @@
         max_object_bytes: int = MIN_OBJECT_LIMIT_BYTES,
         seed: int = 0,
         removed_retention_us: int = MIN_REMOVED_RETENTION_US,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Start with the list that this sender had last.
 
@@ -44,13 +46,17 @@
             max_object_bytes: The size limit of one object of the list; at least 1 MiB.
             seed: The seed of the random jitter of the watch.
             removed_retention_us: For how many microseconds a removed endpoint is kept; at least 60 s.
+            budget: Accounts for the endpoints and the watch; None: there is no limit.
         """
         super().__init__(scheduler, known, on_change, removed_retention_us)
         self._pushed = pushed
         self._is_announced = not pushed
         self._failure_reported = False  # the last event was FAILED
         max_object_bytes = max(max_object_bytes, MIN_OBJECT_LIMIT_BYTES)
-        self._watch = ListWatch(scheduler, discovery, self, pushed, max_object_bytes, seed)
+        budget = budget or MemoryBudget()
+        self._reservation = budget.open()  # for the endpoints
+        self._reservation.resize(ENDPOINT_BYTES * len(self.entries))
+        self._watch = ListWatch(scheduler, discovery, self, pushed, max_object_bytes, seed, budget)
 
     def start(self) -> None:
         """Pass the known list to the engine, now or after discovery's first answer, and open the watch if needed.
@@ -77,7 +83,12 @@
         self._watch.move(discovery)
 
     def handle_update(self, update: ListUpdate) -> None:
-        """Apply a list, or the changes of a list, and notify the engine."""
+        """Apply a list, or the changes of a list, and notify the engine.
+
+        Raises:
+            EndpointListError: Its endpoints do not fit into the memory budget; nothing has changed.
+        """
+        self._reserve(update)
         if update.unreadable_entries:
             self._log_unreadable(update)
         self._announce_initial_list()
@@ -85,6 +96,13 @@
             self._failure_reported = False
             self._apply_and_notify(update)
 
+    def _reserve(self, update: ListUpdate) -> None:
+        """Account for the endpoints that the list will have; those that an update lacks are kept for some time."""
+        new_count = len({entry.endpoint.id for entry in update.entries} - self.entries.keys())
+        endpoint_count = len(self.entries) + new_count
+        if not self._reservation.try_resize(ENDPOINT_BYTES * endpoint_count):
+            raise EndpointListError(f"list of endpoints: {endpoint_count} endpoints do not fit into the memory budget")
+
     def watch_active(self) -> None:
         """Handle activity of discovery: a poll has succeeded, whether or not the list has changed."""
         self._announce_initial_list()
--- a/scalefall/net/http.py
+++ b/scalefall/net/http.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from scalefall.net.invariants import assert_invariant
+from scalefall.net.memory_budget import FIELD_BYTES
 
 MAX_HEAD_BYTES = 16 * 1024  # start line and header fields
 MAX_BODY_BYTES = 64 * 1024
@@ -18,6 +19,7 @@
 TOKEN = re.compile(r"[!#$%&'*+.^_`|~0-9A-Za-z-]+\Z")
 METHOD_NOT_ALLOWED = 405
 REQUEST_TIMEOUT = 408
+SERVICE_UNAVAILABLE = 503
 REASONS = {
     200: "OK",
     202: "Accepted",
@@ -33,7 +35,7 @@
     431: "Request Header Fields Too Large",
     500: "Internal Server Error",
     501: "Not Implemented",
-    503: "Service Unavailable",
+    SERVICE_UNAVAILABLE: "Service Unavailable",
     505: "HTTP Version Not Supported",
     507: "Insufficient Storage",
 }
@@ -73,6 +75,12 @@
         self.unparsed = bytearray()
         self.begin_next()
 
+    @property
+    def held_bytes(self) -> int:
+        """The memory that what was received takes."""
+        buffers = self.unparsed.__alloc__() + self.body.__alloc__()
+        return buffers + self._framing_bytes + FIELD_BYTES * len(self.fields)
+
     @property
     def begun(self) -> bool:
         """Whether any byte of the message has arrived."""
@@ -256,7 +264,7 @@
         line = self._line(MAX_HEAD_BYTES)
         if line:
             self._framing_bytes += len(line) + 2
-            self._count_line(MAX_FIELDS, "too many trailer fields")
+            self._count_line(MAX_FIELDS, "trailer too long")
         if self._framing_bytes > MAX_FRAMING_BYTES:
             raise MalformedMessage(431, "trailer too long")
         self.complete = line == ""
--- a/scalefall/net/ingress_server.py
+++ b/scalefall/net/ingress_server.py
@@ -2,26 +2,25 @@
 
 from __future__ import annotations
 
-import contextlib
 import socket
 from collections import Counter
 from collections.abc import Callable
 
 from scalefall.net import http, streams
 from scalefall.net.client_connection import ClientConnection, ConnectionState
+from scalefall.net.connection_eviction import ConnectionEviction
 from scalefall.net.connection_handler import ConnectionHandler
 from scalefall.net.delivery_request import DeliveryRequest
 from scalefall.net.logs import log
+from scalefall.net.memory_budget import CONNECTION_BYTES, MemoryBudget
 from scalefall.net.resource_log import ConnectionEnd, ConnectionEnds
 from scalefall.net.scheduler import READ, READY, Scheduler, Task
 from scalefall.policy.settings import MessageClass
 
 SECOND_US = 1_000_000  # microseconds in a second
 ACCEPT_RETRY_US = SECOND_US // 10  # wait after a failed accept, such as one for want of descriptors
-HALF_FULL_FIRST_BYTE_TIMEOUT_US = SECOND_US // 4  # limit for a new connection, while half of max_clients are open
 EVICTION_RETRY_US = SECOND_US // 200  # wait before the next attempt to evict a connection, when none can be
 LISTEN_BACKLOG = 4096  # connections in the listener's queue; beyond it a client's next try comes 1 s later
-EVICTED_ANSWER = http.answer(503, [("Retry-After", "0.500")], b"too many incomplete requests\n", keep=False)
 MAX_ACCEPTS_PER_STEP = 32  # connections accepted in a row before other tasks run
 
 
@@ -32,6 +31,7 @@
         shutting_down: Whether the process is about to end.
         draining: Whether operators are draining the sender.
         ends: Counts why connections ended.
+        eviction: Closes connections that give way to others.
     """
 
     def __init__(
@@ -41,6 +41,7 @@
         max_clients: int,
         submit: Callable[[DeliveryRequest], object],
         withdraw: Callable[[DeliveryRequest], object],
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Create the server; it does not listen yet.
 
@@ -50,12 +51,16 @@
             max_clients: The most connections that are open at a time.
             submit: Submits a delivery request for admission.
             withdraw: Withdraws a request whose client has disconnected before its answer.
+            budget: Accounts for the connections, of which the slowest give way at its limit; None: there is none.
         """
         self._scheduler = scheduler
+        self._budget = budget or MemoryBudget()
         self._max_clients = max_clients
         self.ends = ConnectionEnds()
         self._handler = ConnectionHandler(scheduler, classes, submit, withdraw, self, self.ends)
         self._clients: dict[ClientConnection, None] = {}
+        self.eviction = ConnectionEviction(scheduler, self._clients, self._close, self.ends)
+        self._budget.reclaim = self.eviction.reclaim_memory
         self._listener: socket.socket | None = None
         self._accepting: Task | None = None
         self.shutting_down = False
@@ -157,14 +162,14 @@
             backlogged = True
             try:
                 for _ in range(MAX_ACCEPTS_PER_STEP):
-                    if len(self._clients) >= self._max_clients and not self._evict_client():
+                    if len(self._clients) >= self._max_clients and not self.eviction.close_one():
                         self._scheduler.sleep(EVICTION_RETRY_US)  # the others wait in the listener's queue
                         break
                     self._add_client(self._listener.accept()[0])
                     if self.half_full:
-                        self._evict_client(ConnectionState.AWAITING_FIRST_BYTE)
+                        self.eviction.close_one(ConnectionState.AWAITING_FIRST_BYTE)
                     if len(self._clients) >= self._max_clients:
-                        self._evict_client()  # leaves a place for the next connection
+                        self.eviction.close_one()  # leaves a place for the next connection
             except BlockingIOError:
                 backlogged = False
             except OSError as error:
@@ -172,11 +177,17 @@
                 self._scheduler.sleep(ACCEPT_RETRY_US)
 
     def _add_client(self, sock: socket.socket) -> None:
+        reservation = self._budget.open()
+        if not reservation.try_resize(CONNECTION_BYTES):
+            self.ends.count(ConnectionEnd.EVICTED)
+            sock.close()
+            return
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         client = ClientConnection(
             sock,
             http.RequestReader(),
+            reservation,
             self._scheduler.now(),
             earliest_arrival_us=self._backlog_earliest_arrival_us,
         )
@@ -192,37 +203,13 @@
         """
         return len(self._clients) >= self._max_clients // 2
 
-    def _evict_client(self, max_rank: ConnectionState = ConnectionState.IDLE) -> bool:
-        """Close the connection with the lowest rank up to max_rank, and return whether there was one.
-
-        One with unread bytes is spared once, as these may complete its request.
-        """
-        now_us = self._scheduler.now()
-        while self._clients:
-            client = min(self._clients, key=lambda candidate: (candidate.eviction_rank(now_us), candidate.since_us))
-            if not _is_evictable(client, max_rank, now_us):
-                return False
-            if client.state is ConnectionState.LINGERING or client.was_spared or not client.has_unread_bytes():
-                self._evict(client)
-                return True
-            client.was_spared = True
-            client.set_state(ConnectionState.READING, now_us)
-        return False
-
-    def _evict(self, client: ClientConnection) -> None:
-        """Close a connection; one whose request has begun gets an answer, as its last bytes may be on their way."""
-        self.ends.count(ConnectionEnd.EVICTED)
-        if client.state is ConnectionState.READING:
-            with contextlib.suppress(OSError):
-                client.sock.send(EVICTED_ANSWER)
-                client.shut_down(self._scheduler)
-        self._close(client)
-
     def _close(self, client: ClientConnection) -> None:
         if client in self._clients:
             del self._clients[client]
             self._resume(client, "connection closed")
             client.sock.close()
+            client.release_buffers()
+            client.reservation.release()
 
     def _resume(self, client: ClientConnection, reason: str) -> None:
         """Interrupt the wait of a connection's task."""
@@ -235,12 +222,3 @@
             self._handler.serve(client)
         finally:
             self._close(client)
-
-
-def _is_evictable(client: ClientConnection, max_rank: ConnectionState, now_us: int) -> bool:
-    """Return whether a connection's rank is up to max_rank, and it has had its time for a first byte."""
-    rank = client.eviction_rank(now_us)
-    if rank is ConnectionState.NEW or rank > max_rank:
-        return False
-    is_only_for_first_byte = max_rank is ConnectionState.AWAITING_FIRST_BYTE and rank is max_rank
-    return not is_only_for_first_byte or now_us - client.since_us >= HALF_FULL_FIRST_BYTE_TIMEOUT_US
--- a/scalefall/net/journal.py
+++ b/scalefall/net/journal.py
@@ -10,6 +10,7 @@
 
 import contextlib
 import os
+from collections.abc import Iterable
 from types import TracebackType
 from typing import NamedTuple
 
@@ -30,6 +31,8 @@
     RecordError,
 )
 from scalefall.net.logs import log
+from scalefall.net.memory_budget import MemoryBudget
+from scalefall.net.pending_memory import PendingMemory
 from scalefall.net.state_folder_lock import StateFolderLock
 
 FILE_NAME = "journal"
@@ -52,12 +55,13 @@
         pending: The deliveries that the sender is responsible for, by message id.
     """
 
-    def __init__(self, folder: str, limit_bytes: int) -> None:
+    def __init__(self, folder: str, limit_bytes: int, budget: MemoryBudget | None = None) -> None:
         """Open the journal of a folder, or create it, and replay its records.
 
         Args:
             folder: The state folder.
             limit_bytes: The most bytes that the file and its compacted copy may take together.
+            budget: Accounts for the pending deliveries in memory; None: there is no limit.
 
         Raises:
             StateFolderInUseError: Another process uses the folder; nothing in it has been changed.
@@ -69,6 +73,7 @@
         self._copy_path = self._path + ".new"
         self._limit_bytes = limit_bytes
         self._spare_bytes = min(MAX_SPARE_BYTES, limit_bytes // SPARE_DIVISOR)
+        self._memory = PendingMemory(budget or MemoryBudget())
         self._copy_bytes = 0  # size of a compacted copy of all pending deliveries
         self._remove_copy()
         self._file = os.open(self._path, os.O_RDWR | os.O_CREAT | os.O_APPEND, FILE_MODE)
@@ -100,7 +105,7 @@
 
     def has_capacity(self, body_bytes: int) -> bool:
         """Return whether a message with a body of this size would fit; record_accepted checks it exactly."""
-        return self._fits(self._copy_bytes + body_bytes + ROUNDING_BYTES)
+        return self._fits(self._copy_bytes + body_bytes + ROUNDING_BYTES) and self._memory.has_room(body_bytes)
 
     def record_accepted(self, delivery: PendingDelivery) -> bool:
         """Record that the sender is responsible for a message.
@@ -110,7 +115,10 @@
         """
         record = journal_records.encode_accepted(delivery)
         copy_bytes = FRAME.size + len(record) + RESERVED_ZONE_BYTES
-        if not self._fits(self._copy_bytes + copy_bytes) or not self._append(record, copy_bytes):
+        if not self._fits(self._copy_bytes + copy_bytes) or not self._memory.try_add(delivery):
+            return False
+        if not self._append(record, copy_bytes):
+            self._memory.remove(delivery)
             return False
         assert_invariant(delivery.id not in self.pending, "a message id is accepted at most once at a time")
         delivery.copy_bytes = copy_bytes
@@ -150,7 +158,7 @@
         """Record that a message is finished: delivered, withdrawn, or its final answer reported."""
         if message_id in self.pending:
             self._append(journal_records.encode_finished(message_id))
-            self._copy_bytes -= self.pending.pop(message_id).copy_bytes
+            self._remove(message_id)
 
     def record_final_answer(self, message_id: str, final_answer: FinalAnswer, retry_after_ms: int) -> None:
         """Record that a message will not be delivered and that its final answer has to be reported."""
@@ -172,17 +180,25 @@
         delivery.attempt_zone = zone
 
     def _give_final_answer(self, delivery: PendingDelivery, final_answer: FinalAnswer, retry_after_ms: int) -> None:
+        self._memory.remove(delivery)
         delivery.final_answer = final_answer
         delivery.retry_after_ms = retry_after_ms
         self._copy_bytes -= len(delivery.body)
         delivery.copy_bytes -= len(delivery.body)
         delivery.body = b""
+        self._memory.add(delivery)
+
+    def _remove(self, message_id: str) -> None:
+        delivery = self.pending.pop(message_id)
+        self._copy_bytes -= delivery.copy_bytes
+        self._memory.remove(delivery)
 
     def _replay(self, record: Record) -> None:
         """Apply a record of the file to the pending deliveries; ignore messages that are not pending."""
         if isinstance(record, PendingDelivery):
             self.pending[record.id] = record
             self._copy_bytes += record.copy_bytes
+            self._memory.add(record)
         elif isinstance(record, AttemptStarted):
             for message_id in record.message_ids:
                 delivery = self.pending.get(message_id)
@@ -201,7 +217,7 @@
             case FinalAnswerGiven():
                 self._give_final_answer(delivery, record.final_answer, record.retry_after_ms)
             case Finished():
-                self._copy_bytes -= self.pending.pop(delivery.id).copy_bytes
+                self._remove(delivery.id)
 
     # -- the file
 
@@ -238,7 +254,7 @@
     def compact(self) -> bool:
         """Replace the file with a copy that holds only the pending deliveries; return whether that succeeded."""
         try:
-            copy = self._write_copy()
+            copy = _write_copy(self.pending.values(), self._copy_path, self._path)
         except OSError as error:
             log.error("journal: compaction failed, the old file stays in use: %s", error)
             self._remove_copy()
@@ -247,21 +263,6 @@
         self._file, self._size = copy
         return True
 
-    def _write_copy(self) -> _OpenFile:
-        """Write the copy and rename it over the file; an OSError leaves the file unchanged."""
-        descriptor = os.open(self._copy_path, COPY_FLAGS, FILE_MODE)
-        try:
-            size = os.write(descriptor, FILE_HEADER)
-            for delivery in self.pending.values():
-                framed = journal_records.frame(journal_records.encode_accepted(delivery))
-                _write_all(descriptor, framed)
-                size += len(framed)
-            os.rename(self._copy_path, self._path)
-        except OSError:
-            os.close(descriptor)
-            raise
-        return _OpenFile(descriptor, size)
-
     def _remove_copy(self) -> None:
         """Remove the copy of an interrupted compaction; the file is still complete."""
         with contextlib.suppress(FileNotFoundError):
@@ -293,6 +294,22 @@
         return len(FILE_HEADER)
 
 
+def _write_copy(deliveries: Iterable[PendingDelivery], copy_path: str, path: str) -> _OpenFile:
+    """Write a file of these deliveries and rename it to its path; an OSError leaves the old file there unchanged."""
+    descriptor = os.open(copy_path, COPY_FLAGS, FILE_MODE)
+    try:
+        size = os.write(descriptor, FILE_HEADER)
+        for delivery in deliveries:
+            framed = journal_records.frame(journal_records.encode_accepted(delivery))
+            _write_all(descriptor, framed)
+            size += len(framed)
+        os.rename(copy_path, path)
+    except OSError:
+        os.close(descriptor)
+        raise
+    return _OpenFile(descriptor, size)
+
+
 def _zone_bytes(zone: str) -> int:
     """Return the bytes that a zone may take in a copy: for the first attempt that may have run and for the last."""
     return 2 * len(zone.encode())
--- a/scalefall/net/list_stream.py
+++ b/scalefall/net/list_stream.py
@@ -8,9 +8,12 @@
 from typing import NotRequired, TypedDict
 
 from scalefall.errors import RemoteProtocolError
+from scalefall.net.memory_budget import JSON_VALUE_BYTES, MemoryBudget, Reservation
 from scalefall.policy.events import Endpoint, EndpointStatus
 
 MAX_NAME_CHARACTERS = 255  # limit of an id, a zone or a kind: the journal records them with each call
+MAX_STRING_BYTES = 16 * 1024  # of a name with escapes, where MAX_NAME_CHARACTERS are allowed
+JSON_SEPARATORS = (b",", b"{", b"[")  # each value but the first of an object or array follows one of them
 MAX_DEPTH = 32  # levels of nested objects; a list has two
 ERROR_EXCERPT_BYTES = 40  # length of the invalid data quoted in an error
 ERROR_EXCERPT_CHARACTERS = 20  # length of the start of a too long name quoted in an error
@@ -98,13 +101,15 @@
 class ObjectStream:
     """Splits a stream of JSON objects, each on one line or indented over many."""
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: int, reservation: Reservation | None = None) -> None:
         """Start at the beginning of a stream.
 
         Args:
             max_bytes: The size limit of one object; a longer one is an error before it is complete.
+            reservation: Accounts for the incomplete object, and for one that is parsed; None: there is no limit.
         """
         self._max_bytes = max_bytes
+        self._reservation = reservation or MemoryBudget().open()
         self._text = bytearray()  # from the start of the first incomplete object
         self._scanned = 0  # bytes of the text that have been scanned
         self._depth = 0  # levels of nested objects at the end of the scanned bytes
@@ -118,7 +123,8 @@
         """Add data to the stream; return the objects that it completes, parsed from JSON.
 
         Raises:
-            EndpointListError: The data is not a stream of objects, or an object is too long or nests too deep.
+            EndpointListError: The data is not a stream of objects, or an object is too long or nests too deep, or does
+                not fit into the memory budget.
             ValueError: An object is not valid JSON.
             RecursionError: The arrays of an object nest too deep.
         """
@@ -128,6 +134,7 @@
         for token in TOKEN.finditer(self._text, self._scanned):
             text = token.group()
             if text == b'"':
+                self._check_string(len(self._text) - token.start())
                 break
             self._scanned = token.end()
             if self._depth and len(text) > 1:
@@ -136,17 +143,45 @@
                 start = self._skip_space(start, token.start())
             self._track_depth(text)
             if not self._depth:
-                found.append(json.loads(self._text[start : self._scanned]))
+                found.append(self._parse(self._text[start : self._scanned]))
                 start = self._scanned
-        if not self._depth:
-            start = self._skip_space(start, len(self._text))
-            self._scanned = len(self._text)
+        else:
+            if not self._depth:
+                start = self._skip_space(start, len(self._text))
+            self._scanned = len(self._text)  # what is no token need not be scanned again
         del self._text[:start]
         self._scanned -= start
         if len(self._text) > self._max_bytes:
             raise EndpointListError(f"list of endpoints: an object is longer than {self._max_bytes} bytes")
+        self._reserve(self._text.__alloc__())
         return found
 
+    def _parse(self, text: bytearray) -> ListObject:
+        """Parse one object, if its values fit into the memory budget beside what has been received.
+
+        Raises:
+            EndpointListError: They do not fit.
+            ValueError: The object is not valid JSON.
+            RecursionError: Its arrays nest too deep.
+        """
+        value_count = sum(text.count(separator) for separator in JSON_SEPARATORS)
+        self._reserve(self._text.__alloc__() + len(text) + JSON_VALUE_BYTES * value_count)
+        list_object: ListObject = json.loads(text)
+        return list_object
+
+    def _reserve(self, held_bytes: int) -> None:
+        if not self._reservation.try_resize(held_bytes):
+            raise EndpointListError(f"list of endpoints: {held_bytes} bytes do not fit into the memory budget")
+
+    def _check_string(self, string_bytes: int) -> None:
+        """Check the length of an incomplete string, which is scanned again when more of it has arrived.
+
+        Raises:
+            EndpointListError: It is longer than any name that is allowed.
+        """
+        if string_bytes > MAX_STRING_BYTES:
+            raise EndpointListError(f"list of endpoints: a string is longer than {MAX_STRING_BYTES} bytes")
+
     def _track_depth(self, text: bytes) -> None:
         """Update the depth for one token.
 
--- a/scalefall/net/list_watch.py
+++ b/scalefall/net/list_watch.py
@@ -14,6 +14,7 @@
 from scalefall.net import http, streams
 from scalefall.net.list_stream import ListUpdate, ObjectStream, read_list
 from scalefall.net.logs import log
+from scalefall.net.memory_budget import MemoryBudget, Reservation
 from scalefall.net.scheduler import Scheduler, Task
 
 SECOND_US = 1_000_000  # microseconds in a second
@@ -58,6 +59,7 @@
     Attributes:
         reader: Reads the HTTP answer.
         objects: Splits the body into objects.
+        reservation: Accounts for the connection and for what its reader holds.
         active_at_us: The time of the request, or of the last complete object or blank line, in monotonic microseconds.
         received_at_us: The time of the last bytes, in monotonic microseconds.
         timeout_us: The time limit for the next object or blank line, in microseconds.
@@ -67,6 +69,7 @@
 
     reader: http.AnswerReader
     objects: ObjectStream
+    reservation: Reservation
     active_at_us: int
     received_at_us: int
     timeout_us: int = FIRST_ACTIVITY_TIMEOUT_US
@@ -90,6 +93,7 @@
         pushed: bool,
         max_object_bytes: int,
         seed: int,
+        budget: MemoryBudget | None = None,
     ) -> None:
         """Create a watch that is not open yet.
 
@@ -101,12 +105,14 @@
                 poll, and each failure is reported.
             max_object_bytes: The size limit of one object of the stream.
             seed: The seed of the random jitter.
+            budget: Accounts for what the watch receives; None: there is no limit.
         """
         self._scheduler = scheduler
         self._discovery = discovery
         self._listener = listener
         self._pushed = pushed
         self._max_object_bytes = max_object_bytes
+        self._budget = budget or MemoryBudget()
         self._random = random.Random(seed)
         self._last_active_at_us = -1  # the time of the last complete object or blank line
         self._reconnect_soon = False  # the last watch ended by an idle timeout or a restarted numbering: no failure
@@ -175,7 +181,8 @@
         sock = None
         try:
             sock = streams.dial(self._scheduler, discovery, self._scheduler.now() + DIAL_TIMEOUT_US)
-            self._follow(sock, discovery)
+            with self._budget.open() as received, self._budget.open() as parsed:
+                self._follow(sock, discovery, received, parsed)
         except (OSError, http.MalformedMessage, ValueError, RecursionError) as error:
             return str(error) or type(error).__name__
         finally:
@@ -183,9 +190,17 @@
                 sock.close()
         return "ended"
 
-    def _follow(self, sock: socket.socket, discovery: tuple[str, int]) -> None:
+    def _follow(
+        self, sock: socket.socket, discovery: tuple[str, int], received: Reservation, parsed: Reservation
+    ) -> None:
         """Request the list from the known version on, and process the answer.
 
+        Args:
+            sock: The connection.
+            discovery: Discovery's address.
+            received: Accounts for the connection and the HTTP answer.
+            parsed: Accounts for the objects in it.
+
         Raises:
             OSError: The connection broke or timed out, discovery answered with an error, or its address has changed.
             http.MalformedMessage: The answer is not valid HTTP.
@@ -195,9 +210,9 @@
         target = f"/v1/servers?stream=1&index={self._listener.seq}"
         request = http.request("GET", target, "discovery", [])
         streams.send(self._scheduler, sock, request, self._scheduler.now() + DIAL_TIMEOUT_US)
-        reader, objects = http.AnswerReader(self._max_object_bytes), ObjectStream(self._max_object_bytes)
+        reader, objects = http.AnswerReader(self._max_object_bytes), ObjectStream(self._max_object_bytes, parsed)
         now_us = self._scheduler.now()
-        connection = _WatchConnection(reader, objects, now_us, now_us)
+        connection = _WatchConnection(reader, objects, received, now_us, now_us)
         while not reader.complete:
             self._check_address(discovery)
             is_open = self._receive(sock, connection)
@@ -217,7 +232,9 @@
         A TimedOut after the answer's head is an idle timeout.
         """
         try:
-            return streams.receive_into(self._scheduler, sock, connection.reader, connection.deadline_us())
+            return streams.receive_into(
+                self._scheduler, sock, connection.reader, connection.deadline_us(), connection.reservation
+            )
         except streams.TimedOut:
             self._reconnect_soon = connection.reader.head_done  # the sender soon counts as notified of missed changes
             raise
--- a/scalefall/net/resource_log.py
+++ b/scalefall/net/resource_log.py
@@ -7,6 +7,7 @@
 from enum import Enum
 
 from scalefall.net.logs import log
+from scalefall.net.memory_budget import MemoryBudget
 
 PAGE_BYTES = os.sysconf("SC_PAGESIZE")
 KIB = 1024
@@ -41,16 +42,21 @@
         return ", ".join(f"{counts[end]} {end.value}" for end in ConnectionEnd if counts[end]) or "none"
 
 
-def log_resources(connections: str, ends: str) -> None:
+def log_resources(budget: MemoryBudget, connections: str, ends: str) -> None:
     """Log the memory and descriptors of the process, and the state of its client connections.
 
     Args:
+        budget: What the process holds on behalf of others; its peak is since the start.
         connections: The open client connections by state.
         ends: The client connections that have ended since the last line, by reason.
     """
     log.info(
-        "resources: %d KiB resident, %d descriptors; client connections: %s; ended: %s",
+        "resources: %d KiB resident, %d of %d KiB in the budget, %d at most; %d descriptors; "
+        "client connections: %s; ended: %s",
         _resident_bytes() // KIB,
+        budget.used_bytes // KIB,
+        budget.limit_bytes // KIB,
+        budget.peak_bytes // KIB,
         _descriptor_count(),
         connections,
         ends,
--- a/scalefall/net/sender.py
+++ b/scalefall/net/sender.py
@@ -5,7 +5,7 @@
 import signal
 from dataclasses import replace
 
-from scalefall.net import http, invariants, learned_rates
+from scalefall.net import invariants, learned_rates
 from scalefall.net.admin import AdminServer
 from scalefall.net.admin_actions import AdminActions
 from scalefall.net.admin_state import AdminState
@@ -23,6 +23,7 @@
 from scalefall.net.journal import Journal
 from scalefall.net.logs import log
 from scalefall.net.maintenance_store import MaintenanceStore
+from scalefall.net.memory_budget import MemoryBudget, budget_bytes
 from scalefall.net.rate_saver import RateSaver
 from scalefall.net.recovery import Recovery
 from scalefall.net.reloader import FleetReloader, LoadConfig, Reloader, SettingsReloader, endpoint_retention_us
@@ -38,7 +39,6 @@
 HOUSEKEEPING_INTERVAL_US = 10_000_000
 RESERVED_SOCKETS = 24  # descriptors for other uses than clients and endpoints
 LIST_MEMORY_DIVISOR = 16  # one object of discovery's list may take this fraction of the memory limit
-INGRESS_MEMORY_DIVISOR = 4  # partly received requests of all clients may take this fraction of the memory limit
 
 
 class Sender:
@@ -52,6 +52,7 @@
         address: The address for clients; with the actual port once started.
         admin_address: The address for operators; None if there is none.
         wall_offset_us: Wall time minus monotonic time, in microseconds.
+        budget: Accounts for the memory that input makes the process hold.
         engine: Takes all decisions.
         events: The events for the engine's next step.
         loop: Runs the steps.
@@ -87,13 +88,13 @@
         self._settings = settings
         self.engine = Engine(settings, config.seed)
         self.events = EventQueue(scheduler, settings.tick_us)
+        self.budget = MemoryBudget(budget_bytes(config.memory_bytes))
         self.tracker = DeliveryTracker(scheduler, config.memory_bytes)
         self.routes = RouteTable()
         self.wall_offset_us = scheduler.wall() - scheduler.now()
         self._open_state_folder()
         self._connect_delivery(max_sockets)
-        bytes_per_client = http.MAX_HEAD_BYTES + http.MAX_BODY_BYTES
-        self._connect_lifecycle(min(max_sockets, config.memory_bytes // INGRESS_MEMORY_DIVISOR // bytes_per_client))
+        self._connect_lifecycle(max_sockets)
 
     def _open_state_folder(self) -> None:
         """Divide the state folder's limit among its files, and open them."""
@@ -102,7 +103,7 @@
         self._maintenance_store = MaintenanceStore(config.state, config.disk_bytes) if config.admin else None
         self._admin_state = AdminState(self._maintenance_store.load() if self._maintenance_store else set())
         maintenance_bytes = self._maintenance_store.reserved_bytes if self._maintenance_store else 0
-        self.journal = Journal(config.state, config.disk_bytes - rates_bytes - maintenance_bytes)
+        self.journal = Journal(config.state, config.disk_bytes - rates_bytes - maintenance_bytes, self.budget)
         self.rate_saver = RateSaver(self._scheduler, self.engine.learned_rates, config.state, rates_bytes)
 
     def _connect_delivery(self, max_sockets: int) -> None:
@@ -132,6 +133,7 @@
             self.journal,
             self.endpoint_list,
             self.wall_offset_us,
+            self.budget,
         )
         self.loop = SenderLoop(
             scheduler,
@@ -159,6 +161,7 @@
                 config.memory_bytes // LIST_MEMORY_DIVISOR,
                 config.seed,
                 endpoint_retention_us(settings),
+                self.budget,
             )
             return endpoint_list, SettingsReloader(config.keys, settings, endpoint_list, self.delivery_reports)
         static_list = StaticList(scheduler, config.known, self._endpoint_list_changed, settings.drain_grace_us)
@@ -171,13 +174,13 @@
         platform = self.config.discovery or self.config.reports
         if platform is None:
             return LoggedDeliveryReports(self.journal.record_finished)
-        return DeliveryReports(self._scheduler, platform, self.journal.record_finished)
+        return DeliveryReports(self._scheduler, platform, self.journal.record_finished, self.budget)
 
     def _connect_lifecycle(self, max_clients: int) -> None:
         """Connect the ingress, recovery, the admin server and the shutdown."""
         scheduler, settings = self._scheduler, self._settings
         self.ingress = IngressServer(
-            scheduler, settings.classes, max_clients, self.admission.submit, self.admission.withdraw
+            scheduler, settings.classes, max_clients, self.admission.submit, self.admission.withdraw, self.budget
         )
         self.recovery = Recovery(
             settings.classes,
@@ -200,7 +203,7 @@
                 self.endpoint_list,
                 self.ingress,
             )
-            self.admin_server = AdminServer(scheduler, self.admin_actions.handle)
+            self.admin_server = AdminServer(scheduler, self.admin_actions.handle, self.budget)
         self.shutdown = Shutdown(
             scheduler,
             open_requests=self.tracker.open,
@@ -251,7 +254,7 @@
     def _run_housekeeping(self) -> None:
         """Log violated invariants and resources, and drop expired waits, periodically."""
         invariants.log_violations()
-        log_resources(self.ingress.describe_connections(), self.ingress.ends.take_text())
+        log_resources(self.budget, self.ingress.describe_connections(), self.ingress.ends.take_text())
         self.dispatcher.drop_expired_waits()
         self._scheduler.call_at(self._scheduler.now() + HOUSEKEEPING_INTERVAL_US, self._run_housekeeping)
 
--- a/scalefall/net/streams.py
+++ b/scalefall/net/streams.py
@@ -7,6 +7,7 @@
 import socket
 
 from scalefall.net.http import Reader
+from scalefall.net.memory_budget import CONNECTION_BYTES, Reservation
 from scalefall.net.scheduler import MAX_READ_BYTES, READ, TIMED_OUT, WRITE, Scheduler
 
 MAX_PARSE_STEPS = 64  # steps of a reader before other tasks run; more than the head of an ordinary request takes
@@ -17,6 +18,10 @@
     """The deadline of a socket operation has passed."""
 
 
+class OutOfMemoryBudget(OSError):
+    """What was received does not fit into the memory budget."""
+
+
 class Interrupted(OSError):
     """Another task has ended the wait for a socket: the operation is cancelled."""
 
@@ -117,19 +122,43 @@
             _wait(scheduler, sock, READ, deadline_us)
 
 
-def receive_into(scheduler: Scheduler, sock: socket.socket, reader: Reader, deadline_us: int) -> bool:
+def receive_into(
+    scheduler: Scheduler, sock: socket.socket, reader: Reader, deadline_us: int, reservation: Reservation
+) -> bool:
     """Pass the next bytes to a reader, which parses them; return False at the end of the stream.
 
+    Args:
+        scheduler: The clock, and the wait for the socket.
+        sock: The socket.
+        reader: The reader.
+        deadline_us: When to give up, in monotonic microseconds.
+        reservation: Accounts for the connection and for what the reader holds.
+
     Raises:
         http.MalformedMessage: The bytes are not HTTP.
+        OutOfMemoryBudget: The bytes do not fit.
     """
     if not receive_unparsed(scheduler, sock, reader, deadline_us):
         return False
+    reserve_held(reader, reservation)
     while reader.advance(MAX_PARSE_STEPS):
         scheduler.sleep(0)
+    reserve_held(reader, reservation)
     return True
 
 
+def reserve_held(reader: Reader, reservation: Reservation) -> None:
+    """Account for a connection and for what its reader holds.
+
+    Raises:
+        OutOfMemoryBudget: It does not fit; what the reader held has been freed.
+    """
+    if not reservation.try_resize(CONNECTION_BYTES + reader.held_bytes):
+        reader.release()
+        reservation.resize(CONNECTION_BYTES)
+        raise OutOfMemoryBudget("what was received does not fit into the memory budget")
+
+
 def yield_in_background(scheduler: Scheduler) -> None:
     """Let all other tasks run, and wait for a turn among the tasks in the background.
 
--- a/tests/test_ingress_races.py
+++ b/tests/test_ingress_races.py
@@ -256,7 +256,7 @@
         resume_within_poll(harness.world)
         if has_request:
             harness.send_request(socks[0], X_Request_Id="second")
-        assert harness.ingress._evict_client()
+        assert harness.ingress.eviction.close_one()
         assert harness.answer(socks[0]).status == 202 if has_request else closed(harness.world, socks[0])
         assert len(harness.ingress._clients) == 2
 
@@ -309,7 +309,7 @@
         resume_within_poll(harness.world)
         complete = http.request("POST", "/safe", "s", list(HEAD.items()), b"body")
         sock.send(complete[len(begun) :])
-        assert not harness.ingress._evict_client()
+        assert not harness.ingress.eviction.close_one()
         assert harness.answer(sock).status == 202
 
     harness.world.play(play)
@@ -349,7 +349,7 @@
             harness.world.sleep(2 * EVICTION_GRACE_US)
             resume_within_poll(harness.world)
             sock.send(b"X-More: x\r\n")
-            evicted = harness.ingress._evict_client()
+            evicted = harness.ingress.eviction.close_one()
         assert evicted
         answer = harness.answer(sock)
         assert (answer.status, answer.keep, answer.fields["retry-after"]) == (503, False, "0.500")
--- a/tests/test_resource_bounds.py
+++ b/tests/test_resource_bounds.py
@@ -11,10 +11,12 @@
 import sys
 import threading
 import time
+import tomllib
 from dataclasses import dataclass, field
 
 import crowd
 import pytest
+from scalefall.net.memory_budget import budget_bytes
 from test_program import EXAMPLE, PROCESS_TIMEOUT_S, ROOT, Process
 
 MEMORY_MB, SOCKETS = 32, 1024
@@ -25,16 +27,17 @@
 CLIENT_PATIENCE_S = 0.4  # the protocol: a client waits this long for its answer
 GOOD_INTERVAL_S = 0.05
 SETTLE_S = 3.0  # by then all connections of clients that have left are closed
+SETTLE_INTERVAL_S = 0.05
 
 
-@pytest.fixture(scope="module")
-def sender(tmp_path_factory):
-    """Return a sender process at the least limits, and stop it after the tests of this module."""
-    folder = tmp_path_factory.mktemp("bounds")
+@contextlib.contextmanager
+def sender_process(folder):
+    """Start a sender process at the least limits, and stop it at the end of the block."""
     (folder / "state").mkdir()
     limits = EXAMPLE["limits"] | {"memory_mb": MEMORY_MB, "sockets": SOCKETS}
     (folder / "config.json").write_text(json.dumps(EXAMPLE | {"limits": limits}))
     toy = Process("example/toy_server.py", "--discovery", "0", "--endpoints", "0", "0", "--a-second", "1000")
+    run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
     process = Process(
         "-O",
         "-B",
@@ -44,9 +47,11 @@
         RELAY_STATE=str(folder / "state"),
         RELAY_LISTEN="127.0.0.1:0",
         RELAY_DISCOVERY=toy.line("discovery at").split()[-1],
+        **dict(word.split("=") for word in run.split() if "=" in word),
     )
     host, _, port = process.line("ready: n0 at").split()[-1].rpartition(":")
     process.at = (host, int(port))
+    process.bytes_at_rest = status_bytes(process, "VmRSS")
     yield process
     assert process.end(signal.SIGTERM) == 0
     toy.end()
@@ -64,6 +69,12 @@
         file.write("5")
 
 
+@pytest.fixture(scope="module")
+def sender(tmp_path_factory):
+    with sender_process(tmp_path_factory.mktemp("bounds")) as process:
+        yield process
+
+
 @dataclass
 class GoodClients:
     """Hands in one small request after the other, each on a new connection, until it is stopped."""
@@ -122,6 +133,18 @@
     assert peak <= MEMORY_BYTES, f"{peak / 1e6:.1f} MB at the most, {MEMORY_MB} MB allowed"
 
 
+# Guards against memory that stays when its clients have left, which the next crowd would add to.
+@pytest.mark.parametrize("kind", ["stops-before-the-end", "stops-half-way"])
+def test_memory_falls_back_when_all_clients_have_left(tmp_path, kind):
+    with sender_process(tmp_path) as process:
+        play_crowd(process, kind, CLIENTS)
+        allowed = process.bytes_at_rest + budget_bytes(MEMORY_BYTES) // 2
+        ends_at = time.monotonic() + SETTLE_S
+        while (held := status_bytes(process, "VmRSS")) > allowed and time.monotonic() < ends_at:
+            time.sleep(SETTLE_INTERVAL_S)
+        assert held <= allowed, f"{held / 1e6:.1f} MB, {process.bytes_at_rest / 1e6:.1f} MB before the first client"
+
+
 # Guards against a framing whose parsing took a step of seconds: good clients had no answer for 5 s.
 @pytest.mark.parametrize("kind", crowd.KINDS)
 def test_good_clients_are_answered_in_time_beside_a_crowd_of_bad_ones(sender, kind):
--- a/tests/test_resource_log.py
+++ b/tests/test_resource_log.py
@@ -9,6 +9,7 @@
 
 from scalefall.net import http
 from scalefall.net.delivery_request import Accepted
+from scalefall.net.memory_budget import MemoryBudget
 from scalefall.net.resource_log import ConnectionEnd, ConnectionEnds, log_resources
 
 
@@ -17,11 +18,11 @@
     for end in (ConnectionEnd.EVICTED, ConnectionEnd.TIMED_OUT, ConnectionEnd.EVICTED):
         ends.count(end)
     with caplog.at_level(logging.INFO):
-        log_resources("2 READING", ends.take_text())
+        log_resources(MemoryBudget(2048), "2 READING", ends.take_text())
     line = caplog.messages[-1]
     found = re.fullmatch(
-        r"resources: (\d+) KiB resident, (\d+) descriptors; client connections: 2 READING; "
-        r"ended: 1 request timed out, 2 evicted",
+        r"resources: (\d+) KiB resident, 0 of 2 KiB in the budget, 0 at most; (\d+) descriptors; "
+        r"client connections: 2 READING; ended: 1 request timed out, 2 evicted",
         line,
     )
     assert found, line
