Drop the queue of an ordering key once its pause has ended

Keys are new all the time where clients choose them. A key whose last message failed within its pause kept an empty queue for ever, as the new test shows. The network sender passes no ordering keys yet, so this was not seen on real processes.

--- a/scalefall/policy/ordering.py
+++ b/scalefall/policy/ordering.py
@@ -29,10 +29,12 @@
         self._state = state
         self._schedule = schedule
         self.queues: dict[str, OrderingQueue] = {}
+        self._pausing: deque[tuple[int, str]] = deque()  # ends of the gaps of empty queues, and their keys
 
     def add(self, message: QueuedMessage) -> None:
         """Append a message with an ordering key to its queue."""
         if message.ordering_key is not None:
+            self._drop_expired()
             self.queues.setdefault(message.ordering_key, OrderingQueue()).message_ids.append(message.id)
 
     def is_first(self, message: QueuedMessage) -> bool:
@@ -75,5 +77,16 @@
             self._schedule.evaluate_in_step(following.destination)
             if queue.gap_ends_at > now:
                 self._schedule.evaluate_at(queue.gap_ends_at, following.destination)
-        elif not queue.in_flight and queue.gap_ends_at <= now:
+        elif queue.in_flight:
+            return
+        elif queue.gap_ends_at <= now:
             del self.queues[key]
+        else:
+            self._pausing.append((queue.gap_ends_at, key))
+
+    def _drop_expired(self) -> None:
+        """Drop the empty queues whose gap has ended, as keys may be new all the time."""
+        while self._pausing and self._pausing[0][0] <= self._state.now:
+            queue = self.queues.get(key := self._pausing.popleft()[1])
+            if queue and not queue.message_ids and not queue.in_flight and queue.gap_ends_at <= self._state.now:
+                del self.queues[key]
--- a/tests/test_engine.py
+++ b/tests/test_engine.py
@@ -933,3 +933,18 @@
     driver.submit("x")
     driver.finish("x", "e", Outcome.CONNECT_FAILED)
     assert driver.engine.state.destinations[1].routes[""].slow_start.own_rate == 6.0
+
+
+# Guards against ordering keys that were kept for ever when their last message had failed within its pause.
+def test_the_queue_of_an_ordering_key_is_dropped_after_its_pause():
+    driver = EngineDriver()
+    driver.update_list(("e", 1))
+    for n in range(100):
+        driver.submit(f"m{n}", class_name="ordered", ordering_key=f"k{n}")
+        if driver.actions_of(Send):
+            driver.finish(f"m{n}", "e", Outcome.RESET)
+        driver.tick(2 * SECOND)
+    empty = [
+        key for key, queue in driver.engine.ordering.queues.items() if not queue.message_ids and not queue.in_flight
+    ]
+    assert len(empty) < 3
