Count only the readers of the running test in the tests of buffer lifetimes

In a run of the whole suite all 64 cases failed: readers that other tests had left counted as well. The check is as strict: those that the running test made must all be gone.

--- a/tests/test_buffer_lifetimes.py
+++ b/tests/test_buffer_lifetimes.py
@@ -32,6 +32,7 @@
 REQUEST = http.request("POST", "/safe", "s", list(HEAD.items()), b"body")
 INCOMPLETE = REQUEST[:-1]
 NOT_HTTP = b"not HTTP\r\n"
+OTHERS = []  # readers that other tests have left
 
 
 @pytest.fixture(autouse=True)
@@ -39,16 +40,22 @@
     logging.disable()  # pytest keeps log records, and with them the exceptions that they show
     gc.collect()
     gc.disable()
+    OTHERS.extend(all_readers())
     yield
+    OTHERS.clear()
     gc.enable()
     logging.disable(logging.NOTSET)
 
 
-def live_readers():
-    """Return the readers of the code under test; the test's own are freed when the helper that made them returns."""
+def all_readers():
     return [found for found in gc.get_objects() if isinstance(found, http.Reader)]
 
 
+def live_readers():
+    """Return the readers made in the running test; its own are freed when the helper that made them returns."""
+    return [reader for reader in all_readers() if not any(reader is other for other in OTHERS)]
+
+
 def assert_freed(world, allowed=0):
     """Check that only the allowed number of readers is alive soon after the connections have ended."""
     world.sleep(S // 100)
