Count the ids of finished messages against the memory budget, and make it 70% of what is left

Ids that clients invent were kept beside the budget, by number: 800 requests a second under ever new ids of 130 characters took 5.1 MiB at 32 MB, 580 bytes an id, and together with a crowd's 8.2 MiB more than the limit leaves. They count against the budget now, which takes 70% of what the process leaves in place of half: the sum is 31.5 of 32 MB.

--- a/scalefall/net/delivery_tracker.py
+++ b/scalefall/net/delivery_tracker.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Mapping
 
+from scalefall.net.memory_budget import FINISHED_ID_BYTES, MemoryBudget
 from scalefall.net.scheduler import Scheduler
 from scalefall.net.delivery_request import Accepted, DeliveryRequest
 
@@ -21,15 +22,17 @@
             request's fingerprint, the oldest first. Read-only.
     """
 
-    def __init__(self, scheduler: Scheduler, memory_bytes: int) -> None:
+    def __init__(self, scheduler: Scheduler, memory_bytes: int, budget: MemoryBudget | None = None) -> None:
         """Start with no open requests.
 
         Args:
             scheduler: The clock.
             memory_bytes: The memory limit of the process, which bounds the number of retained ids.
+            budget: Accounts for the retained ids; None: there is no limit.
         """
         self._scheduler = scheduler
         self._max_finished = memory_bytes // MEMORY_BYTES_PER_FINISHED_ID
+        self._retained = (budget or MemoryBudget()).open()
         self._open: dict[str, DeliveryRequest] = {}
         self._finished: dict[str, tuple[int, int]] = {}
         self.open: Mapping[str, DeliveryRequest] = self._open
@@ -52,9 +55,12 @@
         if request is not None and isinstance(request.admission, Accepted):
             finished, now_us = self._finished, self._scheduler.now()
             finished[message_id] = now_us, request.fingerprint()
+            self._retained.resize(self._retained.bytes + FINISHED_ID_BYTES + len(message_id))
             while (
                 len(finished) > self._max_finished
                 or next(iter(finished.values()))[0] < now_us - FINISHED_ID_RETENTION_US
             ):
-                del finished[next(iter(finished))]
+                oldest_id = next(iter(finished))
+                del finished[oldest_id]
+                self._retained.resize(self._retained.bytes - FINISHED_ID_BYTES - len(oldest_id))
         return request
--- a/scalefall/net/memory_bounds.py
+++ b/scalefall/net/memory_bounds.py
@@ -5,11 +5,9 @@
 from dataclasses import dataclass
 
 from scalefall.net import http
-from scalefall.net.delivery_tracker import MEMORY_BYTES_PER_FINISHED_ID
 from scalefall.net.memory_budget import PROCESS_BYTES, budget_bytes
 from scalefall.net.scheduler import MAX_READ_BYTES
 
-FINISHED_ID_BYTES = 480  # an id of 200 characters, its fingerprint and time, in a table that grows
 ALLOCATOR_DIVISOR = 3  # free memory between allocations, as a part of the budget
 MAX_COPIES = 4  # of one body: while it is parsed, journaled and written to a socket, in one step
 
@@ -41,7 +39,6 @@
         MemoryBound("process at rest", PROCESS_BYTES, 1),
         MemoryBound("memory budget", budget, 1),
         MemoryBound("allocator's share", budget // ALLOCATOR_DIVISOR, 1),
-        MemoryBound("ids of finished messages", FINISHED_ID_BYTES, memory_bytes // MEMORY_BYTES_PER_FINISHED_ID),
         MemoryBound("read buffer of the loop", MAX_READ_BYTES, 1),
         MemoryBound("copies of a body within a step", http.MAX_BODY_BYTES, MAX_COPIES),
     ]
--- a/scalefall/net/memory_budget.py
+++ b/scalefall/net/memory_budget.py
@@ -13,10 +13,11 @@
 
 PROCESS_BYTES = 19_000_000  # the interpreter, the code and what the process holds without any input
 MIN_BUDGET_BYTES = 1_500_000  # also where the settings allow hardly more than the process itself
-BUDGET_DIVISOR = 2  # the other half is for the ids of finished messages and for the allocator
+BUDGET_PERCENT = 70  # of what the process leaves of its limit; the rest is for the allocator
 
 CONNECTION_BYTES = 9 * 1024  # a connection's socket, task, stack and reader, without buffers
 MESSAGE_BYTES = 3 * 1024  # an accepted message beside its body: its records in the tracker, the journal and the engine
+FINISHED_ID_BYTES = 480  # a finished message whose id is retained, beside the id: its fingerprint, time and timers
 REPORT_BYTES = 1024  # a message that has ended and whose delivery report is not confirmed
 ENDPOINT_BYTES = 1300  # an endpoint of the list, here and in the engine
 FIELD_BYTES = 192  # a header field beside its text
@@ -25,7 +26,7 @@
 
 def budget_bytes(memory_bytes: int) -> int:
     """Return how much of the process's memory limit is for what input makes it hold, both in bytes."""
-    return max(MIN_BUDGET_BYTES, (memory_bytes - PROCESS_BYTES) // BUDGET_DIVISOR)
+    return max(MIN_BUDGET_BYTES, (memory_bytes - PROCESS_BYTES) * BUDGET_PERCENT // 100)
 
 
 class MemoryBudget:
--- a/scalefall/net/sender.py
+++ b/scalefall/net/sender.py
@@ -89,7 +89,7 @@
         self.engine = Engine(settings, config.seed)
         self.events = EventQueue(scheduler, settings.tick_us)
         self.budget = MemoryBudget(budget_bytes(config.memory_bytes))
-        self.tracker = DeliveryTracker(scheduler, config.memory_bytes)
+        self.tracker = DeliveryTracker(scheduler, config.memory_bytes, self.budget)
         self.routes = RouteTable()
         self.wall_offset_us = scheduler.wall() - scheduler.now()
         self._open_state_folder()
--- a/tests/test_delivery_tracker.py
+++ b/tests/test_delivery_tracker.py
@@ -4,6 +4,7 @@
 
 from scalefall.net.delivery_request import Accepted, DeliveryRequest
 from scalefall.net.delivery_tracker import FINISHED_ID_RETENTION_US, MEMORY_BYTES_PER_FINISHED_ID, DeliveryTracker
+from scalefall.net.memory_budget import FINISHED_ID_BYTES, MemoryBudget
 
 
 def request(message_id, accepted=True):
@@ -55,3 +56,13 @@
     for message_id in "abc":
         finish(deliveries, message_id)
     assert list(deliveries.finished) == ["b", "c"]
+
+
+# Guards against ids that clients invent, which were kept beside all other limits.
+def test_retained_ids_are_accounted_for_until_they_are_dropped():
+    budget = MemoryBudget(10_000)
+    deliveries = DeliveryTracker(VirtualTimeScheduler(), 3 * MEMORY_BYTES_PER_FINISHED_ID, budget)
+    for number in range(10):
+        finish(deliveries, f"m{number}")
+    assert len(deliveries.finished) == 3
+    assert budget.used_bytes == 3 * (FINISHED_ID_BYTES + 2)
