--- a/scalefall/net/memory_budget.py
+++ b/scalefall/net/memory_budget.py
@@ -13,7 +13,7 @@
 
 PROCESS_BYTES = 19_000_000  # the interpreter, the code and what the process holds without any input
 MIN_BUDGET_BYTES = 1_500_000  # also where the settings allow hardly more than the process itself
-BUDGET_PERCENT = 70  # of what the process leaves of its limit; the rest is for the allocator
+BUDGET_PERCENT = 60  # of what the process leaves of its limit; the rest is for the allocator
 
 CONNECTION_BYTES = 9 * 1024  # a connection's socket, task, stack and reader, without buffers
 MESSAGE_BYTES = 3 * 1024  # an accepted message beside its body: its records in the tracker, the journal and the engine
