Keep the status and the fields of an answer whose body does not fit the memory budget

Found in reading the change again: at the budget's limit the whole reader was reset, so a 200 that had arrived counted as an error and its message could be sent again, and the wait of a 429 was not kept. The head is parsed before the rest has to fit, only what is not parsed and the body are freed, and such an answer counts as one that broke off: by its status line, as before the budget. That also takes out a special case in read_broken_answer. Both new cases failed before.

--- a/scalefall/net/attempt_result.py
+++ b/scalefall/net/attempt_result.py
@@ -82,9 +82,7 @@
     if status == 200 and len(attempt.messages) == 1:
         return MessageResult(Outcome.OK, finished=True)
     is_time_up = isinstance(error, streams.TimedOut)
-    is_connection_lost = isinstance(error, OSError) and not isinstance(
-        error, (streams.TimedOut, streams.OutOfMemoryBudget)
-    )
+    is_connection_lost = isinstance(error, OSError) and not is_time_up
     if (reader.begun or reader.interim_count) and not is_connection_lost:
         log.warning("answer cannot be used: endpoint %s, %s", attempt.entry.endpoint.id, error)
         return MessageResult(Outcome.ERROR)
--- a/scalefall/net/http.py
+++ b/scalefall/net/http.py
@@ -72,9 +72,14 @@
 
     def release(self) -> None:
         """Free all that was received; the reader is not used any more."""
-        self.unparsed = bytearray()
+        self.drop_buffers()
         self.begin_next()
 
+    def drop_buffers(self) -> None:
+        """Free what has not been parsed and the body; the start line and the fields stay."""
+        self.unparsed = bytearray()
+        self.body = bytearray()
+
     @property
     def held_bytes(self) -> int:
         """The memory that what was received takes."""
--- a/scalefall/net/streams.py
+++ b/scalefall/net/streams.py
@@ -140,9 +140,11 @@
     """
     if not receive_unparsed(scheduler, sock, reader, deadline_us):
         return False
+    has_more = reader.advance(MAX_PARSE_STEPS)  # before the rest may not fit: what the head says counts all the same
     reserve_held(reader, reservation)
-    while reader.advance(MAX_PARSE_STEPS):
+    while has_more:
         scheduler.sleep(0)
+        has_more = reader.advance(MAX_PARSE_STEPS)
     reserve_held(reader, reservation)
     return True
 
@@ -151,10 +153,10 @@
     """Account for a connection and for what its reader holds.
 
     Raises:
-        OutOfMemoryBudget: It does not fit; what the reader held has been freed.
+        OutOfMemoryBudget: It does not fit; what the reader held beside the head has been freed.
     """
     if not reservation.try_resize(CONNECTION_BYTES + reader.held_bytes):
-        reader.release()
+        reader.drop_buffers()
         reservation.resize(CONNECTION_BYTES)
         raise OutOfMemoryBudget("what was received does not fit into the memory budget")
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -137,6 +137,26 @@
     world.play(play)
 
 
+# Guards against a delivered message that was sent again, and a wait that was not kept, when the body of an answer did
+# not fit: its status line and fields had arrived.
+@pytest.mark.parametrize(
+    ("head", "outcome", "retry_after_us"),
+    [(b"HTTP/1.1 200 OK", "OK", 0), (b"HTTP/1.1 429 Busy\r\nRetry-After: 1.25", "OVERLOADED", 1_250_000)],
+)
+def test_the_status_and_the_wait_of_an_answer_beyond_the_budget_count(head, outcome, retry_after_us):
+    world = VirtualTimeScheduler()
+
+    def play():
+        calls, _, sock, _ = begun(world, "m")
+        calls.attempts._budget.limit_bytes = CONNECTION_BYTES + 20_000
+        sock.send(head + b"\r\nContent-Length: 60000\r\n\r\n" + b"x" * 50_000)
+        event = calls.outcome("m")
+        assert (event.outcome.name, event.retry_after_us) == (outcome, retry_after_us)
+        sock.close()
+
+    world.play(play)
+
+
 def test_an_object_whose_values_do_not_fit_is_refused_before_it_is_parsed():
     budget = MemoryBudget(100_000)
     with budget.open() as reservation:
