--- a/review/second/standins.py
+++ b/review/second/standins.py
@@ -170,6 +170,8 @@
         self.seq = 1
         self.changed_in: dict[str, int] = dict.fromkeys(hosts, 1)
         self.silent = False  # discovery is down: nothing is said on lists; notices are answered all the same
+        self.muted_since = -1.0  # watches opened before this time say nothing more, though they stay open
+        self.wait: Callable[[], tuple[float, int]] | None = None  # how long a new call waits, and the status it gets
         self.told: dict[str, dict[str, Any]] = copy.deepcopy(hosts)  # the list as it was last written to the sender
         self.told_seq = 1
         self._news = asyncio.Condition()
@@ -235,13 +237,23 @@
         """Answer a watch: the whole list or the changes, then each change, and an empty line every 2 s."""
         after = int(dict(pair.split("=") for pair in target.partition("?")[2].split("&")).get("index", "0"))
         self.world.record.add(f"{self.name}: watch from version {after}")
-        begun = False
+        opened_at, begun = self.world.record.now(), False
+        if self.wait is not None:
+            wait_s, status = self.wait()
+            await asyncio.sleep(wait_s)
+            if status != 200:
+                self.world.record.add(f"{self.name}: call refused with {status} after {wait_s:g} s")
+                writer.write(encode_answer(status, {"Connection": "close"}))
+                return
         while True:
             while self.silent:
                 async with self._news:
                     await self._news.wait()
             if reader.at_eof() or reader.exception() is not None or writer.is_closing():
                 return  # nobody hears it any more
+            if opened_at < self.muted_since:
+                await reader.read()  # silent until its other side ends it
+                return
             if not begun:
                 writer.write(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
             rows = [row for host, row in self.hosts.items() if self.changed_in[host] > after]
@@ -628,6 +640,44 @@
     )
 
 
+def kulku(siblings: int) -> dict[str, Any]:
+    """Return settings like those of kulku-main: lists are asked for, limits are in the list, a grace of 0.5 s."""
+    table = settings(
+        registry="ask",
+        kinds={"big-operators": 1, "ticket-sellers": 1, "small-apps": 1},
+        zones=["hall-a", "hall-b"],
+        classes=[
+            message_class("ticket-order", "keyed", 4, 28, 2.0, 7.5),
+            message_class("disruption-notice", "safe", 1, 6, 1.0, 5),
+        ],
+        caps={
+            "dialTimeout": 1500.0,
+            "idleClose": 10000.0,
+            "maxAttempts": 8,
+            "maxOpen": 200,
+            "maxRetryAfter": 3000.0,
+            "parallelTries": False,
+            "peers": False,
+            "probes": False,
+            "retryAfter": True,
+        },
+        rules={
+            "answerSlack": 20.0,
+            "askWithin": 10000.0,
+            "cold": 14000.0,
+            "coldFrom": 0.18,
+            "drainGrace": 500.0,
+            "fall": 3000.0,
+            "fallMultiple": 2.0,
+        },
+        report="none",
+        siblings=siblings,
+        slots=20,
+    )
+    table["weights"] = "nominal"
+    return table
+
+
 def lost(world: World, senders: list[Sender]) -> list[Message]:
     """Return the messages that were taken on, and had neither a delivery nor a notice in their time."""
     found = []
