Count each call that goes out: the engine alone decides which messages share a call

Cause: sends were divided into calls twice. The engine joined a step's sends to an endpoint up to perCall and counted one call against slots, rate, calls at once and slow start; the dispatcher divided them again where a body would pass 64 KiB or a message had to go alone after a 400, and told nobody.

Change: Message.batch_bytes and AttemptFinished.batch_unreadable tell the engine what it lacked, each Send names its call, and the dispatcher starts one attempt for each call. The size of a row is computed without building a row.

Why it works: a limit on calls is asked where a call begins, and nothing begins one elsewhere.

--- a/scalefall/net/admission.py
+++ b/scalefall/net/admission.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from scalefall.net.attempt_request import batch_row_size
 from scalefall.net.deadline_monitor import DeadlineMonitor
 from scalefall.net.delivery_request import Accepted, Conflict, DeliveryRequest, GivenUp, NotServed, Rejected
 from scalefall.net.delivery_tracker import DeliveryTracker
@@ -98,7 +99,15 @@
         else:
             self._tracker.add(request)
             request.message_class = self._settings.classes.get(request.class_name)
-            self._events.gather(Message(message_id, request.destination, request.class_name, request.due_us))
+            self._events.gather(
+                Message(
+                    message_id,
+                    request.destination,
+                    request.class_name,
+                    request.due_us,
+                    batch_bytes=batch_row_size(message_id, request.idempotency_key, request.body),
+                )
+            )
 
     def withdraw(self, request: DeliveryRequest) -> None:
         """Drop a request whose client disconnected before the answer: it needs neither delivery nor report.
--- a/scalefall/net/attempt_dispatcher.py
+++ b/scalefall/net/attempt_dispatcher.py
@@ -1,11 +1,11 @@
-"""Turns the engine's sends into attempts, and the results of attempts into events for the engine."""
+"""Turns the engine's calls into attempts, and the results of attempts into events for the engine."""
 
 from __future__ import annotations
 
 import logging
+from collections.abc import Iterable
 from math import inf
 
-from scalefall.net.attempt_request import batch_row_size
 from scalefall.net.attempt_state import MessageInCall
 from scalefall.net.attempts import Attempts
 from scalefall.net.delivery_request import DeliveryRequest
@@ -24,11 +24,10 @@
 
 MILLISECOND_US = 1000  # microseconds in a millisecond
 DRAIN_MARGIN_US = 200 * MILLISECOND_US  # time before a drain's end: a call sent later may find its endpoint stopped
-MAX_BODY_BYTES = 64 * 1024  # the protocol's limit for any body, that of an attempt with several messages included
 
 
 class AttemptDispatcher:
-    """Groups the sends of a step into attempts, starts them, and reports the outcome of each message.
+    """Starts one attempt for each of the engine's calls, and reports the outcome of each message.
 
     The start of an attempt is recorded in the journal before the attempt is sent. The dispatcher keeps the end of
     each Retry-After wait, because an attempt whose connection came up late must obey it too.
@@ -53,7 +52,7 @@
 
         Args:
             scheduler: The clock, and the tasks that run the attempts.
-            settings: The number of messages per call by kind of endpoint, and the drain grace.
+            settings: The drain grace, and which kinds have a Retry-After for each endpoint.
             max_sockets: The limit of connections to endpoints.
             events: Passes outcomes to the engine.
             tracker: The requests in flight.
@@ -77,32 +76,16 @@
 
     # -- sends
 
-    def dispatch(self, sends: dict[str, list[Send]]) -> None:
-        """Start the attempts for a step's sends, given by endpoint id in the engine's order."""
-        for endpoint_id, endpoint_sends in sends.items():
+    def dispatch(self, calls: Iterable[list[Send]]) -> None:
+        """Start one attempt for each call of a step; a call is the list of its sends, which have the same endpoint."""
+        for sends in calls:
+            endpoint_id = sends[0].endpoint
             entry = self._endpoint_list.entries.get(endpoint_id)
             if entry is None:
                 assert_invariant(False, "the engine sends only to listed endpoints")
-                self._report_unsent(endpoint_id, endpoint_sends)
-                continue
-            max_messages = self._settings.messages_per_call.get(entry.endpoint.kind, 1)
-            while endpoint_sends:
-                number = self._count_that_fit(endpoint_sends[:max_messages])
-                self._begin(entry, endpoint_sends[:number])
-                endpoint_sends = endpoint_sends[number:]
-
-    def _count_that_fit(self, sends: list[Send]) -> int:
-        """Return how many of the sends fit into one body; the first always fits, as a single body is sent unchanged."""
-        size = 0
-        for number, send in enumerate(sends):
-            request = self._open.get(send.id)
-            size += batch_row_size(request.id, request.idempotency_key, request.body) if request else 0
-            alone = request is not None and request.send_alone
-            if number and (size > MAX_BODY_BYTES or alone):
-                return number
-            if alone:
-                return 1
-        return len(sends)
+                self._report_unsent(endpoint_id, sends)
+            else:
+                self._begin(entry, sends)
 
     def _report_unsent(self, endpoint_id: str, sends: list[Send]) -> None:
         """Report sends to an unknown endpoint as attempts that were not sent."""
@@ -197,14 +180,8 @@
         for endpoint_id in self._endpoint_list.left_at:
             self.attempts.endpoint_left(self._endpoint_list.entries[endpoint_id])
 
-    def _handle_outcome(self, event: AttemptFinished, unreadable: bool) -> None:
-        """Record the outcome of an attempt for one message, and report it to the engine.
-
-        If the endpoint could not read a call with several messages, one of them may be the cause: each message is
-        sent alone from then on.
-        """
-        if unreadable and event.id in self._open:
-            self._open[event.id].send_alone = True
+    def _handle_outcome(self, event: AttemptFinished) -> None:
+        """Record the outcome of an attempt for one message, and report it to the engine."""
         if log.isEnabledFor(logging.DEBUG):
             _log_outcome(event)
         if event.retry_after_us and event.endpoint in self._endpoint_list.entries:
--- a/scalefall/net/attempt_request.py
+++ b/scalefall/net/attempt_request.py
@@ -14,6 +14,8 @@
 BATCH_TARGET = "/v1/messages:batch"  # the protocol's path for several
 BASE64_GROUP_BYTES = 3  # RFC 4648: bytes that are encoded together
 BASE64_GROUP_CHARACTERS = 4  # RFC 4648: characters that encode one group
+EMPTY_ROW_BYTES = len('{"id":,"body":""}')
+KEY_MEMBER_BYTES = len('"key":,')
 ROW_SEPARATOR_BYTES = 2  # reserved in each row for its comma and the array's brackets
 
 
@@ -38,9 +40,11 @@
 
 def batch_row_size(message_id: str, idempotency_key: str | None, body: bytes) -> int:
     """Return how many bytes a message takes in the body of a call with several."""
-    empty_row = json.dumps(_batch_row(message_id, idempotency_key, ""), separators=(",", ":"))
     groups = -(-len(body) // BASE64_GROUP_BYTES)  # rounded up, as the last group is padded
-    return len(empty_row) + BASE64_GROUP_CHARACTERS * groups + ROW_SEPARATOR_BYTES
+    row_bytes = EMPTY_ROW_BYTES + len(json.dumps(message_id)) + BASE64_GROUP_CHARACTERS * groups
+    if idempotency_key is not None:
+        row_bytes += KEY_MEMBER_BYTES + len(json.dumps(idempotency_key))
+    return row_bytes + ROW_SEPARATOR_BYTES
 
 
 def _encode_single(host: str, message: MessageInCall, deadline: tuple[str, str]) -> bytes:
--- a/scalefall/net/attempts.py
+++ b/scalefall/net/attempts.py
@@ -42,7 +42,7 @@
         scheduler: Scheduler,
         settings: Settings,
         max_sockets: int,
-        report_outcome: Callable[[AttemptFinished, bool], None],
+        report_outcome: Callable[[AttemptFinished], None],
         may_begin: Callable[[Entry], bool],
         is_pending: Callable[[str], bool] = lambda _: True,
         budget: MemoryBudget | None = None,
@@ -53,8 +53,7 @@
             scheduler: The clock, and the tasks that run the attempts.
             settings: The time limits of dials and idle connections, and whether answers carry load reports.
             max_sockets: The limit of connections to endpoints.
-            report_outcome: Called with the outcome of an attempt for one message, and whether the endpoint could not
-                read a call with several messages.
+            report_outcome: Called with the outcome of an attempt for one message.
             may_begin: Returns whether a call may still go out to an endpoint, once its connection is up.
             is_pending: Returns whether the message with this id still waits for an answer.
             budget: Accounts for the attempts and the idle connections; None: there is no limit.
@@ -272,8 +271,9 @@
             result.finished,
             result.retry_after_us,
             dict(load_report),
+            result.unreadable,
         )
-        self._report_outcome(event, result.unreadable)
+        self._report_outcome(event)
 
     def _close_connection(self, attempt: Attempt) -> None:
         """Close an attempt's connection, if it has one, and resume the task that waits on it."""
--- a/scalefall/net/delivery_request.py
+++ b/scalefall/net/delivery_request.py
@@ -62,7 +62,6 @@
         admission: The answer; None until it is decided.
         repeat_accepted: Whether a repeated submission was answered as accepted. Closing the connection of the first
             one then no longer withdraws the message.
-        send_alone: Whether it must not share a call with other messages.
         message_class: The rules of its class as of its acceptance.
         on_decided: Called once the answer is decided, then dropped: an open message must not keep its connection.
     """
@@ -76,7 +75,6 @@
     attempts: int = 0
     admission: AdmissionResult | None = None
     repeat_accepted: bool = False
-    send_alone: bool = False
     message_class: MessageClass | None = None
     on_decided: Callable[[], object] | None = None
 
--- a/scalefall/net/recovery.py
+++ b/scalefall/net/recovery.py
@@ -5,6 +5,7 @@
 from collections.abc import Mapping
 from dataclasses import replace
 
+from scalefall.net.attempt_request import batch_row_size
 from scalefall.net.deadline_monitor import DeadlineMonitor
 from scalefall.net.delivery_reports import DeliveryReporter
 from scalefall.net.delivery_request import Accepted, DeliveryRequest
@@ -114,6 +115,7 @@
                 may_have_run_zone=pending.may_have_run_zone,
                 restored=True,
                 message_class=message_class,
+                batch_bytes=batch_row_size(pending.id, pending.idempotency_key, pending.body),
             )
         )
 
--- a/scalefall/net/sender_loop.py
+++ b/scalefall/net/sender_loop.py
@@ -101,16 +101,16 @@
                     self._admission.discard(request)
 
     def _perform(self, actions: list[Action], submitted: list[str]) -> None:
-        """Perform the actions of a step; sends come last, grouped by endpoint."""
-        sends: dict[str, list[Send]] = {}
+        """Perform the actions of a step; sends come last, grouped into the engine's calls."""
+        calls: dict[int, list[Send]] = {}
         for action in actions:
             match action:
                 case Shed(id=message_id, retry_after_us=retry_after_us):
                     self._final_answers.shed(message_id, retry_after_us)
                 case Fail(id=message_id):
                     self._final_answers.fail(message_id)
-                case Send(endpoint=endpoint):
-                    sends.setdefault(endpoint, []).append(action)
+                case Send(call=call):
+                    calls.setdefault(call, []).append(action)
                 case CancelAttempt(id=message_id, attempt=attempt):
                     self._attempts.cancel(message_id, attempt)
                 case SetTimer(token=token, delay_us=delay_us):
@@ -120,7 +120,7 @@
         for message_id in submitted:
             if message_id in self._open:
                 self._admission.accept(self._open[message_id])
-        self._dispatcher.dispatch(sends)
+        self._dispatcher.dispatch(calls.values())
 
     def _perform_global(self, action: Action) -> None:
         """Perform an action that belongs to no single message."""
--- a/scalefall/policy/actions.py
+++ b/scalefall/policy/actions.py
@@ -7,11 +7,12 @@
 
 @dataclass(slots=True)
 class Send:
-    """Make an attempt; sends to one endpoint in one step share a call, up to the limit of messages of its kind."""
+    """Make an attempt; the sends with the same call number go out as one call, and no others join it."""
 
     id: str
     endpoint: str
     timeout_us: int
+    call: int  # number of the call, in the order in which the engine starts them
 
 
 @dataclass(slots=True)
--- a/scalefall/policy/attempts.py
+++ b/scalefall/policy/attempts.py
@@ -19,8 +19,15 @@
 from scalefall.policy.state import Attempt, EndpointState, EngineState, QueuedMessage
 
 
+MAX_BATCH_BYTES = 64 * 1024  # the protocol's limit for any body, that of a call with several messages included
+
+
 class Attempts:
-    """Starts and ends calls."""
+    """Starts and ends calls.
+
+    It alone decides which messages share a call: limits, rates and slow starts count calls, so each of the calls that
+    it starts has to go out as one.
+    """
 
     def __init__(
         self,
@@ -44,27 +51,30 @@
         self._endpoint_list = endpoint_list
         self.in_flight: dict[tuple[str, int], tuple[QueuedMessage, Attempt]] = {}  # by message id and attempt number
         self._calls_of_step: dict[str, Attempt] = {}  # started in this step, by endpoint; messages may still join
+        self._calls_started = 0
 
     def begin_step(self) -> None:
         """Close the calls of the last step to further messages."""
         self._calls_of_step = {}
 
-    def joinable(self, endpoint: EndpointState) -> Attempt | None:
-        """Return this step's call to the endpoint if it can carry another message."""
+    def joinable(self, message: QueuedMessage, endpoint: EndpointState) -> Attempt | None:
+        """Return this step's call to the endpoint if it can carry the message as well."""
         attempt = self._calls_of_step.get(endpoint.endpoint.id)
-        if attempt is None:
+        if attempt is None or message.sent_alone:
             return None
         limit = self._state.settings.messages_per_call.get(endpoint.endpoint.kind, 1)
-        return attempt if attempt.carried < limit else None
+        fits = attempt.batch_bytes + message.batch_bytes <= MAX_BATCH_BYTES
+        return attempt if fits and attempt.carried < limit else None
 
     def send(self, message: QueuedMessage, endpoint: EndpointState) -> None:
         """Send the message to the endpoint, in this step's call or in a new one."""
         envelope = self._admission.envelope(endpoint.route, message.message_class.name)
-        attempt = self.joinable(endpoint)
+        attempt = self.joinable(message, endpoint)
         if attempt is None:
             attempt = self._begin_call(endpoint, envelope, message)
         attempt.unfinished += 1
         attempt.carried += 1
+        attempt.batch_bytes += message.batch_bytes
         message.attempt = attempt
         message.span = envelope.record_start(self._state.now)
         timeout = timeout_us(self._state, message, envelope)
@@ -72,15 +82,17 @@
         message.attempts += 1
         del message.destination.waiting[message.id]
         self._ordering.record_send(message)
-        self._state.actions.append(Send(message.id, endpoint.endpoint.id, timeout))
+        self._state.actions.append(Send(message.id, endpoint.endpoint.id, timeout, attempt.number))
 
     def _begin_call(self, endpoint: EndpointState, envelope: Envelope, message: QueuedMessage) -> Attempt:
         state, route = self._state, endpoint.route
-        attempt = Attempt(endpoint, state.now)
+        attempt = Attempt(endpoint, state.now, self._calls_started)
+        self._calls_started += 1
         attempt.overdue_at = state.now + expected_us(envelope, message.message_class)
         state.calls_in_flight += 1
         endpoint.attempts[id(attempt)] = attempt
-        self._calls_of_step[endpoint.endpoint.id] = attempt
+        if not message.sent_alone:
+            self._calls_of_step[endpoint.endpoint.id] = attempt
         self._pacing.record_call(route)
         if route.rate < inf:
             route.tokens -= 1
@@ -97,6 +109,7 @@
         if found is None:
             return None
         message, attempt = found
+        message.sent_alone |= event.batch_unreadable
         route = attempt.endpoint.route
         now = self._state.now
         self._schedule.evaluate_in_step(message.destination)
--- a/scalefall/policy/engine.py
+++ b/scalefall/policy/engine.py
@@ -152,6 +152,7 @@
             state.settings.attempts.get(event.destination, state.settings.max_attempts),
             event.ordering_key if message_class.ordered else None,
             attempts=event.attempts,
+            batch_bytes=event.batch_bytes,
         )
         if event.may_have_run_at_us is not None:
             message.may_have_run_at = max(0, event.may_have_run_at_us)
--- a/scalefall/policy/events.py
+++ b/scalefall/policy/events.py
@@ -74,6 +74,7 @@
     may_have_run_zone: str = ""
     restored: bool = False  # accepted before a restart, so never shed for lack of capacity
     message_class: MessageClass | None = None  # the rules at acceptance, where they differ from the current settings
+    batch_bytes: int = 0  # bytes that it takes in the body of a call with several messages; 0: nothing to speak of
 
 
 @dataclass(slots=True)
@@ -95,6 +96,7 @@
     finished: bool = False  # the message needs no further attempt, whatever the outcome
     retry_after_us: int = 0  # from now, as the answer demands; 0: not given
     load_report: dict[str, float] = field(default_factory=dict)
+    batch_unreadable: bool = False  # the endpoint could not read the call; one of its messages may be the cause
 
 
 @dataclass(slots=True)
--- a/scalefall/policy/routing.py
+++ b/scalefall/policy/routing.py
@@ -50,7 +50,7 @@
                     continue
                 if message.required_zone and endpoint.endpoint.zone != message.required_zone:
                     continue
-                if self._attempts.joinable(endpoint):
+                if self._attempts.joinable(message, endpoint):
                     return endpoint
                 self._outliers.record_overdue(endpoint)
                 if self._may_call(route, endpoint):
--- a/scalefall/policy/state.py
+++ b/scalefall/policy/state.py
@@ -37,6 +37,8 @@
     may_have_run_at: int = -1  # send time of the first attempt that may have run
     required_zone: str = ""  # zone of that attempt, if the idempotency key is valid only there
     not_before: int = 0  # end of the backoff after a failed attempt
+    batch_bytes: int = 0  # bytes that it takes in the body of a call with several messages
+    sent_alone: bool = False  # shares no call, as an endpoint could not read one that it was in
 
 
 @dataclass(slots=True, eq=False)
@@ -45,8 +47,10 @@
 
     endpoint: EndpointState
     sent_at: int
+    number: int = -1  # of the calls that this engine started; -1: a proxy's
     unfinished: int = 0  # messages in the call without an outcome
     carried: int = 0  # messages in the call
+    batch_bytes: int = 0  # of these messages
     evaluated: bool = False  # the first outcome has been evaluated, for all messages of the call
     counted_overdue: bool = False  # already counted as a failure because it is overdue
     cancelled: bool = False
--- a/tests/golden/drive.py
+++ b/tests/golden/drive.py
@@ -667,7 +667,7 @@
 # -- the simulator's adapter
 
 ACTIONS = {
-    "send": Send("m", "e", 1_234_567),
+    "send": Send("m", "e", 1_234_567, 0),
     "set-timer": SetTimer(3, 20_500),
     "refuse": Shed("m", 1_500_000),
     "refuse-at-once": Shed("m", 0),
--- a/tests/nethelp.py
+++ b/tests/nethelp.py
@@ -203,9 +203,7 @@
     def __init__(self, world, settings, address, max_sockets=100):
         self.world, self.outcomes, self.may_begin = world, [], True
         self.entry = Entry(Endpoint("e", "a", "many", 1, EndpointStatus.READY, 1.0), address)
-        self.attempts = Attempts(
-            world, settings, max_sockets, lambda event, _: self.outcomes.append(event), lambda entry: self.may_begin
-        )
+        self.attempts = Attempts(world, settings, max_sockets, self.outcomes.append, lambda entry: self.may_begin)
 
     def message(self, name, attempt=0, remaining_us=2 * S, **fields):
         return MessageInCall(name, attempt, self.world.now() + remaining_us, "k", b"body", **fields)
--- a/tests/test_sender.py
+++ b/tests/test_sender.py
@@ -487,7 +487,7 @@
         outcomes.extend(event for event in events if isinstance(event, AttemptFinished))
         actions = handle(now, events)
         if any(isinstance(event, Message) for event in events):
-            actions.insert(0, Send("m", "ghost", S))
+            actions.insert(0, Send("m", "ghost", S, -1))
         return actions
 
     monkeypatch.setattr(harness.sender.engine, "handle", add_unknown_endpoint)
--- a/tests/test_sender_loop.py
+++ b/tests/test_sender_loop.py
@@ -57,8 +57,8 @@
     def fail(self, message_id):
         self.calls.append(("fail", message_id))
 
-    def dispatch(self, sends):
-        self.calls.append(("dispatch", sends))
+    def dispatch(self, calls):
+        self.calls.append(("dispatch", list(calls)))
 
     def cancel(self, message_id, attempt):
         self.calls.append(("cancel", message_id, attempt))
@@ -99,25 +99,26 @@
 def test_final_answers_come_first_then_accepted_messages_and_sends_last():
     harness = LoopHarness()
     accepted, shed = harness.submit("accepted", "shed")
-    harness.engine.actions = [Send("accepted", "e", S), Shed("shed", 100 * MS)]
+    harness.engine.actions = [Send("accepted", "e", S, 0), Shed("shed", 100 * MS)]
     harness.loop.step()
     assert harness.components.calls == [
         ("shed", "shed", 100 * MS),
         ("accept", "accepted"),
-        ("dispatch", {"e": [Send("accepted", "e", S)]}),
+        ("dispatch", [[Send("accepted", "e", S, 0)]]),
     ]
     assert (accepted.admission, shed.admission) == (Accepted(), Rejected(100 * MS))
 
 
-def test_sends_are_grouped_by_endpoint_in_the_engines_order():
+def test_sends_are_grouped_by_call_in_the_engines_order():
     harness = LoopHarness()
-    harness.submit("a", "b", "c")
-    harness.engine.actions = [Send("a", "f", S), Send("b", "e", S), Send("c", "f", S)]
+    harness.submit("a", "b", "c", "d")
+    harness.engine.actions = [Send("a", "f", S, 3), Send("b", "e", S, 4), Send("c", "f", S, 3), Send("d", "f", S, 5)]
     harness.loop.step()
-    (_, sends), *_ = [call for call in harness.components.calls if call[0] == "dispatch"]
-    assert [(endpoint, [send.id for send in sends[endpoint]]) for endpoint in sends] == [
+    (_, calls), *_ = [call for call in harness.components.calls if call[0] == "dispatch"]
+    assert [(sends[0].endpoint, [send.id for send in sends]) for sends in calls] == [
         ("f", ["a", "c"]),
         ("e", ["b"]),
+        ("f", ["d"]),
     ]
 
 
