Read every form of a Retry-After, and log what cannot be read

Cause: the pattern took at most nine digits on each side of the point, and "cannot be read" was the same value as "was not said".

Change: answer_fields reads what endpoints write. Any decimals, an exponent and an HTTP date count; all else is one log line. The same class elsewhere: an empty X-Load, a batch answer that leaves a message out, share, whole, block and ports of discovery's list, X-Route-To with two dests, metrics of proxies.

Why it works: a value is read or logged; a property test holds it for any text and for every double.

--- a/scalefall/control/transport/reports.py
+++ b/scalefall/control/transport/reports.py
@@ -22,6 +22,7 @@
 
 from scalefall.control.transport import resources
 from scalefall.net.list_stream import Entry
+from scalefall.net.logs import log
 from scalefall.policy.events import EndpointReport, Outcome
 
 METRIC_PREFIX = "scalefall."
@@ -130,6 +131,7 @@
         name = metric.metric_name.removeprefix(ORCA_PREFIX)
         count, total = metric.num_requests_finished_with_metric, metric.total_metric_value
         if not 0 <= total < inf:
+            log.warning("load report: value of metric %.80r cannot be used: %r", name, total)
             continue
         if name in NAMED_METRICS and count:
             found.load_report[name] = total / count
--- a/scalefall/net/attempt_result.py
+++ b/scalefall/net/attempt_result.py
@@ -7,8 +7,6 @@
 from __future__ import annotations
 
 import json
-import math
-import re
 from dataclasses import dataclass
 from typing import TypeAlias
 
@@ -17,8 +15,6 @@
 from scalefall.net.logs import log
 from scalefall.policy.events import Outcome
 
-SECOND_US = 1_000_000  # microseconds in a second
-RETRY_AFTER = re.compile(r"\d{1,9}(\.\d{0,9})?\Z")  # in seconds; the protocol allows decimals, HTTP does not
 STATE_OUTCOMES = {  # outcomes by the protocol's state of one message in an answer for several
     "accepted": Outcome.OK,
     "fault": Outcome.ERROR,
@@ -35,13 +31,11 @@
 
     Attributes:
         outcome: The outcome of the attempt.
-        retry_after_us: The Retry-After that the endpoint demands, in microseconds; 0 without one.
         finished: The message needs no further attempt.
         unreadable: The endpoint could not read a call with several messages; one of them may be the cause.
     """
 
     outcome: Outcome
-    retry_after_us: int = 0
     finished: bool = False
     unreadable: bool = False
 
@@ -93,50 +87,28 @@
     return MessageResult(Outcome.RESET if is_connection_lost else Outcome.ERROR)
 
 
-def read_retry_after(fields: dict[str, str]) -> int:
-    """Return an answer's Retry-After in microseconds, rounded up so that no wait is cut short; 0 if it has none."""
-    value = fields.get("retry-after", "")
-    return math.ceil(float(value) * SECOND_US) if RETRY_AFTER.match(value) else 0
-
-
-def read_load_report(fields: dict[str, str]) -> dict[str, float]:
-    """Return an answer's load report, as values by metric name; empty if it is missing or cannot be read."""
-    text = fields.get("x-load")
-    if not text:
-        return {}
-    try:
-        report: dict[str, float] = {name: float(value) for name, value in json.loads(text).items()}
-        if all(0 <= value < math.inf for value in report.values()):
-            return report
-    except (ValueError, TypeError, AttributeError, OverflowError, RecursionError):
-        pass  # not an object of numbers
-    log.warning("load report cannot be read: %.80r", text)
-    return {}
-
-
 def _read_status(attempt: Attempt, reader: http.AnswerReader, answers_carry_report: bool) -> MessageResult:
     """Return the result for all messages of an attempt from an answer's status and fields."""
-    retry_after_us = read_retry_after(reader.fields)
     is_single = len(attempt.messages) == 1
     match reader.status:
         case 200:
-            return MessageResult(Outcome.OK if is_single else Outcome.ERROR, retry_after_us, is_single)
+            return MessageResult(Outcome.OK if is_single else Outcome.ERROR, finished=is_single)
         case 429 | 503:
-            return MessageResult(_rejection(attempt, reader, retry_after_us, answers_carry_report), retry_after_us)
+            return MessageResult(_rejection(attempt, reader, answers_carry_report))
         case 504:
-            return MessageResult(Outcome.NOT_SENT, retry_after_us)
+            return MessageResult(Outcome.NOT_SENT)
         case 410:
-            return MessageResult(Outcome.NOT_SENT, retry_after_us, finished=True)
+            return MessageResult(Outcome.NOT_SENT, finished=True)
         case 500:
-            return MessageResult(Outcome.ERROR, retry_after_us)
+            return MessageResult(Outcome.ERROR)
         case status:
             log.warning("answer cannot be used: endpoint %s, status %d", attempt.entry.endpoint.id, status)
             if status in (400, 413) and not is_single:
-                return MessageResult(Outcome.NOT_SENT, retry_after_us, unreadable=True)
-            return MessageResult(Outcome.ERROR, retry_after_us)
+                return MessageResult(Outcome.NOT_SENT, unreadable=True)
+            return MessageResult(Outcome.ERROR)
 
 
-def _rejection(attempt: Attempt, reader: http.AnswerReader, retry_after_us: int, answers_carry_report: bool) -> Outcome:
+def _rejection(attempt: Attempt, reader: http.AnswerReader, answers_carry_report: bool) -> Outcome:
     """Return the outcome of a 429 or 503: not sent by the local egress, overloaded, or out of connections.
 
     An endpoint that rejects a call reports its load. One that rejects a new connection answers without a load report.
@@ -149,7 +121,7 @@
         and connection is not None
         and connection.is_new
         and reader.head_done
-        and not retry_after_us
+        and "retry-after" not in reader.fields
         and answers_carry_report
         and "x-load" not in reader.fields
     )
@@ -158,16 +130,17 @@
 
 def _read_batch(attempt: Attempt, reader: http.AnswerReader) -> dict[str, MessageResult] | None:
     """Return the result of each message from an answer for several; None if the answer is unusable."""
-    retry_after_us = read_retry_after(reader.fields)
     results: dict[str, MessageResult] = {}
     try:
         for row in json.loads(bytes(reader.body)):
             state = row["state"]
-            results[row["id"]] = MessageResult(STATE_OUTCOMES[state], retry_after_us, state in FINAL_STATES)
+            results[row["id"]] = MessageResult(STATE_OUTCOMES[state], state in FINAL_STATES)
     except (ValueError, TypeError, KeyError, RecursionError) as error:
         log.warning("answer cannot be used: endpoint %s, %r", attempt.entry.endpoint.id, error)
         return None
-    return {
-        message.id: results.get(message.id) or MessageResult(Outcome.ERROR, retry_after_us)
-        for message in attempt.messages
-    }
+    missing = [message.id for message in attempt.messages if message.id not in results]
+    if missing:
+        log.warning(
+            "answer without the state of a message: endpoint %s, messages %s", attempt.entry.endpoint.id, missing
+        )
+    return {message.id: results.get(message.id) or MessageResult(Outcome.ERROR) for message in attempt.messages}
--- a/scalefall/net/attempts.py
+++ b/scalefall/net/attempts.py
@@ -8,16 +8,16 @@
 
 import socket
 from collections.abc import Callable
+from dataclasses import replace
 
 from scalefall.net import http, streams
+from scalefall.net.answer_fields import NO_ANSWER_FIELDS, AnswerFields, read_answer_fields
 from scalefall.net.attempt_request import batch_row_size, encode_request
 from scalefall.net.attempt_result import (
     AttemptResult,
     MessageResult,
     read_answer,
     read_broken_answer,
-    read_load_report,
-    read_retry_after,
 )
 from scalefall.net.attempt_state import Attempt, MessageInCall
 from scalefall.net.connection_pool import MAX_STALE_LOSS_RATE, Connection, ConnectionPool
@@ -196,7 +196,7 @@
         ]
         for message in late:
             attempt.messages.remove(message)
-            self._report(attempt, message, MessageResult(Outcome.NOT_SENT), {})
+            self._report(attempt, message, MessageResult(Outcome.NOT_SENT), NO_ANSWER_FIELDS)
 
     def _receive(
         self, attempt: Attempt, reader: http.AnswerReader, sock: socket.socket, deadline_us: int, held: Reservation
@@ -235,31 +235,31 @@
             else:
                 self._pool.retention.connection_accepted(connection.key)
         if results is None:
-            results = MessageResult(Outcome.ERROR, read_retry_after(reader.fields))
+            results = MessageResult(Outcome.ERROR)
         elif reader.keep and not reader.unparsed:
             self._pool.release(connection, attempt.entry)
             attempt.connection = None
-        self._end(attempt, results, reader)
+        self._end(attempt, results, read_answer_fields(reader, self._scheduler.wall()))
 
     def _end_broken(self, attempt: Attempt, reader: http.AnswerReader, error: Exception) -> None:
-        """End an attempt that got no complete answer."""
+        """End an attempt that got no complete answer. Its Retry-After counts if the connection broke within it."""
         result = read_broken_answer(attempt, reader, error, self._settings.answers_carry_report)
         if attempt.written and attempt.connection is not None:
             self._pool.record_use(attempt.connection, was_lost=result.outcome is Outcome.RESET)
-        self._end(attempt, result, reader)
+        fields = read_answer_fields(reader, self._scheduler.wall())
+        if isinstance(error, (streams.TimedOut, http.MalformedMessage)):
+            fields = replace(fields, retry_after_us=0)
+        self._end(attempt, result, fields)
 
-    def _end(self, attempt: Attempt, results: AttemptResult, reader: http.AnswerReader | None = None) -> None:
+    def _end(self, attempt: Attempt, results: AttemptResult, fields: AnswerFields = NO_ANSWER_FIELDS) -> None:
         """Report every message's outcome, once. Later events of the attempt are ignored."""
         attempt.over = True
-        load_report = read_load_report(reader.fields) if reader is not None and reader.head_done else {}
         self._close_connection(attempt)
         for message in attempt.messages:
             result = results if isinstance(results, MessageResult) else results[message.id]
-            self._report(attempt, message, result, load_report)
+            self._report(attempt, message, result, fields)
 
-    def _report(
-        self, attempt: Attempt, message: MessageInCall, result: MessageResult, load_report: dict[str, float]
-    ) -> None:
+    def _report(self, attempt: Attempt, message: MessageInCall, result: MessageResult, fields: AnswerFields) -> None:
         """Report the outcome of the attempt for one message."""
         del self._in_flight[message.id, message.attempt]
         event = AttemptFinished(
@@ -269,8 +269,8 @@
             result.outcome,
             self._scheduler.now() - attempt.started_at_us,
             result.finished,
-            result.retry_after_us,
-            dict(load_report),
+            fields.retry_after_us,
+            dict(fields.load_report),
             result.unreadable,
         )
         self._report_outcome(event)
--- a/scalefall/net/delivery_request_http.py
+++ b/scalefall/net/delivery_request_http.py
@@ -22,7 +22,8 @@
 
 MICROSECONDS_BY_UNIT = {"m": 1000, "u": 1}  # suffixes of X-Deadline
 DEADLINE = re.compile(r"(\d{1,12})(?:\.(\d{1,6})\d*)?([mu])\Z")
-ROUTE = re.compile(r"(?:^|[,;\s])dest=(\d{1,9})(?:[,;\s]|\Z)")
+ROUTE_SEPARATOR = re.compile(r"[,;\s]+")
+DESTINATION = re.compile(r"dest=(\d{1,9})")
 WORD = re.compile(r"[!-~]{1,200}\Z")
 
 
@@ -94,10 +95,12 @@
 
 
 def _destination(fields: dict[str, str]) -> int:
-    routes = ROUTE.findall(fields.get("x-route-to", ""))
-    if len(routes) != 1:
+    """Return the number of the one destination that X-Route-To names."""
+    parts = ROUTE_SEPARATOR.split(fields.get("x-route-to", ""))
+    named = [DESTINATION.fullmatch(part) for part in parts if part.startswith("dest=")]
+    if len(named) != 1 or named[0] is None:
         raise http.MalformedMessage(400, "X-Route-To does not name one dest")
-    return int(routes[0])
+    return int(named[0][1])
 
 
 def encode_admission_result(result: AdmissionResult, keep: bool) -> bytes:
--- a/scalefall/net/list_stream.py
+++ b/scalefall/net/list_stream.py
@@ -5,6 +5,7 @@
 import json
 import re
 from dataclasses import dataclass
+from math import inf
 from typing import NotRequired, TypedDict
 
 from scalefall.errors import RemoteProtocolError
@@ -12,6 +13,7 @@
 from scalefall.policy.events import Endpoint, EndpointStatus
 
 MAX_NAME_CHARACTERS = 255  # limit of an id, a zone or a kind: the journal records them with each call
+MAX_PORT = 65_535
 MAX_STRING_BYTES = 16 * 1024  # of a name with escapes, where MAX_NAME_CHARACTERS are allowed
 JSON_SEPARATORS = (b",", b"{", b"[")  # each value but the first of an object or array follows one of them
 MAX_DEPTH = 32  # levels of nested objects; a list has two
@@ -230,6 +232,8 @@
         seq, whole, rows = list_object["seq"], list_object.get("whole", False), list_object["hosts"]
         if isinstance(seq, bool) or not isinstance(seq, int):
             raise EndpointListError(f"seq must be a whole number, not {seq!r}")
+        if not isinstance(whole, bool):
+            raise EndpointListError(f"whole must be true or false, not {whole!r}")
         for row in rows:
             try:
                 entries.append(_read_entry(row))
@@ -242,7 +246,7 @@
         raise EndpointListError(f"list of endpoints: missing or wrong value ({error!r})") from error
     if unreadable_entries and not entries:
         raise EndpointListError(f"list of endpoints: no entry can be read: {first_reason}")
-    return ListUpdate(seq, bool(whole), entries, tuple(unreadable_entries))
+    return ListUpdate(seq, whole, entries, tuple(unreadable_entries))
 
 
 def _id_of(row: EntryRow) -> str:
@@ -270,8 +274,12 @@
         AttributeError: The address is not a string.
     """
     host, port = row["dial"].rsplit(":", 1)
-    if not isinstance(row["host"], str) or not isinstance(row["block"], int) or row["health"] not in HEALTH_STATUS:
+    if not isinstance(row["host"], str) or type(row["block"]) is not int or row["health"] not in HEALTH_STATUS:
         raise EndpointListError(f"list of endpoints: wrong host, block or health in the entry {row['host']!r}")
+    if not (port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT):
+        raise EndpointListError(
+            f"list of endpoints: wrong port in the entry {row['host']!r}: {port[:ERROR_EXCERPT_CHARACTERS]!r}"
+        )
     if max(len(row["host"]), len(host), len(str(row["site"])), len(str(row["class"]))) > MAX_NAME_CHARACTERS:
         raise EndpointListError(
             f"list of endpoints: a name in the entry {row['host'][:ERROR_EXCERPT_CHARACTERS]!r} is longer than "
@@ -284,7 +292,26 @@
             str(row["class"]),
             row["block"],
             HEALTH_STATUS[row["health"]],
-            float(row.get("share") or 0),
+            _read_share(row),
         ),
         (host, int(port)),
     )
+
+
+def _read_share(row: EntryRow) -> float:
+    """Return an entry's limit; 0 if it has none.
+
+    Raises:
+        EndpointListError: It is no number, or negative or not finite.
+        ValueError: It is a string that is not a number.
+        OverflowError: It is too large.
+    """
+    share: object = row.get("share")
+    if share is None:
+        return 0.0
+    if isinstance(share, bool) or not isinstance(share, (int, float, str)):
+        raise EndpointListError(f"list of endpoints: wrong share in the entry {row['host']!r}")
+    value = float(share)
+    if not 0 <= value < inf:
+        raise EndpointListError(f"list of endpoints: wrong share in the entry {row['host']!r}: {value}")
+    return value
