--- a/tests/test_notified_in_time.py
+++ b/tests/test_notified_in_time.py
@@ -107,6 +107,19 @@
     discovery.listen_again()
 
 
+def break_watch(discovery, end, dial):
+    """Open a watch, and let it break and a dial fail; return when the watch ended or was last active."""
+    discovery.harness.accept_watch()
+    discovery.world.wait_until(lambda: discovery.list._watch._last_active_at_us > 0)
+    ended_at = discovery.world.now()
+    if end == "closed":
+        discovery.harness.watch.close()
+    discovery.until_ended()
+    if dial is not None:
+        dial(discovery)
+    return ended_at
+
+
 @pytest.mark.parametrize("pushed", [False, True])
 @pytest.mark.parametrize("end", ["idle", "closed"])
 @pytest.mark.parametrize("dial", [refused, unanswered])
@@ -115,13 +128,7 @@
     world = discovery.world
 
     def play():
-        discovery.harness.accept_watch()
-        world.wait_until(lambda: discovery.list._watch._last_active_at_us > 0)
-        ended_at = world.now()
-        if end == "closed":
-            discovery.harness.watch.close()
-        discovery.until_ended()
-        dial(discovery)
+        ended_at = break_watch(discovery, end, dial)
         discovery.call(http.answer(503, []), REJECTION_US)
         discovery.send_change()
         assert world.now() - ended_at < NOTIFIED_US, f"{(world.now() - ended_at) / S} s"
@@ -188,14 +195,7 @@
     world = discovery.world
 
     def play():
-        discovery.harness.accept_watch()
-        world.wait_until(lambda: discovery.list._watch._last_active_at_us > 0)
-        ended_at = world.now()
-        if end == "closed":
-            discovery.harness.watch.close()
-        discovery.until_ended()
-        if dial is not None:
-            dial(discovery)
+        ended_at = break_watch(discovery, end, dial)
         discovery.reject_later(timeout_us)
         discovery.send_change()
         assert world.now() - ended_at < NOTIFIED_US, f"{(world.now() - ended_at) / S} s"
