--- a/scalefall/net/list_watch.py
+++ b/scalefall/net/list_watch.py
@@ -96,7 +96,7 @@
         reservation: Accounts for the connection and for what its reader holds.
         answer_deadline_us: The deadline for the answer's head, in monotonic microseconds.
         active_at_us: The time of the answer's head, or of the last complete object or blank line, in monotonic
-            microseconds.
+            microseconds; 0 before the head.
         received_at_us: The time of the last bytes, in monotonic microseconds.
         bytes_since_active: The bytes of the body since the last complete object or blank line.
         is_first: No update has been received yet.
--- a/scalefall/policy/events.py
+++ b/scalefall/policy/events.py
@@ -74,7 +74,7 @@
     may_have_run_zone: str = ""
     restored: bool = False  # accepted before a restart, so never shed for lack of capacity
     message_class: MessageClass | None = None  # the rules at acceptance, where they differ from the current settings
-    batch_bytes: int = 0  # bytes that it takes in the body of a call with several messages; 0: nothing to speak of
+    batch_bytes: int = 0  # bytes that it takes in the body of a call with several messages; 0: unknown
 
 
 @dataclass(slots=True)
