--- a/scalefall/net/list_stream.py
+++ b/scalefall/net/list_stream.py
@@ -292,13 +292,13 @@
             str(row["class"]),
             row["block"],
             HEALTH_STATUS[row["health"]],
-            _read_share(row),
+            _read_limit(row),
         ),
         (host, int(port)),
     )
 
 
-def _read_share(row: EntryRow) -> float:
+def _read_limit(row: EntryRow) -> float:
     """Return an entry's limit; 0 if it has none.
 
     Raises:
@@ -306,12 +306,12 @@
         ValueError: It is a string that is not a number.
         OverflowError: It is too large.
     """
-    share: object = row.get("share")
-    if share is None:
+    value: object = row.get("share")
+    if value is None:
         return 0.0
-    if isinstance(share, bool) or not isinstance(share, (int, float, str)):
+    if isinstance(value, bool) or not isinstance(value, (int, float, str)):
         raise EndpointListError(f"list of endpoints: wrong share in the entry {row['host']!r}")
-    value = float(share)
-    if not 0 <= value < inf:
-        raise EndpointListError(f"list of endpoints: wrong share in the entry {row['host']!r}: {value}")
-    return value
+    limit = float(value)
+    if not 0 <= limit < inf:
+        raise EndpointListError(f"list of endpoints: wrong share in the entry {row['host']!r}: {limit}")
+    return limit
--- a/scalefall/net/list_watch.py
+++ b/scalefall/net/list_watch.py
@@ -67,7 +67,7 @@
         task: The task that runs it.
         is_active: A complete object or a blank line has been received.
         is_cancelled: Another call has become the watch or takes its place, or discovery has moved.
-        is_silent: It ends by an idle timeout or a restarted numbering.
+        is_idle: It ends by an idle timeout or a restarted numbering.
         is_reported: The listener knows of its failure.
     """
 
@@ -76,13 +76,13 @@
     task: Task | None = None
     is_active: bool = False
     is_cancelled: bool = False
-    is_silent: bool = False
+    is_idle: bool = False
     is_reported: bool = False
 
     def end(self) -> WatchEnd:
         """Return how it ended."""
-        if self.is_silent:
-            return WatchEnd.SILENT
+        if self.is_idle:
+            return WatchEnd.IDLE
         return WatchEnd.CLOSED if self.is_active else WatchEnd.FAILED
 
 
@@ -243,7 +243,7 @@
             return
         log.info("watch on the endpoint list broken: %s", reason)
         end = call.end()
-        if end is not WatchEnd.SILENT:
+        if end is not WatchEnd.IDLE:
             self._report_failure(call)
         if is_newest:
             waited_us = now_us - call.started_at_us if end is WatchEnd.FAILED else 0
@@ -317,7 +317,7 @@
                 self._scheduler, sock, connection.reader, connection.deadline_us(), connection.reservation
             )
         except streams.TimedOut:
-            call.is_silent = connection.reader.head_done  # the sender soon counts as notified of missed changes
+            call.is_idle = connection.reader.head_done  # the sender soon counts as notified of missed changes
             raise
 
     def _process(self, connection: _WatchConnection, data: bytes, call: _Call) -> None:
@@ -331,7 +331,7 @@
             if len(update.entries) >= YIELD_ENTRIES:
                 self._scheduler.sleep(0)
             if connection.is_first and not update.is_whole and update.seq < self._listener.seq:
-                self._listener.seq, call.is_silent = 0, True
+                self._listener.seq, call.is_idle = 0, True
                 raise OSError(f"discovery restarted its version numbering at {update.seq}")
             connection.is_first = False
             _check_not_cancelled(call)
--- a/scalefall/net/watch_schedule.py
+++ b/scalefall/net/watch_schedule.py
@@ -18,7 +18,7 @@
 HEDGE_DELAYS_US = (2_150_000, 3_600_000, 3_800_000)
 MAX_CALLS = 2  # at once: one that waits for its answer, and another beside it
 ANSWER_TIMEOUT_US = MAX_CALLS * HEDGE_DELAYS_US[-1]  # from the start of a call to its answer's head
-RECONNECT_SPREAD_PER_SENDER_US = SECOND_US // 80  # after a silent watch: all watches may fall silent at once
+RECONNECT_SPREAD_PER_SENDER_US = SECOND_US // 80  # after an idle timeout: all watches may time out at once
 MAX_RECONNECT_SPREAD_US = SECOND_US // 2
 CLOSED_RECONNECT_SPREAD_US = 2 * SECOND_US  # after an active watch broke: senders must not all reconnect at once
 MIN_BACKOFF_US = SECOND_US // 20  # doubled by each further failure
@@ -31,7 +31,7 @@
 
     FAILED = auto()  # it was not answered, or rejected
     CLOSED = auto()  # the watch broke after a complete object or a blank line
-    SILENT = auto()  # the watch received nothing for too long, or discovery restarted its numbering
+    IDLE = auto()  # the watch received nothing for too long, or discovery restarted its numbering
 
 
 class WatchSchedule:
@@ -46,7 +46,7 @@
             randomness: Spreads the senders' calls.
         """
         self._pushed = pushed
-        self._silent_spread_us = min(MAX_RECONNECT_SPREAD_US, replica_count * RECONNECT_SPREAD_PER_SENDER_US)
+        self._idle_spread_us = min(MAX_RECONNECT_SPREAD_US, replica_count * RECONNECT_SPREAD_PER_SENDER_US)
         self._random = randomness
         self._backoff_us = MIN_BACKOFF_US
         self._has_failed = False  # no call has been answered with a list since the last one failed
@@ -88,5 +88,5 @@
             self._backoff_us = min(2 * self._backoff_us, MAX_POLLED_BACKOFF_US)
             return int(self._backoff_us * (1 + self._random.random()) / 2)
         self._backoff_us = MIN_BACKOFF_US
-        spread_us = self._silent_spread_us if end is WatchEnd.SILENT else CLOSED_RECONNECT_SPREAD_US
+        spread_us = self._idle_spread_us if end is WatchEnd.IDLE else CLOSED_RECONNECT_SPREAD_US
         return int(spread_us * self._random.random())
--- a/tests/test_notified_in_time.py
+++ b/tests/test_notified_in_time.py
@@ -288,16 +288,16 @@
         return MAX_RANDOM
 
 
-def after_a_silent_watch(pushed, replica_count, timeout_us):
-    """Return the steps of the longest path after a watch fell silent: name and microseconds."""
+def after_an_idle_watch(pushed, replica_count, timeout_us):
+    """Return the steps of the longest path after an idle timeout: name and microseconds."""
     schedule = WatchSchedule(pushed, replica_count, LongestWaits())
     steps = [("the watch is silent", IDLE_TIMEOUT_US)]
-    steps += [("spread", schedule.pause_us(WatchEnd.SILENT, was_active=True))]
+    steps += [("spread", schedule.pause_us(WatchEnd.IDLE, was_active=True))]
     return steps + after_a_failed_dial(schedule, timeout_us)
 
 
 def after_a_closed_watch(pushed, replica_count, timeout_us):
-    """Return the same for a watch that was heard and then closed."""
+    """Return the same for an active watch that was closed."""
     schedule = WatchSchedule(pushed, replica_count, LongestWaits())
     steps = [("spread", schedule.pause_us(WatchEnd.CLOSED, was_active=True))]
     return steps + after_a_failed_dial(schedule, timeout_us)
@@ -326,7 +326,7 @@
     return [*steps, ("the answer", ANSWER_US)]
 
 
-PATHS = [after_a_silent_watch, after_a_closed_watch, after_a_long_downtime]
+PATHS = [after_an_idle_watch, after_a_closed_watch, after_a_long_downtime]
 
 
 @pytest.mark.parametrize("timeout_us", TIMEOUTS_US)
--- a/tests/test_watch_cost.py
+++ b/tests/test_watch_cost.py
@@ -36,7 +36,7 @@
         return END_US
 
     def pause_us(self, end, was_active=False, waited_us=0):
-        if end is WatchEnd.SILENT:
+        if end is WatchEnd.IDLE:
             return int(500 * MS * self.random.random())
         self.backoff_us = min(2 * self.backoff_us, 800 * MS)
         return int(self.backoff_us * (1 + self.random.random()) / 2)
@@ -54,7 +54,7 @@
 
 
 class FleetModel:
-    """Senders whose watches all fall silent at once, and a discovery that serves their calls in turn."""
+    """Senders whose watches all time out at once, and a discovery that serves one call at a time."""
 
     def __init__(self, schedule_type, timeout_us, senders=SENDERS, down_us=0):
         self.timeout_us, self.down_us, self.now = timeout_us, down_us, 0
@@ -65,7 +65,7 @@
         self.open_calls = [[] for _ in range(senders)]
         self.next_call_at = [0] * senders
         for sender, schedule in enumerate(self.schedules):
-            self.plan_call(sender, schedule.idle_us + schedule.pause_us(WatchEnd.SILENT, was_active=True))
+            self.plan_call(sender, schedule.idle_us + schedule.pause_us(WatchEnd.IDLE, was_active=True))
 
     def at(self, at_us, function, *args):
         heapq.heappush(self.events, (at_us, next(self.order), function, args))
@@ -81,7 +81,7 @@
         self.at(at_us, self.make_call, sender, at_us)
 
     def make_call(self, sender, planned_at):
-        """Make a call, unless it has been planned anew or the sender is notified; one that still waits is overdue."""
+        """Make a call if it is still planned and the sender not notified; one that waits is overdue."""
         if sender in self.notified_at or self.next_call_at[sender] != planned_at:
             return
         schedule, open_calls = self.schedules[sender], self.open_calls[sender]
@@ -140,9 +140,7 @@
 
 @pytest.mark.parametrize("timeout_us", [S, 2 * S, 2500 * MS, 3 * S, 5 * S, 30 * S])
 @pytest.mark.parametrize("down_us", [0, 8 * S])
-def test_a_silent_watch_costs_a_discovery_that_serves_900_senders_in_turn_no_more_calls_than_before(
-    timeout_us, down_us
-):
+def test_an_idle_timeout_of_900_senders_costs_discovery_no_more_calls_than_before(timeout_us, down_us):
     """Guards against paying for shorter waits with more calls: they queue up, and all senders learn changes later."""
     earlier, present = (
         FleetModel(schedule_type, timeout_us, down_us=down_us).run()
